--- /dev/null
+++ b/wax/main.go
@@ -0,0 +1,4 @@
+// Command wax is the operators' command line.
+package main
+
+func main() {}
