Membership of entries and their jsonrpc2 messages

Cause: an entry must know who else is alive to share slots, spread news and forward. Ruled out: a library's membership (binding), and opinions of peers deciding ownership. Change: roster (pure reducer, probes in turn, shares half even and half by demand) and peer (jsonrpc2, both sides prove the shared key by HMAC, bytes counted).

--- /dev/null
+++ b/peer/doc.go
@@ -0,0 +1,3 @@
+// Package peer carries jsonrpc2 messages between entries, over TCP connections on which both
+// sides have proved that they hold the shared key.
+package peer
--- /dev/null
+++ b/peer/message.go
@@ -0,0 +1,28 @@
+package peer
+
+import "waxwing.example/croft"
+
+// Methods of the protocol between entries.
+const (
+	// MethodProbe asks an entry for its own Report and brings the sender's.
+	MethodProbe = "Probe"
+	// MethodTell brings a Report without a reply.
+	MethodTell = "Tell"
+	// MethodConfig asks for a configuration above a version.
+	MethodConfig = "Config"
+	// MethodClaim asks the owner of a shard to take claims.
+	MethodClaim = "Claim"
+)
+
+// Report is what an entry says of itself, of others and of endpoints.
+type Report struct {
+	From  croft.Peer
+	Known []croft.Peer `json:",omitempty"`
+	News  []croft.News `json:",omitempty"`
+}
+
+// ConfigQuestion asks for a configuration above a version.
+type ConfigQuestion struct{ Above uint64 }
+
+// ConfigAnswer is the configuration in force, zero where none is above the version asked.
+type ConfigAnswer struct{ Config croft.Config }
--- /dev/null
+++ b/peer/meter.go
@@ -0,0 +1,53 @@
+package peer
+
+import (
+	"expvar"
+	"net"
+)
+
+// Meter counts the bytes between entries.
+type Meter struct {
+	sent     expvar.Int
+	received expvar.Int
+	refused  expvar.Int
+}
+
+// NewMeter returns counters that stand at zero.
+func NewMeter() *Meter { return &Meter{} }
+
+// Vars returns the counters as one variable for expvar.
+func (m *Meter) Vars() *expvar.Map {
+	vars := new(expvar.Map)
+	vars.Set("BytesSent", &m.sent)
+	vars.Set("BytesReceived", &m.received)
+	vars.Set("Refused", &m.refused)
+	return vars
+}
+
+// Sent returns the bytes sent.
+func (m *Meter) Sent() int64 { return m.sent.Value() }
+
+// Received returns the bytes received.
+func (m *Meter) Received() int64 { return m.received.Value() }
+
+func (m *Meter) count(conn net.Conn) net.Conn { return &countedConn{Conn: conn, meter: m} }
+
+// countedConn adds what passes through it to a meter.
+type countedConn struct {
+	net.Conn
+	meter *Meter
+}
+
+// Read reads from the connection.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.meter.received.Add(int64(n))
+	return n, err
+}
+
+// Write writes to the connection.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.meter.sent.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,80 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"waxwing.example/croft"
+)
+
+func serveProbes(t *testing.T, key string) (address string, meter *Meter) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	meter = NewMeter()
+	s := NewServer([]byte(key), map[string]Handler{
+		MethodProbe: func(_ context.Context, params json.RawMessage) (any, error) {
+			var r Report
+			err := json.Unmarshal(params, &r)
+			r.From.ID += "-heard"
+			return r, err
+		},
+	}, meter)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.Serve(context.Background(), l)
+	}()
+	t.Cleanup(func() {
+		l.Close()
+		<-done
+	})
+	return l.Addr().String(), meter
+}
+
+func newClient(t *testing.T, key string) *Client {
+	t.Helper()
+	var d net.Dialer
+	c := NewClient([]byte(key), d.DialContext, NewMeter())
+	t.Cleanup(c.Close)
+	return c
+}
+
+func TestProbeIsAnsweredToHoldersOfTheKey(t *testing.T) {
+	address, meter := serveProbes(t, "secret")
+	c := newClient(t, "secret")
+	var answer Report
+	err := c.Call(context.Background(), address, MethodProbe, Report{From: croft.Peer{ID: "e1"}}, &answer)
+	assert.NilError(t, err)
+	assert.Equal(t, answer.From.ID, croft.EntryID("e1-heard"))
+	assert.Assert(t, meter.Received() > 0)
+}
+
+func TestWrongKeyIsRefusedByBothSides(t *testing.T) {
+	address, meter := serveProbes(t, "secret")
+	c := newClient(t, "guess")
+	err := c.Call(context.Background(), address, MethodProbe, Report{}, &Report{})
+	var unreachable *UnreachableError
+	assert.Assert(t, err != nil)
+	assert.ErrorType(t, err, unreachable)
+	for meter.refused.Value() == 0 {
+	}
+}
+
+func TestProofOfOneSideIsNoProofOfTheOther(t *testing.T) {
+	challenge := []byte("the same challenge")
+	assert.Assert(t, string(proof([]byte("k"), dialer, challenge)) != string(proof([]byte("k"), listener, challenge)))
+}
+
+func TestConnectionIsOpenedAgainAfterItBroke(t *testing.T) {
+	address, _ := serveProbes(t, "secret")
+	c := newClient(t, "secret")
+	assert.NilError(t, c.Call(context.Background(), address, MethodProbe, Report{}, &Report{}))
+	assert.NilError(t, c.links[address].conn.Close())
+	<-c.links[address].conn.DisconnectNotify()
+	assert.NilError(t, c.Call(context.Background(), address, MethodProbe, Report{}, &Report{}))
+}
--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,74 @@
+package roster
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"waxwing.example/croft"
+)
+
+func entry(n int) croft.Peer {
+	return croft.Peer{
+		ID:         croft.EntryID(fmt.Sprintf("e%d", n)),
+		DataCentre: croft.DataCentre(fmt.Sprintf("d%d", n%2)),
+		Address:    fmt.Sprintf("127.1.0.%d:1", n),
+	}
+}
+
+func heard(s State, n int, now croft.Millis, news ...croft.News) State {
+	s, _ = Reduce(s, croft.PeerHeard{At: croft.At{Time: now}, Peer: entry(n), News: news})
+	return s
+}
+
+func TestSilentEntryIsLeftOutAndStillProbed(t *testing.T) {
+	s := heard(New(entry(0), Options{}), 2, 100)
+	assert.Equal(t, len(s.Alive()), 2)
+	s, _ = Reduce(s, croft.Tick{At: croft.At{Time: 100 + DefaultSilentNear}})
+	assert.Equal(t, len(s.Alive()), 1)
+	_, effects := Reduce(s, croft.Tick{At: croft.At{Time: 10_000}})
+	assert.Equal(t, len(effects), 1)
+	assert.Equal(t, effects[0], croft.Effect(croft.ProbePeer{Peer: entry(2)}))
+}
+
+func TestEntryReplacedAtItsAddressIsDropped(t *testing.T) {
+	s := heard(New(entry(0), Options{}), 2, 100)
+	replacement := entry(2)
+	replacement.ID = "e2-again"
+	s, _ = Reduce(s, croft.PeerHeard{At: croft.At{Time: 200}, Peer: replacement})
+	assert.Equal(t, len(s.Alive()), 2)
+	assert.Equal(t, s.Alive()[1].ID, croft.EntryID("e2-again"))
+}
+
+func TestSeedsAreProbedUntilHeard(t *testing.T) {
+	s := New(entry(0), Options{Seeds: []string{entry(0).Address, entry(1).Address}})
+	s, effects := Reduce(s, croft.Tick{At: croft.At{Time: 1}})
+	assert.Equal(t, len(effects), 1)
+	assert.Equal(t, effects[0], croft.Effect(croft.ProbePeer{Peer: croft.Peer{Address: entry(1).Address}}))
+	s = heard(s, 1, 2)
+	_, effects = Reduce(s, croft.Tick{At: croft.At{Time: 5000}})
+	assert.Equal(t, effects[0], croft.Effect(croft.ProbePeer{Peer: entry(1)}))
+}
+
+// Entries that have heard each other's demand never claim more than all slots together.
+func TestSharesNeverExceedTheWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 9).Draw(t, "entries")
+		wanted := rapid.SliceOfN(rapid.IntRange(0, 400), count, count).Draw(t, "wanted")
+		sum := 0
+		for i := range count {
+			s := New(entry(i), Options{})
+			s, _ = Reduce(s, croft.TrafficCounted{Wanted: map[croft.PoolID]int{"p": wanted[i]}})
+			for j := range count {
+				news := croft.News{Used: &croft.UsedNews{Entry: entry(j).ID, Pool: "p", Wanted: wanted[j]}}
+				s = heard(s, j, 100, news)
+			}
+			assert.Equal(t, len(s.Alive()), count)
+			sum += s.Share("p")
+		}
+		assert.Assert(t, sum <= wholeShare, "sum %d", sum)
+		assert.Assert(t, sum > wholeShare-2*count-1, "sum %d", sum)
+	})
+}
