--- /dev/null
+++ b/fakes/tasks.go
@@ -0,0 +1,195 @@
+package fakes
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"waxwing.example/croft"
+)
+
+// failAfterMs is how long a task runs that is told to fail, in milliseconds.
+const failAfterMs croft.Millis = 500
+
+// Progress is the body of a checkpoint object.
+type Progress struct {
+	Job croft.JobID
+	Run uint64
+	// Done is the run time spent, in milliseconds.
+	Done croft.Millis
+}
+
+// task is one run of a job on a worker; its state is a function of time until the next order.
+type task struct {
+	run  uint64
+	size croft.Resources
+	// used is what the task uses when not throttled.
+	used croft.Resources
+	// leaseEnd is when the lease lapses, by the platform's clock.
+	leaseEnd croft.Millis
+	started  croft.Millis
+	// runTime is what was left to run at the start.
+	runTime croft.Millis
+	// before is the run time of the checkpoint it started from.
+	before     croft.Millis
+	fails      bool
+	throttled  bool
+	checkpoint string
+	// held is the state that an order fixed, empty while time decides.
+	held croft.TaskState
+}
+
+// state returns what the task is doing at an instant.
+func (t *task) state(now croft.Millis) croft.TaskState {
+	if t.held != "" && (t.held != croft.TaskCheckpointed || now < t.leaseEnd) {
+		return t.held
+	}
+	end := t.started + t.runTime
+	outcome := croft.TaskDone
+	if t.fails && failAfterMs < t.runTime {
+		end = t.started + failAfterMs
+	}
+	if t.fails {
+		outcome = croft.TaskFailed
+	}
+	switch {
+	case t.held == "" && end <= now && end <= t.leaseEnd:
+		return outcome
+	case t.leaseEnd <= now:
+		return croft.TaskLapsed
+	}
+	return croft.TaskRunning
+}
+
+func (t *task) ended(now croft.Millis) bool {
+	s := t.state(now)
+	return s != croft.TaskRunning && s != croft.TaskCheckpointed
+}
+
+func (t *task) report(job croft.JobID, now croft.Millis) croft.TaskReport {
+	r := croft.TaskReport{Job: job, Run: t.run, State: t.state(now), Checkpoint: t.checkpoint}
+	if r.State != croft.TaskRunning {
+		return r
+	}
+	r.Used = t.used
+	if t.throttled {
+		r.Used.MilliCores = min(t.used.MilliCores, t.size.MilliCores)
+	}
+	return r
+}
+
+// OrderTask has a worker act on a task; an older run than the worker knows is refused.
+func (p *Platform) OrderTask(_ context.Context, order croft.OrderTask) error {
+	if err := p.admit(); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.takeReports()
+	w, ok := p.workers[order.VM]
+	if !ok || w.vm.Status == croft.VMFailed {
+		return rejected(http.StatusNotFound, "VM: %q runs no tasks", order.VM)
+	}
+	known := w.tasks[order.Job]
+	if known != nil && order.Run < known.run {
+		return rejected(http.StatusConflict, "Run: %d is older than %d", order.Run, known.run)
+	}
+	if order.Verb == croft.TaskStart {
+		return p.startTask(w, known, order)
+	}
+	if order.Verb == croft.TaskStop {
+		delete(w.tasks, order.Job)
+		return nil
+	}
+	if known == nil || order.Run != known.run {
+		return rejected(http.StatusNotFound, "Job: %q has no run %d here", order.Job, order.Run)
+	}
+	return p.changeTask(known, order)
+}
+
+func (p *Platform) startTask(w *worker, known *task, order croft.OrderTask) error {
+	now := p.options.Clock.Now()
+	if known != nil && order.Run == known.run && !known.ended(now) {
+		return nil // the same order again
+	}
+	if known != nil && order.Run == known.run {
+		return rejected(http.StatusConflict, "Run: %d has ended", order.Run)
+	}
+	if order.Lease <= 0 {
+		return rejected(http.StatusBadRequest, "Lease: %d is not above zero", order.Lease)
+	}
+	before := croft.Millis(0)
+	if order.Checkpoint != "" {
+		var from Progress
+		if err := json.Unmarshal(p.objects[order.Checkpoint], &from); err != nil {
+			return rejected(http.StatusNotFound, "Checkpoint: %q is not there", order.Checkpoint)
+		}
+		before = from.Done
+	}
+	total := p.vary(order.Job, "time", int64(p.options.TaskMs))
+	w.tasks[order.Job] = &task{
+		run:        order.Run,
+		size:       order.Size,
+		used:       p.used(order),
+		leaseEnd:   now + order.Lease,
+		started:    now,
+		runTime:    max(0, croft.Millis(total)-before),
+		before:     before,
+		checkpoint: order.Checkpoint,
+		fails:      slices.Contains(p.faults.FailWorkers, w.vm.ID) || slices.Contains(p.faults.FailJobs, order.Job),
+	}
+	return nil
+}
+
+func (p *Platform) changeTask(t *task, order croft.OrderTask) error {
+	now := p.options.Clock.Now()
+	if t.ended(now) {
+		return rejected(http.StatusConflict, "Job: %q has ended as %s", order.Job, t.state(now))
+	}
+	switch order.Verb {
+	case croft.TaskRenew:
+		t.leaseEnd = now + order.Lease
+	case croft.TaskThrottle:
+		t.throttled = true
+		t.size = order.Size
+	case croft.TaskCheckpoint:
+		return p.checkpointTask(t, order.Job, now)
+	default:
+		return rejected(http.StatusBadRequest, "Verb: %q is not known", order.Verb)
+	}
+	return nil
+}
+
+// checkpointTask stores the task's progress and holds the task still.
+func (p *Platform) checkpointTask(t *task, job croft.JobID, now croft.Millis) error {
+	if t.held == croft.TaskCheckpointed {
+		return nil
+	}
+	done := Progress{Job: job, Run: t.run, Done: t.before + now - t.started}
+	body, err := json.Marshal(done)
+	if err != nil {
+		return rejected(http.StatusBadRequest, "Job: %v", err)
+	}
+	t.checkpoint = fmt.Sprintf("checkpoint/%s/%d", job, t.run)
+	t.held = croft.TaskCheckpointed
+	p.objects[t.checkpoint] = body
+	return nil
+}
+
+// vary returns between a half and one and a half of an amount, the same each time for a job.
+func (p *Platform) vary(job croft.JobID, of string, amount int64) int64 {
+	h := xxhash.Sum64String(fmt.Sprintf("%d/%s/%s", p.options.Seed, of, job))
+	return amount/2 + amount*int64(h%1024)/1024
+}
+
+func (p *Platform) used(order croft.OrderTask) croft.Resources {
+	return croft.Resources{
+		MilliCores:   p.vary(order.Job, "cores", order.Size.MilliCores),
+		MemoryMB:     p.vary(order.Job, "memory", order.Size.MemoryMB),
+		Accelerators: order.Size.Accelerators,
+	}
+}
--- /dev/null
+++ b/fakes/vms.go
@@ -0,0 +1,109 @@
+package fakes
+
+import (
+	"context"
+
+	"waxwing.example/croft"
+)
+
+// vmChange is one change of the VM list.
+type vmChange struct {
+	Time    croft.Millis
+	VM      croft.VM
+	Removed bool
+}
+
+// vmLog is the list's changes; the version of a change is its place, counted from one.
+type vmLog struct{ changes []vmChange }
+
+func (l *vmLog) add(change vmChange) { l.changes = append(l.changes, change) }
+
+// delta returns what changed after a version and up to an instant.
+func (l *vmLog) delta(since uint64, until croft.Millis) croft.VMDelta {
+	newest := map[croft.VMID]vmChange{}
+	order := []croft.VMID{}
+	version := uint64(0)
+	for i, c := range l.changes {
+		if c.Time > until {
+			break
+		}
+		version = uint64(i) + 1
+		if version <= since {
+			continue
+		}
+		if _, seen := newest[c.VM.ID]; !seen {
+			order = append(order, c.VM.ID)
+		}
+		newest[c.VM.ID] = c
+	}
+	d := croft.VMDelta{Version: version, Whole: since == 0}
+	for _, id := range order {
+		c := newest[id]
+		switch {
+		case !c.Removed:
+			d.Changed = append(d.Changed, c.VM)
+		case !d.Whole:
+			d.Removed = append(d.Removed, id)
+		}
+	}
+	return d
+}
+
+// PutVM puts a VM in the list, or changes it there.
+func (p *Platform) PutVM(vm croft.VM) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.putVM(vm)
+}
+
+func (p *Platform) putVM(vm croft.VM) {
+	p.takeReports()
+	w, ok := p.workers[vm.ID]
+	if !ok {
+		w = &worker{tasks: map[croft.JobID]*task{}}
+		p.workers[vm.ID] = w
+	}
+	if w.vm.Boot != vm.Boot || vm.Status == croft.VMFailed {
+		w.tasks = map[croft.JobID]*task{}
+	}
+	if ok && w.vm == vm {
+		return
+	}
+	w.vm = vm
+	p.list.add(vmChange{Time: p.options.Clock.Now(), VM: vm})
+}
+
+// RemoveVM takes a VM off the list; it reports false where the list has none of that name.
+func (p *Platform) RemoveVM(id croft.VMID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w, ok := p.workers[id]
+	if !ok {
+		return false
+	}
+	p.takeReports()
+	delete(p.workers, id)
+	p.list.add(vmChange{Time: p.options.Clock.Now(), VM: w.vm, Removed: true})
+	return true
+}
+
+// SetVMStatus changes what the list says of a VM; it reports false where the list has none of that name.
+func (p *Platform) SetVMStatus(id croft.VMID, status croft.VMStatus) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w, ok := p.workers[id]
+	if ok {
+		p.putVM(w.vm.WithStatus(status))
+	}
+	return ok
+}
+
+// ListVMs returns what changed after a version of the list, all of it for zero, as late as told.
+func (p *Platform) ListVMs(_ context.Context, since uint64) (croft.VMDelta, error) {
+	if err := p.admit(); err != nil {
+		return croft.VMDelta{}, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.list.delta(since, p.options.Clock.Now()-p.options.ListLagMs), nil
+}
