Settings of the daemon and the command line, checked whole

Cause: every program needs settings that are told in full before it starts. Ruled out: encoding/json alone, since it takes unknown, duplicate and differently cased fields and stops at its first error without a line.

--- /dev/null
+++ b/setup/setup_test.go
@@ -0,0 +1,104 @@
+package setup
+
+import (
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const smallest = `{
+	// What has no default.
+	"DataCentre": "dc1",
+	"OperatorToken": "operators-secret-1",
+	"PeerKey": "entries-secret-001",
+}`
+
+func TestSmallestEntryFileServesWithDefaults(t *testing.T) {
+	e, err := ReadEntry("entry.json", []byte(smallest))
+	assert.NilError(t, err)
+	want := DefaultEntry()
+	want.DataCentre, want.OperatorToken, want.PeerKey = "dc1", "operators-secret-1", "entries-secret-001"
+	assert.DeepEqual(t, e, want)
+}
+
+func TestEveryFaultIsToldAtOnceWithLineAndField(t *testing.T) {
+	body := `{
+	"DataCentre": "dc 1",
+	"Callers": "localhost:7400",
+	"callers": "127.0.0.1:7400",
+	"Operators": "127.0.0.1:7401",
+	"Operators": "127.0.0.1:7409",
+	"SeedPeers": ["10.0.0.1:7402", "ten:1"],
+	"OperatorToken": "short",
+	"Log": {"Format": "xml", "Depth": 3},
+	"Timing": {
+		"RenewMs": 3000,
+		"LeaseMs": 3000,
+		"ProbeMs": "fast",
+		"PollMs": 1.5
+	},
+	"Policies": {"Fence": null}
+}`
+	_, err := ReadEntry("entry.json", []byte(body))
+	want := []string{
+		"entry.json:1: PeerKey: must be given",
+		"entry.json:2: DataCentre: must be 1 to 64 letters, digits, dots, hyphens or underscores, a letter or digit first",
+		"entry.json:3: Callers: must be an IP number and a port, such as 10.0.0.1:7400",
+		"entry.json:4: callers: unknown field, did you mean Callers?",
+		"entry.json:6: Operators: given twice",
+		"entry.json:7: SeedPeers[1]: must be an IP number and a port, such as 10.0.0.1:7400",
+		"entry.json:8: OperatorToken: must be at least 16 characters long",
+		"entry.json:9: Log.Depth: unknown field",
+		"entry.json:9: Log.Format: must be one of text, json",
+		"entry.json:12: Timing.LeaseMs: must be above RenewMs",
+		"entry.json:13: Timing.ProbeMs: must be a whole number",
+		"entry.json:14: Timing.PollMs: must be a whole number",
+		"entry.json:16: Policies.Fence: must be true or false",
+	}
+	assert.Equal(t, err.Error(), strings.Join(want, "\n"))
+}
+
+func TestUnreadableFilesAreRefused(t *testing.T) {
+	cases := []struct{ name, body, want string }{
+		{"syntax", "{\n\"DataCentre\" \"dc1\"}", "f:2: column 14: "},
+		{"kind", "[]", "f:1: must be an object"},
+		{"depth", strings.Repeat("[", maxDepth+1), "f:0: nested deeper than 64"},
+		{"size", strings.Repeat(" ", MaxFileBytes+1), "f:0: the file has 1048577 bytes, more than 1048576"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := ReadWax("f", []byte(c.body))
+			assert.ErrorContains(t, err, c.want)
+		})
+	}
+}
+
+func TestEveryFieldIsDocumented(t *testing.T) {
+	for _, f := range append(Fields(DefaultEntry()), Fields(DefaultWax())...) {
+		assert.Assert(t, strings.HasSuffix(f.Doc, "."), f.Path)
+	}
+	assert.Equal(t, len(Fields(DefaultWax())), 3)
+}
+
+func FuzzReadEntry(f *testing.F) {
+	f.Add([]byte(smallest))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		read, err := ReadEntry("f", body)
+		var invalid *InvalidError
+		if errors.As(err, &invalid) {
+			assert.Assert(t, len(invalid.Problems) > 0)
+			return
+		}
+		assert.NilError(t, err)
+		written, err := json.Marshal(read)
+		assert.NilError(t, err)
+		again, err := ReadEntry("f", written)
+		assert.NilError(t, err)
+		rewritten, err := json.Marshal(again)
+		assert.NilError(t, err)
+		assert.Equal(t, string(rewritten), string(written))
+	})
+}
