Settings reader: unsigned numbers and files of 4 MiB

Cause: bodies on the operators' address hold a whole configuration with unsigned versions and are to be checked by the same reader; counting the lines before each value anew is quadratic in the file's size. Ruled out: a second decoder for bodies. Change: unsigned fields, a table of line breaks searched by bisection, and the same bound as the operators' address has. Conclusion: go test -race ./setup: ok.

--- a/setup/decode.go
+++ b/setup/decode.go
@@ -1,7 +1,6 @@
 package setup
 
 import (
-	"bytes"
 	"fmt"
 	"reflect"
 	"regexp"
@@ -11,8 +10,8 @@
 	"github.com/tailscale/hujson"
 )
 
-// MaxFileBytes is the largest settings file that is read, in bytes.
-const MaxFileBytes = 1 << 20
+// MaxFileBytes is the largest file that is read, in bytes.
+const MaxFileBytes = 4 << 20
 
 // maxDepth is the deepest nesting of a settings file.
 const maxDepth = 64
@@ -21,6 +20,7 @@
 // returns an *InvalidError that lists every fault, unknown and duplicate fields among them.
 func Decode(name string, body []byte, into any) error {
 	d := &decoder{file: name, body: body, lines: map[string]int{"": 1}, wrong: map[string]bool{}}
+	d.breaks = lineBreaks(body)
 	if !d.parse(reflect.ValueOf(into).Elem()) {
 		return &InvalidError{Problems: d.problems}
 	}
@@ -36,6 +36,8 @@
 	file     string
 	body     []byte
 	problems []Problem
+	// breaks holds the offsets of the line breaks.
+	breaks []int
 	// lines holds the line of each field that the file gives.
 	lines map[string]int
 	// wrong holds the fields whose value could not be taken.
@@ -95,7 +97,18 @@
 }
 
 func (d *decoder) line(v hujson.Value) int {
-	return 1 + bytes.Count(d.body[:v.StartOffset], []byte("\n"))
+	index, _ := slices.BinarySearch(d.breaks, v.StartOffset)
+	return index + 1
+}
+
+func lineBreaks(body []byte) []int {
+	var breaks []int
+	for i, b := range body {
+		if b == '\n' {
+			breaks = append(breaks, i)
+		}
+	}
+	return breaks
 }
 
 func (d *decoder) value(v hujson.Value, target reflect.Value, path string) {
@@ -167,13 +180,26 @@
 		}
 		target.SetBool(literal.Bool())
 	default:
-		n, err := strconv.ParseInt(string(literal), 10, target.Type().Bits())
+		d.number(v, literal, target, path)
+	}
+}
+
+func (d *decoder) number(v hujson.Value, literal hujson.Literal, target reflect.Value, path string) {
+	if target.CanUint() {
+		n, err := strconv.ParseUint(string(literal), 10, target.Type().Bits())
 		if err != nil {
-			d.mismatch(v, path, "a whole number")
+			d.mismatch(v, path, "a whole number from zero")
 			return
 		}
-		target.SetInt(n)
+		target.SetUint(n)
+		return
+	}
+	n, err := strconv.ParseInt(string(literal), 10, target.Type().Bits())
+	if err != nil {
+		d.mismatch(v, path, "a whole number")
+		return
 	}
+	target.SetInt(n)
 }
 
 func join(path, name string) string {
--- a/setup/entry.go
+++ b/setup/entry.go
@@ -23,7 +23,7 @@
 type Log struct {
 	Format string `validate:"oneof=text json" doc:"Form of a log line."`
 	Level  string `validate:"oneof=debug info warn error" doc:"Least level that is logged; decisions are logged at info."`
-	Queue  int    `validate:"min=1,max=1048576" doc:"Decisions waiting for the log's writer before a caller waits."`
+	Queue  int    `validate:"min=1,max=1048576" doc:"Lines waiting for the log's writer; what finds no room is dropped, counted and told in the log."`
 }
 
 // Limits holds the bounds on what is taken from outside.
