--- /dev/null
+++ b/daemon/main.go
@@ -0,0 +1,81 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+
+	"waxwing.example/croft/setup"
+)
+
+// Exit codes of the daemon.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+type arguments struct {
+	File string `arg:"positional,required" help:"settings, JSON with comments"`
+}
+
+// Description is printed by --help.
+func (arguments) Description() string {
+	return "entry takes callers' requests and passes them to executors; see docs/REFERENCE.md for its settings."
+}
+
+// Main runs an entry by its command line until SIGTERM or SIGINT and returns the exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	settings, code := readSettings(args, stdout, stderr)
+	if code != exitDone || settings == nil {
+		return code
+	}
+	d, err := New(*settings, stderr)
+	if err != nil {
+		fmt.Fprintln(stderr, "entry:", err)
+		return exitFailed
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := d.Run(ctx); err != nil {
+		fmt.Fprintln(stderr, "entry:", err)
+		return exitFailed
+	}
+	return exitDone
+}
+
+// readSettings returns no settings where help was printed.
+func readSettings(args []string, stdout, stderr io.Writer) (*setup.Entry, int) {
+	var a arguments
+	parser, err := arg.NewParser(arg.Config{Program: "entry", Out: stdout}, &a)
+	if err != nil {
+		fmt.Fprintln(stderr, "entry:", err)
+		return nil, exitFailed
+	}
+	switch err := parser.Parse(args); {
+	case errors.Is(err, arg.ErrHelp):
+		parser.WriteHelp(stdout)
+		return nil, exitDone
+	case err != nil:
+		fmt.Fprintln(stderr, "entry:", err)
+		parser.WriteUsage(stderr)
+		return nil, exitUsage
+	}
+	body, err := os.ReadFile(a.File)
+	if err != nil {
+		fmt.Fprintln(stderr, "entry:", err)
+		return nil, exitUsage
+	}
+	settings, err := setup.ReadEntry(a.File, body)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return nil, exitUsage
+	}
+	return &settings, exitDone
+}
--- /dev/null
+++ b/daemon/poll.go
@@ -0,0 +1,93 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"waxwing.example/croft"
+	"waxwing.example/croft/peer"
+)
+
+// reportsEvery is the span between reads of the workers' reports, in milliseconds.
+const reportsEvery = 2 * croft.Second
+
+// failuresToCut is how many polls in a row must fail before the platform counts as unreachable.
+const failuresToCut = 2
+
+// tick lets time pass in the control state.
+func (p *parts) tick(ctx context.Context) error {
+	for {
+		if err := p.clock.Sleep(ctx, p.settings.Timing.TickMs); err != nil {
+			return err
+		}
+		p.loop.Post(croft.Tick{At: p.at(), Seed: rand.Uint64()})
+	}
+}
+
+// pollVMs reads the platform's VM list and tells whether the platform answers.
+func (p *parts) pollVMs(ctx context.Context) error {
+	since := uint64(0)
+	failures := 0
+	for {
+		delta, err := p.platform.ListVMs(ctx, since)
+		if err == nil {
+			failures = 0
+			since = delta.Version
+			p.loop.deliver(croft.PlatformSeen{At: p.at(), Reachable: true})
+			p.loop.deliver(croft.VMsListed{At: p.at(), Delta: delta})
+		} else {
+			failures++
+			p.pollFailed(ctx, failures)
+		}
+		if err := p.clock.Sleep(ctx, p.settings.Timing.PollMs); err != nil {
+			return err
+		}
+	}
+}
+
+func (p *parts) pollFailed(ctx context.Context, failures int) {
+	if failures < failuresToCut {
+		return
+	}
+	p.loop.deliver(croft.PlatformSeen{At: p.at(), Reachable: false})
+	if len(p.loop.State().VMs()) == 0 {
+		p.askFleet(ctx)
+	}
+}
+
+// askFleet takes the fleet from another entry, for one that started while the platform is away.
+func (p *parts) askFleet(ctx context.Context) {
+	v := p.loop.View()
+	for _, e := range v.Entries {
+		if e.ID == v.Self.ID {
+			continue
+		}
+		var answer peer.FleetAnswer
+		asked, cancel := context.WithTimeout(ctx, p.settings.Timing.PlatformMs.Duration())
+		err := p.client.Call(asked, e.Address, peer.MethodFleet, peer.FleetQuestion{}, &answer)
+		cancel()
+		if err != nil || len(answer.VMs) == 0 {
+			continue
+		}
+		p.loop.deliver(croft.VMsListed{At: p.at(), Delta: croft.VMDelta{Changed: answer.VMs}})
+		p.loop.deliver(croft.RowsRead{At: p.at(), Prefix: croft.MemberPrefix, Rows: answer.Rows})
+		return
+	}
+}
+
+// pollReports reads the workers' lagging reports.
+func (p *parts) pollReports(ctx context.Context) error {
+	since := croft.Millis(0)
+	for {
+		reports, err := p.platform.Reports(ctx, since)
+		if err == nil && len(reports) > 0 {
+			p.loop.deliver(croft.WorkersReported{At: p.at(), Reports: reports})
+			for _, r := range reports {
+				since = max(since, r.Taken)
+			}
+		}
+		if err := p.clock.Sleep(ctx, reportsEvery); err != nil {
+			return err
+		}
+	}
+}
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -58,3 +58,6 @@
 		Maintenance: s.maint.Progress(id, now, s.pools),
 	}
 }
+
+// MemberRows returns the known member rows as they stand in the table.
+func (s State) MemberRows() []croft.Row { return s.pools.Rows() }
--- a/pools/state.go
+++ b/pools/state.go
@@ -218,3 +218,12 @@
 func (in Inputs) holds(pool croft.PoolID, now croft.Millis) bool {
 	return in.Lease.Holds(in.Self.ID, pool, now)
 }
+
+// Rows returns the known member rows as they stand in the table.
+func (s State) Rows() []croft.Row {
+	rows := make([]croft.Row, 0, s.members.Len())
+	for id, k := range s.members.All() {
+		rows = append(rows, croft.Row{Key: croft.MemberKey(id), Version: k.Version, Value: encode(k.Member)})
+	}
+	return rows
+}
