Operators' HTTP address and its client

Cause: operators reach an entry by HTTP, and what a command came to has to be told apart: done, refused, race lost, not done, unknown. Ruled out: a status code alone, since a lost race and a refusal need their values; echo's own problem body, which has no room for them.

--- /dev/null
+++ b/ops/doc.go
@@ -0,0 +1,2 @@
+// Package ops is the operators' HTTP address of an entry, and the client that speaks to it.
+package ops
