pools: a VM is used only under a row that names its boot

Cause: an entry with an old row and a newer list would give work to a VM that was moved and restarted since, in the pool it left. Change: a serving row names the boot; a restart while serving is confirmed by the planner, a batch of a pool in one transaction. Ruled out: waiting for a fresh read after each restart, since reads may be old.

--- a/place/report.go
+++ b/place/report.go
@@ -39,7 +39,7 @@
 				Action: string(row.Status), Subject: string(row.ID), Choice: string(r.VM), Reason: row.Reason,
 			})
 			var f []croft.Effect
-			s, f = s.blame(row, t.State, in)
+			s, f = s.blame(row, t.State)
 			effects = append(effects, f...)
 		}
 	}
@@ -121,7 +121,7 @@
 }
 
 // blame counts a job that runs now against the workers it failed on.
-func (s State) blame(j croft.Job, state croft.TaskState, in Inputs) (State, []croft.Effect) {
+func (s State) blame(j croft.Job, state croft.TaskState) (State, []croft.Effect) {
 	if state != croft.TaskRunning && state != croft.TaskDone {
 		return s, nil
 	}
--- a/place/state.go
+++ b/place/state.go
@@ -82,7 +82,7 @@
 	lost croft.Millis
 	// asked is when a checkpoint was asked for, zero before.
 	asked croft.Millis
-	// stop says that the checkpoint is there or will not come.
+	// checkpointed says that the worker reported the checkpoint asked for.
 	checkpointed bool
 }
 
@@ -103,14 +103,12 @@
 	asked     string
 	cancel    string
 	sent      croft.Millis
-	tries     int
 	decisions []croft.Decision
 }
 
 // cancel is an operator's command to cancel jobs, taken in batches.
 type cancel struct {
 	left    []croft.JobID
-	flying  int
 	refused int
 	first   string
 }
--- a/pools/adopt.go
+++ b/pools/adopt.go
@@ -89,3 +89,36 @@
 	s[best].have++
 	return s[best].pool
 }
+
+// confirm writes the boot of VMs that restarted while they served, a batch of each pool at a time.
+func (s State) confirm(now croft.Millis, in Inputs) (State, []croft.Effect) {
+	rows := map[croft.PoolID][]croft.Member{}
+	var order []croft.PoolID
+	for id := range s.unconfirmed.All() {
+		m, _ := s.members.Get(id)
+		if _, holds := s.fence(m.Pool, now, in); !holds || s.busy.Has(id) || len(rows[m.Pool]) == adoptBatch {
+			continue
+		}
+		v, _ := s.vms.Get(id)
+		row := m.Member
+		row.Boot = v.Boot
+		row.Epoch++
+		if rows[m.Pool] == nil {
+			order = append(order, m.Pool)
+		}
+		rows[m.Pool] = append(rows[m.Pool], row)
+	}
+	var effects []croft.Effect
+	for _, p := range order {
+		fence, _ := s.fence(p, now, in)
+		var f []croft.Effect
+		s, f = s.putAll(rows[p], fence, "", croft.Decision{
+			Action:  "Confirm",
+			Subject: fmt.Sprintf("%d VMs from %s", len(rows[p]), rows[p][0].VM),
+			Choice:  string(p),
+			Reason:  "restarted while serving",
+		}, now, in)
+		effects = append(effects, f...)
+	}
+	return s, effects
+}
--- a/pools/advance.go
+++ b/pools/advance.go
@@ -21,58 +21,68 @@
 
 // next returns the row that follows, where the VM is ready for it.
 func (s State) next(m croft.Member, now croft.Millis, in Inputs) (croft.Member, croft.Decision, bool) {
-	v, listed := s.vms.Get(m.VM)
-	up := listed && v.Status == croft.VMLive
-	booted := listed && v.Boot > m.Boot
-	if m.Purpose == croft.PurposeNone {
-		return s.resumed(m, up, booted, now)
-	}
-	if m.Purpose == croft.PurposeHold {
+	switch m.Purpose {
+	case croft.PurposeNone:
+		return s.resumed(m, now)
+	case croft.PurposeHold:
 		return m, croft.Decision{}, false
 	}
-	if reason := undoReason(m, listed && v.Status != croft.VMFailed, now, in); reason != "" {
+	if reason := s.undoReason(m, now, in); reason != "" {
 		next := m.WithPhase(croft.PhaseDraining, croft.PurposeNone, now).WithTarget("")
 		return next, decide("Undo", next, reason), true
 	}
-	switch {
-	case m.Purpose == croft.PurposeMove && booted && up:
-		next := m.WithPhase(croft.PhaseServing, croft.PurposeNone, now).WithPool(m.Target)
-		next.Boot = v.Boot
-		return next, decide("Moved", next, "drained and restarted"), true
-	case m.Phase == croft.PhaseDraining && m.Purpose == croft.PurposeMaintain && s.finished(m, now, in):
-		next := m.WithPhase(croft.PhaseAway, croft.PurposeMaintain, now)
-		next.Boot = v.Boot
-		return next, decide("Restart", next, "drained for maintenance"), true
-	case m.Phase == croft.PhaseAway && booted && up:
+	if m.Purpose == croft.PurposeMaintain {
+		return s.maintained(m, now, in)
+	}
+	boot, up := s.restarted(m)
+	if !up {
+		return m, croft.Decision{}, false
+	}
+	next := m.WithPhase(croft.PhaseServing, croft.PurposeNone, now).WithPool(m.Target)
+	next.Boot = boot
+	return next, decide("Moved", next, "drained and restarted"), true
+}
+
+func (s State) maintained(m croft.Member, now croft.Millis, in Inputs) (croft.Member, croft.Decision, bool) {
+	boot, up := s.restarted(m)
+	if m.Phase == croft.PhaseAway && up {
 		next := m.WithPhase(croft.PhaseServing, croft.PurposeNone, now)
-		next.Boot = v.Boot
+		next.Boot = boot
 		next.Maintained = now
 		return next, decide("Maintained", next, "restarted"), true
 	}
+	if m.Phase == croft.PhaseDraining && s.finished(m, now, in) {
+		v, _ := s.vms.Get(m.VM)
+		next := m.WithPhase(croft.PhaseAway, croft.PurposeMaintain, now)
+		next.Boot = v.Boot
+		return next, decide("Restart", next, "drained for maintenance"), true
+	}
 	return m, croft.Decision{}, false
 }
 
-// resumed lets a VM serve again once its executor takes work.
-func (s State) resumed(m croft.Member, up, booted bool, now croft.Millis) (croft.Member, croft.Decision, bool) {
+// restarted returns the VM's boot, and whether it is up in a newer one than the phase began in.
+func (s State) restarted(m croft.Member) (uint64, bool) {
+	v, ok := s.vms.Get(m.VM)
+	return v.Boot, ok && v.Status == croft.VMLive && v.Boot > m.Boot
+}
+
+// resumed lets a VM serve again once its executor takes work; a VM that is gone serves when it comes back.
+func (s State) resumed(m croft.Member, now croft.Millis) (croft.Member, croft.Decision, bool) {
 	o, _ := s.orders.Get(m.VM)
 	taken := o.epoch == m.Epoch && o.verb == croft.VMResume && o.taken > 0
-	if !taken && !booted && up && now < m.Since+RebootWithin {
-		return m, croft.Decision{}, false
-	}
-	if !taken && !booted && !up && now < m.Since+RebootWithin && s.listedLeaving(m.VM) {
+	v, listed := s.vms.Get(m.VM)
+	gone := !listed || v.Status == croft.VMFailed
+	if !taken && !gone && v.Boot <= m.Boot && now < m.Since+UndoAfter {
 		return m, croft.Decision{}, false
 	}
 	next := m.WithPhase(croft.PhaseServing, croft.PurposeNone, now).WithTarget("")
+	next.Boot = max(m.Boot, v.Boot)
 	return next, decide("Resume", next, "drain taken back"), true
 }
 
-func (s State) listedLeaving(id croft.VMID) bool {
-	v, ok := s.vms.Get(id)
-	return ok && v.Status == croft.VMLeaving
-}
-
-func undoReason(m croft.Member, alive bool, now croft.Millis, in Inputs) string {
-	if !alive {
+func (s State) undoReason(m croft.Member, now croft.Millis, in Inputs) string {
+	v, listed := s.vms.Get(m.VM)
+	if (!listed || v.Status == croft.VMFailed) && !s.restarting(m, now) {
 		return "the VM failed"
 	}
 	if now >= m.Since+UndoAfter {
@@ -87,6 +97,12 @@
 	return ""
 }
 
+// restarting reports whether a restart that was ordered may be why the VM is away.
+func (s State) restarting(m croft.Member, now croft.Millis) bool {
+	o, ok := s.orders.Get(m.VM)
+	return ok && o.epoch == m.Epoch && o.verb == croft.VMReboot && o.taken > 0 && now < o.taken+RestartGrace
+}
+
 // finished reports whether the drain was taken, given its time and left no task behind.
 func (s State) finished(m croft.Member, now croft.Millis, in Inputs) bool {
 	o, ok := s.orders.Get(m.VM)
--- a/pools/list.go
+++ b/pools/list.go
@@ -38,16 +38,29 @@
 	if !s.members.Has(v.ID) {
 		s.fresh = s.fresh.With(v.ID, struct{}{})
 	}
-	s = s.touch(v.ID)
+	s = s.compareBoot(v.ID).touch(v.ID)
 	if v.Status == croft.VMLeaving {
 		return s.mark(v.ID, v.Boot, croft.LeavingByList, now)
 	}
 	return s, nil
 }
 
+// compareBoot notes a VM that restarted while it served.
+func (s State) compareBoot(id croft.VMID) State {
+	v, listed := s.vms.Get(id)
+	m, ok := s.members.Get(id)
+	if listed && ok && m.Phase == croft.PhaseServing && v.Boot > m.Boot && v.Status == croft.VMLive {
+		s.unconfirmed = s.unconfirmed.With(id, struct{}{})
+	} else if s.unconfirmed.Has(id) {
+		s.unconfirmed = s.unconfirmed.Without(id)
+	}
+	return s
+}
+
 func (s State) forgetVM(id croft.VMID) State {
 	s.vms = s.vms.Without(id)
 	s.fresh = s.fresh.Without(id)
+	s.unconfirmed = s.unconfirmed.Without(id)
 	return s.touch(id)
 }
 
--- a/pools/reduce.go
+++ b/pools/reduce.go
@@ -48,6 +48,8 @@
 	}
 	s, more = s.adopt(e.Time, in)
 	effects = append(effects, more...)
+	s, more = s.confirm(e.Time, in)
+	effects = append(effects, more...)
 	for id := range s.active.All() {
 		s, more = s.advance(id, e.Time, in)
 		effects = append(effects, more...)
@@ -103,7 +105,7 @@
 	next := Known{Member: m, Version: r.Version}
 	s.members = s.members.With(m.VM, next)
 	s.fresh = s.fresh.Without(m.VM)
-	s = s.reindex(before, next)
+	s = s.reindex(before, next).compareBoot(m.VM)
 	if m.Phase == croft.PhaseServing && m.Purpose == croft.PurposeNone {
 		s.active = s.active.Without(m.VM)
 		s.orders = s.orders.Without(m.VM)
--- a/pools/state.go
+++ b/pools/state.go
@@ -15,6 +15,8 @@
 	DrainSpan = 2 * croft.Second
 	// RebootWithin is when a reboot that did not show in the list is ordered again.
 	RebootWithin = croft.Minute
+	// RestartGrace is how long a VM whose restart was ordered may be gone from the list.
+	RestartGrace = 5 * croft.Minute
 	// UndoAfter is when a move or maintenance that has not ended is undone.
 	UndoAfter = 20 * croft.Minute
 
@@ -54,6 +56,8 @@
 	scanned  croft.Millis
 	stepped  croft.Millis
 	serial   uint64
+	// unconfirmed are the serving VMs whose row names an older boot.
+	unconfirmed keyed.Map[croft.VMID, struct{}]
 	// hints are the VMs kept out for a while only.
 	hints keyed.Map[croft.VMID, struct{}]
 	// changes counts what a view of the endpoints depends on.
@@ -170,14 +174,15 @@
 	}
 }
 
-// Usable reports whether a VM may be given work: live in the list, serving in a pool and not marked as leaving.
+// Usable reports whether a VM may be given work: live in the list, serving in a pool by a row that names its boot, and not marked
+// as leaving; the boot keeps an entry with an old row from using a VM that was moved and restarted since.
 func (s State) Usable(id croft.VMID, now croft.Millis) bool {
 	v, ok := s.vms.Get(id)
 	if !ok || v.Status != croft.VMLive {
 		return false
 	}
 	m, ok := s.members.Get(id)
-	if !ok || m.Phase != croft.PhaseServing {
+	if !ok || m.Phase != croft.PhaseServing || m.Boot != v.Boot {
 		return false
 	}
 	k, ok := s.marks.Get(id)
