Admission, picking and retrying of requests

Cause: an entry needs to decide which requests start, where, and which are tried again. Change: floors, then the least decayed use of slots with a small part for urgency; earliest deadline first within a class; refusal at once of what cannot start in time; two random choices; a retry budget; baselines. Conclusion: holds below the pool's capacity; above it the flooded kind's own floor costs the others.

--- /dev/null
+++ b/admit/flood_test.go
@@ -0,0 +1,146 @@
+package admit
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"waxwing.example/croft"
+)
+
+const (
+	poolSlots   = 80
+	serviceTime = 100
+	runSpan     = 100 * croft.Second
+	burstSpan   = 5 * croft.Second
+	services    = 5
+	kinds       = 3
+	floorShare  = 50
+	deadline    = 2 * croft.Second
+	// kindRate is a kind's mean of requests a second.
+	kindRate = 46
+)
+
+// ending is a slot that is freed at an instant.
+type ending struct {
+	at     croft.Millis
+	waiter *Waiter
+}
+
+type endings []ending
+
+func (e endings) Len() int           { return len(e) }
+func (e endings) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e endings) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *endings) Push(x any)        { *e = append(*e, x.(ending)) }
+func (e *endings) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// load drives a scheduler through the brief's load on a virtual clock, one millisecond a step.
+type load struct {
+	queue   Scheduler
+	random  *rand.Rand
+	classes []Class
+	running endings
+	inTime  map[croft.Class]int
+	held    int
+	maxHeld int
+}
+
+func newLoad(queue Scheduler) *load {
+	l := &load{queue: queue, random: rand.New(rand.NewSource(7)), inTime: map[croft.Class]int{}}
+	for s := range services {
+		for k := range kinds {
+			id := croft.Class{
+				Service: croft.ServiceID(fmt.Sprintf("s%d", s)),
+				Kind:    croft.KindID(fmt.Sprintf("k%d", k)),
+			}
+			l.classes = append(l.classes, Class{ID: id, Urgency: k, FloorShare: floorShare, Deadline: deadline})
+		}
+	}
+	queue.Set(Settings{Slots: poolSlots, Classes: l.classes})
+	return l
+}
+
+// rate is a class's demand a second: five times its mean while its service bursts, else a twentieth.
+func (l *load) rate(now croft.Millis, class, flooded int, times float64) float64 {
+	if class == flooded && times > 0 {
+		return kindRate * times
+	}
+	if int(now/burstSpan)%services == class/kinds {
+		return kindRate * 5
+	}
+	return kindRate / 20.0
+}
+
+func (l *load) run(flooded int, times float64) map[croft.Class]int {
+	// Each class has its own source, so that a flood leaves the arrivals of the others as they are.
+	sources := make([]*rand.Rand, len(l.classes))
+	for i := range sources {
+		sources[i] = rand.New(rand.NewSource(int64(i) + 1))
+	}
+	for now := croft.Millis(0); now < runSpan; now++ {
+		for len(l.running) > 0 && l.running[0].at <= now {
+			e := heap.Pop(&l.running).(ending)
+			l.queue.Release(now, e.waiter)
+			l.held--
+			if now <= e.waiter.Deadline {
+				l.inTime[e.waiter.Class]++
+			}
+		}
+		for i, k := range l.classes {
+			mean := l.rate(now, i, flooded, times) / 1000
+			for mean > 0 {
+				if sources[i].Float64() < mean {
+					l.queue.Offer(now, &Waiter{Class: k.ID, Arrived: now, Deadline: now + k.Deadline})
+				}
+				mean--
+			}
+		}
+		l.queue.Expire(now)
+		for w := l.queue.Next(now); w != nil; w = l.queue.Next(now) {
+			span := croft.Millis(serviceTime/2 + l.random.Intn(serviceTime))
+			heap.Push(&l.running, ending{now + span, w})
+			l.held++
+			l.maxHeld = max(l.maxHeld, l.held)
+		}
+	}
+	return l.inTime
+}
+
+// kept is the least share of its service that another kind keeps during a flood.
+func kept(before, during map[croft.Class]int, flooded croft.Class) (float64, croft.Class) {
+	least, worst := 1.0, croft.Class{}
+	for class, count := range before {
+		if class == flooded {
+			continue
+		}
+		if share := float64(during[class]) / float64(count); share < least {
+			least, worst = share, class
+		}
+	}
+	return least, worst
+}
+
+func TestFloodOfOneKindLeavesTheOthersTheirService(t *testing.T) {
+	before := newLoad(NewCore()).run(-1, 0)
+	plainBefore := newLoad(NewFirstCome()).run(-1, 0)
+	for _, flooded := range []int{2, 0} { // the least urgent kind, then the most urgent
+		for _, times := range []float64{5, 10, 50} {
+			l := newLoad(NewCore())
+			class := l.classes[flooded].ID
+			least, worst := kept(before, l.run(flooded, times), class)
+			plain, _ := kept(plainBefore, newLoad(NewFirstCome()).run(flooded, times), class)
+			t.Logf("flood of %s at %g times: kept %.4f (%s), first come %.4f", class, times, least, worst, plain)
+			assert.Assert(t, least >= 0.99, "%s keeps %.4f", worst, least)
+			assert.Assert(t, plain < 0.99, "first come keeps %.4f", plain)
+			assert.Equal(t, l.maxHeld, poolSlots)
+		}
+	}
+}
--- /dev/null
+++ b/admit/gate_test.go
@@ -0,0 +1,75 @@
+package admit
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"waxwing.example/croft"
+	"waxwing.example/croft/clock"
+)
+
+func gateOf(slots int, c croft.Clock) (*Gate, croft.Class) {
+	id := croft.Class{Service: "s", Kind: "k"}
+	g := NewGate(c, NewCore())
+	g.Set(Settings{Slots: slots, Classes: []Class{{ID: id, FloorShare: 100, Deadline: croft.Second}}})
+	return g, id
+}
+
+// TestGateLosesNoSlot lets many goroutines enter, leave and give up, and counts what is in use.
+func TestGateLosesNoSlot(t *testing.T) {
+	const slots = 3
+	manual := clock.NewManual(0)
+	gate, id := gateOf(slots, manual)
+	var inUse, most atomic.Int64
+	var all sync.WaitGroup
+	for i := range 60 {
+		all.Go(func() {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			if i%4 == 0 {
+				cancel()
+			}
+			pass, err := gate.Enter(ctx, id, croft.Second)
+			if err != nil {
+				assert.Check(t, errors.Is(err, context.Canceled), "%v", err)
+				return
+			}
+			now := inUse.Add(1)
+			for old := most.Load(); now > old && !most.CompareAndSwap(old, now); old = most.Load() {
+			}
+			inUse.Add(-1)
+			pass.Leave()
+			pass.Leave()
+		})
+	}
+	all.Wait()
+	assert.Equal(t, gate.Wanted(), 0)
+	assert.Assert(t, most.Load() <= slots)
+}
+
+// TestWaiterIsToldBeforeItsDeadline has all slots held for good.
+func TestWaiterIsToldBeforeItsDeadline(t *testing.T) {
+	manual := clock.NewManual(0)
+	gate, id := gateOf(1, manual)
+	_, err := gate.Enter(t.Context(), id, croft.Second)
+	assert.NilError(t, err)
+	told := make(chan error, 1)
+	go func() {
+		_, err := gate.Enter(t.Context(), id, croft.Second)
+		told <- err
+	}()
+	for gate.Wanted() < 2 {
+		// The other goroutine is about to queue.
+	}
+	manual.Advance(croft.Second + 1)
+	gate.Expire()
+	var refused *RefusedError
+	assert.Assert(t, errors.As(<-told, &refused))
+	assert.Assert(t, refused.Limit && refused.RetryAfter >= minRetryAfter)
+	assert.Equal(t, gate.Wanted(), 1)
+}
--- /dev/null
+++ b/retry/doc.go
@@ -0,0 +1,2 @@
+// Package retry decides whether a request gets another attempt.
+package retry
--- /dev/null
+++ b/route/doc.go
@@ -0,0 +1,2 @@
+// Package route picks the executor of an attempt.
+package route
--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,122 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"waxwing.example/croft"
+)
+
+func poolOf(home, away int) []croft.Endpoint {
+	var out []croft.Endpoint
+	for i := range home + away {
+		e := croft.Endpoint{VM: croft.VMID(fmt.Sprintf("vm%d", i)), DataCentre: "d1", Boot: 1}
+		if i >= home {
+			e.DataCentre = "d2"
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+// TestPickKeepsItsRules drives a picker through random events and checks each choice against them.
+func TestPickKeepsItsRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := NewTwoChoices(rapid.Uint64().Draw(t, "seed"))
+		endpoints := poolOf(rapid.IntRange(0, 5).Draw(t, "home"), rapid.IntRange(1, 5).Draw(t, "away"))
+		ask := Ask{Endpoints: endpoints, Home: "d1", Share: rapid.IntRange(1, 1000).Draw(t, "share")}
+		inUse := map[croft.VMID]int{}
+		leaving := map[croft.VMID]bool{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			vm := rapid.SampledFrom(endpoints).Draw(t, "vm").VM
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				assert.Equal(t, p.Leaving(ask.Now, vm, 1), !leaving[vm])
+				leaving[vm] = true
+			case 1:
+				if inUse[vm] > 0 {
+					p.Done(vm)
+					inUse[vm]--
+				}
+			default:
+				ask.Tried = []croft.VMID{vm}
+				checkPick(t, p, ask, inUse, leaving)
+			}
+		}
+	})
+}
+
+func checkPick(t *rapid.T, p *TwoChoices, ask Ask, inUse map[croft.VMID]int, leaving map[croft.VMID]bool) {
+	free, homeFree := 0, 0
+	for _, e := range ask.Endpoints {
+		if leaving[e.VM] || inUse[e.VM] >= limitOf(ask.Share) || e.VM == ask.Tried[0] {
+			continue
+		}
+		free++
+		if e.DataCentre == ask.Home {
+			homeFree++
+		}
+	}
+	choice, ok := p.Pick(ask)
+	if !ok {
+		assert.Equal(t, free, 0)
+		return
+	}
+	e := choice.Endpoint
+	assert.Assert(t, !leaving[e.VM], "picked a leaving executor")
+	assert.Assert(t, inUse[e.VM] < limitOf(ask.Share), "picked a full executor")
+	assert.Assert(t, e.VM != ask.Tried[0] || free == 0, "picked one tried before while another was free")
+	assert.Assert(t, e.DataCentre == "d1" || homeFree == 0, "left its data centre while home had room")
+	inUse[e.VM]++
+}
+
+func TestTwoChoicesSpreadWhereRoundRobinPilesUp(t *testing.T) {
+	most := func(p Picker) int {
+		endpoints := poolOf(10, 0)
+		inUse := map[croft.VMID]int{}
+		highest := 0
+		// Every tenth request hangs, so that a turn-taking pick lands all of them on one executor.
+		for i := range 60 {
+			choice, ok := p.Pick(Ask{Endpoints: endpoints, Home: "d1", Share: 1000})
+			assert.Assert(t, ok)
+			vm := choice.Endpoint.VM
+			inUse[vm]++
+			highest = max(highest, inUse[vm])
+			if i%10 != 0 {
+				p.Done(vm)
+				inUse[vm]--
+			}
+		}
+		return highest
+	}
+	assert.Equal(t, most(NewRoundRobin()), 6)
+	assert.Assert(t, most(NewTwoChoices(1)) <= 2)
+}
+
+func TestMarksEnd(t *testing.T) {
+	p := NewTwoChoices(1)
+	ask := Ask{Endpoints: poolOf(1, 0), Home: "d1", Share: 1000}
+	p.Busy(0, "vm0")
+	_, ok := p.Pick(ask)
+	assert.Assert(t, !ok)
+	ask.Now = busyBackoff
+	_, ok = p.Pick(ask)
+	assert.Assert(t, ok)
+
+	assert.Assert(t, p.Leaving(ask.Now, "vm0", 1))
+	_, ok = p.Pick(ask)
+	assert.Assert(t, !ok)
+	rebooted := ask
+	rebooted.Endpoints = poolOf(1, 0)
+	rebooted.Endpoints[0].Boot = 2
+	_, ok = p.Pick(rebooted)
+	assert.Assert(t, ok, "a newer incarnation takes work")
+
+	// The control state took the executor out and lists the same incarnation again: its drain was taken back.
+	p.Sync(&croft.View{})
+	_, ok = p.Pick(ask)
+	assert.Assert(t, ok)
+}
--- /dev/null
+++ b/route/seed_test.go
@@ -0,0 +1,6 @@
+package route
+
+import "flag"
+
+// A fixed seed lets each run check the same cases.
+func init() { _ = flag.Set("rapid.seed", "7") }
