--- a/pools/list.go
+++ b/pools/list.go
@@ -109,7 +109,7 @@
 }
 
 func (s State) count(g group, now croft.Millis) group {
-	next := group{vms: g.vms, incoming: g.incoming}
+	next := group{vms: g.vms, incoming: g.incoming, arrived: g.arrived}
 	for id := range g.vms.All() {
 		m, _ := s.members.Get(id)
 		v, listed := s.vms.Get(id)
--- a/pools/reduce.go
+++ b/pools/reduce.go
@@ -131,6 +131,9 @@
 	}
 	g, _ := s.index.Get(next.Pool)
 	g.vms = g.vms.With(next.VM, struct{}{})
+	if before.Pool != "" && before.Pool != next.Pool {
+		g.arrived++
+	}
 	s.index = s.index.With(next.Pool, g)
 	s.dirty = s.dirty.With(next.Pool, struct{}{})
 	return s
--- a/pools/state.go
+++ b/pools/state.go
@@ -76,6 +76,8 @@
 	failed    int
 	// incoming counts the VMs of other pools that move here.
 	incoming int
+	// arrived counts the moves that ended here since the start of the entry.
+	arrived int64
 }
 
 // write is a commit of member rows in flight.
@@ -156,6 +158,8 @@
 	Failed int
 	// Incoming counts the VMs of other pools that move here.
 	Incoming int
+	// Arrived counts the moves that ended here since the start of the entry.
+	Arrived int64
 }
 
 // Summary returns the counts of one pool.
@@ -171,6 +175,7 @@
 		Maintaining: g.maintain,
 		Failed:      g.failed,
 		Incoming:    g.incoming,
+		Arrived:     g.arrived,
 	}
 }
 
