--- a/admit/core.go
+++ b/admit/core.go
@@ -16,7 +16,7 @@
 	// urgencyShare is what a level of urgency weighs, as a part of the fair share of slots.
 	urgencyShare = 0.1
 	// serviceGain is the weight of the newest service time in its average.
-	serviceGain = 0.1
+	serviceGain   = 0.1
 	minRetryAfter = 100 * croft.Millis(1)
 	maxRetryAfter = 30 * croft.Second
 )
--- /dev/null
+++ b/front/doc.go
@@ -0,0 +1,2 @@
+// Package front takes callers' requests over HTTP and carries each to one outcome.
+package front
