--- a/front/fakes_test.go
+++ b/front/fakes_test.go
@@ -36,8 +36,17 @@
 }
 
 func newBench(t *testing.T, c croft.Clock) *bench {
-	b := &bench{clock: c}
-	b.view = croft.View{
+	b := &bench{clock: c, view: viewOf()}
+	b.front = New(Options{Clock: c, Viewer: b, Executor: b, Claimer: b, Poster: b, Log: b,
+		Limits: Limits{BalancerSpan: -1, BodyBytes: 64}})
+	b.server = httptest.NewServer(b.front.Handler())
+	t.Cleanup(b.server.Close)
+	return b
+}
+
+// viewOf has one pool of two executors, and a service with a repeatable kind and one that may not be repeated.
+func viewOf() croft.View {
+	v := croft.View{
 		Self:   croft.Peer{ID: "e1", DataCentre: "d1"},
 		Ready:  true,
 		Share:  map[croft.PoolID]int{"p": 1000},
@@ -47,15 +56,11 @@
 			{VM: "vm2", Pool: "p", DataCentre: "d1", Boot: 1},
 		}},
 	}
-	b.view.Config.Services = []croft.Service{{ID: "lens", Pool: "p", Kinds: []croft.Kind{
+	v.Config.Services = []croft.Service{{ID: "lens", Pool: "p", Kinds: []croft.Kind{
 		{ID: "read", FloorShare: 100, Deadline: 10 * croft.Second, Repeatable: true},
 		{ID: "book", FloorShare: 100, Deadline: 10 * croft.Second},
 	}}}
-	b.front = New(Options{Clock: c, Viewer: b, Executor: b, Claimer: b, Poster: b, Log: b,
-		Limits: Limits{BalancerSpan: -1, BodyBytes: 64}})
-	b.server = httptest.NewServer(b.front.Handler())
-	t.Cleanup(b.server.Close)
-	return b
+	return v
 }
 
 func systemBench(t *testing.T) *bench { return newBench(t, clock.NewSystem()) }
