Gates follow the newest view only

Cause: a traffic goroutine that was slow between reading a view and taking the lock could put older slots and classes back into force over newer ones, until the next look. Ruled out: comparing versions of views, since a view has none. Change: the view is read under the lock, so that the older one has no way in. Conclusion: closed by construction.

--- a/front/front.go
+++ b/front/front.go
@@ -115,7 +115,7 @@
 		if err := f.Clock.Sleep(ctx, expireEvery); err != nil {
 			return err
 		}
-		f.pools.sync(f.Viewer.View())
+		f.pools.sync()
 		f.pools.expire()
 		if f.Clock.Elapsed() < next {
 			continue
--- a/front/pools.go
+++ b/front/pools.go
@@ -32,15 +32,17 @@
 	return pools{front: f, byID: map[croft.PoolID]*pool{}}
 }
 
-// sync brings the gates up to a view that was not seen before.
-func (p *pools) sync(v *croft.View) {
-	if p.seen.Load() == v {
-		return
+// sync brings the gates up to the newest view and returns it.
+func (p *pools) sync() *croft.View {
+	if v := p.front.Viewer.View(); p.seen.Load() == v {
+		return v
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	// Read under the lock, or a slow goroutine would put an older view back into force.
+	v := p.front.Viewer.View()
 	if p.seen.Load() == v {
-		return
+		return v
 	}
 	classes := classesOf(v.Config)
 	for _, declared := range v.Config.Pools {
@@ -58,6 +60,7 @@
 	p.front.meter.Declare(v.Config)
 	p.front.Policies.Picker.Sync(v)
 	p.seen.Store(v)
+	return v
 }
 
 func (p *pools) get(id croft.PoolID) (*pool, bool) {
--- a/front/serve.go
+++ b/front/serve.go
@@ -27,8 +27,7 @@
 		// The caller opens its next connection to another entry.
 		w.Header().Set("Connection", "close")
 	}
-	v := f.Viewer.View()
-	f.pools.sync(v)
+	v := f.pools.sync()
 	request, problem := f.parse(c, v)
 	if problem != nil {
 		return problem.write(w)
