Verbs of the operators' command line

Cause: operators need one command line whose help, reference page and exit codes can't drift from what it does. Ruled out: go-arg subcommands, which put all verbs in one struct; a verb per file with its own arguments keeps each change in one place. Regression cases are plain files, a command beside what it prints, run against the operators' address over a small backend. The demo and the planner are handed in by the program; where one is nil, its verbs say so. A failed write to the output after the work was done has an exit code of its own, since no other is true.

--- /dev/null
+++ b/verbs/jobs.go
@@ -0,0 +1,72 @@
+package verbs
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"waxwing.example/croft"
+	"waxwing.example/croft/ops"
+	"waxwing.example/croft/setup"
+)
+
+const jobsUsage = `Prints a line for each job: where it stands and why. With --submit it asks for a job to be placed, with
+--cancel it ends jobs.`
+
+// Jobs is the verb that lists, submits and cancels jobs.
+type Jobs struct {
+	Remote
+	Printed
+	Submit string        `arg:"--submit" placeholder:"FILE" help:"job to be placed, JSON with comments: ID, Service, Urgency, Declared"`
+	Cancel []croft.JobID `arg:"--cancel" placeholder:"ID" help:"jobs to end"`
+}
+
+// NewJobs returns the verb.
+func NewJobs() *Jobs { return &Jobs{} }
+
+// Run submits, cancels or lists.
+func (j *Jobs) Run(ctx context.Context, stdout io.Writer) error {
+	if j.Submit != "" && len(j.Cancel) > 0 {
+		return &UsageError{Text: "--submit and --cancel exclude each other"}
+	}
+	client, _, err := j.connect()
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	switch {
+	case j.Submit != "":
+		return j.submit(ctx, client, stdout)
+	case len(j.Cancel) > 0:
+		return j.cancel(ctx, client, stdout)
+	}
+	found, err := client.Jobs(ctx)
+	if err != nil {
+		return err
+	}
+	return lines(stdout, j.Printed, found)
+}
+
+func (j *Jobs) submit(ctx context.Context, client *ops.Client, stdout io.Writer) error {
+	body, err := readFile(j.Submit)
+	if err != nil {
+		return err
+	}
+	var job ops.NewJob
+	if err := setup.Decode(j.Submit, body, &job); err != nil {
+		return err
+	}
+	if err := client.Submit(ctx, job); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(stdout, "job %s submitted\n", job.ID)
+	return err
+}
+
+func (j *Jobs) cancel(ctx context.Context, client *ops.Client, stdout io.Writer) error {
+	if err := client.Cancel(ctx, j.Cancel); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(stdout, "cancelling %d jobs\n", len(j.Cancel))
+	return err
+}
--- /dev/null
+++ b/verbs/status.go
@@ -0,0 +1,59 @@
+package verbs
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"waxwing.example/croft"
+	"waxwing.example/croft/ops"
+)
+
+const statusUsage = `Prints the state of one entry: the version in force, whether it is ready, whether the platform answers,
+the entries it knows and its requests by service and kind since its start.`
+
+// Status is the verb that shows one entry.
+type Status struct {
+	Remote
+	Printed
+}
+
+// NewStatus returns the verb.
+func NewStatus() *Status { return &Status{} }
+
+// Run prints the entry's state.
+func (s *Status) Run(ctx context.Context, stdout io.Writer) error {
+	client, _, err := s.connect()
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	status, err := client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	if s.JSON {
+		return writeJSON(stdout, status)
+	}
+	return writeStatus(stdout, status)
+}
+
+func writeStatus(w io.Writer, status ops.Status) error {
+	table := tabwriter.NewWriter(w, 0, 0, columnGap, ' ', 0)
+	fmt.Fprintf(table, "Entry\t%s\n", status.Entry)
+	fmt.Fprintf(table, "DataCentre\t%s\n", status.DataCentre)
+	fmt.Fprintf(table, "Version\t%d\n", status.Version)
+	fmt.Fprintf(table, "Ready\t%t\n", status.Ready)
+	fmt.Fprintf(table, "Stopping\t%t\n", status.Stopping)
+	fmt.Fprintf(table, "PlatformReachable\t%t\n", status.PlatformReachable)
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	fmt.Fprintln(w)
+	if err := lines[croft.Peer](w, Printed{}, status.Peers); err != nil {
+		return err
+	}
+	fmt.Fprintln(w)
+	return lines[croft.ClassCount](w, Printed{}, status.Classes)
+}
--- /dev/null
+++ b/verbs/verbs_test.go
@@ -0,0 +1,177 @@
+package verbs
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"waxwing.example/croft"
+	"waxwing.example/croft/ops"
+	"waxwing.example/croft/setup"
+)
+
+const token = "operators-secret-1"
+
+// entry is a small entry: it has one VM of each kind of answer.
+type entry struct{ config croft.Config }
+
+func newEntry() *entry {
+	return &entry{config: croft.Config{
+		Version:  7,
+		Pools:    []croft.Pool{{ID: "lens"}, {ID: "spare", Spare: true}},
+		Services: []croft.Service{{ID: "intake", Pool: "lens", Team: "saeng"}},
+	}}
+}
+
+func (e *entry) Ask(_ context.Context, command croft.Command) error {
+	switch c := command.(type) {
+	case croft.MoveVM:
+		return answerOf(c.VM)
+	case croft.MaintainVM:
+		return answerOf(c.VM)
+	case croft.DrainVM:
+		return answerOf(c.VM)
+	}
+	return nil
+}
+
+func answerOf(vm croft.VMID) error {
+	switch vm {
+	case "vm-held":
+		return &ops.RefusedError{Reason: "vm-held is held by an operator"}
+	case "vm-lost":
+		return &ops.UnknownError{Reason: "the table's answer was lost"}
+	case "vm-away":
+		return &ops.UnavailableError{Reason: "the platform does not answer"}
+	}
+	return nil
+}
+
+func (e *entry) Accept(_ context.Context, config croft.Config, reviewed uint64, who string) (uint64, error) {
+	if reviewed != e.config.Version {
+		return 0, &ops.RaceError{Reviewed: reviewed, InForce: e.config.Version, Winner: "bob"}
+	}
+	if who != "ann" || len(config.Pools) != 1 {
+		return 0, errors.New("not what the file declares")
+	}
+	return reviewed + 1, nil
+}
+
+func (e *entry) Config() croft.Config { return e.config }
+
+func (e *entry) Status() ops.Status {
+	return ops.Status{
+		Entry: "e1", DataCentre: "dc1", Version: 7, Ready: true, PlatformReachable: true,
+		Peers:   []croft.Peer{{ID: "e2", DataCentre: "dc2", Address: "127.0.2.1:7402", ConfigVersion: 7}},
+		Classes: []croft.ClassCount{{Class: croft.Class{Service: "intake", Kind: "reading"}, Offered: 12, Answered: 10, NotRun: 2}},
+	}
+}
+
+func (e *entry) Pools() []ops.PoolLine {
+	return []ops.PoolLine{{Pool: "lens", Serving: 11, Draining: 1, Endpoints: 11, Buffer: 2, Moves: 3, Due: 4, Holder: "e2"}, {Pool: "spare"}}
+}
+
+func (e *entry) VMs() []ops.VMLine {
+	return []ops.VMLine{{VM: "vm1", Pool: "lens", Phase: croft.PhaseServing, Epoch: 3, DataCentre: "dc1", Rack: "r1", Status: croft.VMLive, Boot: 1, Since: 1_700_000_000_000}}
+}
+
+func (e *entry) Jobs() []ops.JobLine {
+	return []ops.JobLine{{Job: "j1", Service: "intake", Pool: "lens", Status: croft.JobRefused, Reason: "no worker has 900 cores"}}
+}
+
+func (e *entry) Cut([]string) error { return &ops.RefusedError{Reason: "faults are not allowed"} }
+
+func (e *entry) Heal() error { return &ops.RefusedError{Reason: "faults are not allowed"} }
+
+// planner takes answers that are a configuration already.
+type planner struct{}
+
+func (planner) Names() []string { return []string{"saeng"} }
+
+func (planner) Example(name string) ([]byte, bool) {
+	return []byte("{\n  // The pools.\n  \"Pools\": [],\n}\n"), name == "saeng"
+}
+
+func (planner) Generate(file string, answers []byte) (croft.Config, error) {
+	var config croft.Config
+	err := setup.Decode(file, answers, &config)
+	return config, err
+}
+
+func (planner) Diff(old, next croft.Config) []string {
+	if len(old.Pools) == len(next.Pools) {
+		return nil
+	}
+	return []string{fmt.Sprintf("Pools: %d -> %d", len(old.Pools), len(next.Pools))}
+}
+
+func programs() Programs {
+	return Programs{
+		Planner: planner{},
+		Demo: func(_ context.Context, stdout io.Writer) error {
+			_, err := io.WriteString(stdout, "demonstrated\n")
+			return err
+		},
+	}
+}
+
+// TestCases runs each case's cmd and compares out, err and code with the files beside it; -update writes them anew.
+func TestCases(t *testing.T) {
+	files, err := filepath.Glob("testdata/cases/*/cmd")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 20)
+	for _, f := range files {
+		dir := filepath.Dir(f)
+		t.Run(filepath.Base(dir), func(t *testing.T) {
+			command, err := os.ReadFile(f)
+			assert.NilError(t, err)
+			server := httptest.NewServer(ops.NewHandler(newEntry(), ops.Options{Token: token, BodyBytes: 1 << 16}))
+			defer server.Close()
+			t.Setenv("WAX_ENTRY", server.Listener.Addr().String())
+			t.Setenv("WAX_SETTINGS", "testdata/wax.json")
+			args := strings.Fields(string(command))
+			assert.Equal(t, args[0], "wax")
+			var out, problems bytes.Buffer
+			code := Main(programs(), args[1:], &out, &problems)
+			told := fmt.Sprintf("exit %d\n-- stdout --\n%s-- stderr --\n%s", code, out.String(), problems.String())
+			golden.Assert(t, told, filepath.Join("cases", filepath.Base(dir), "expected"))
+		})
+	}
+}
+
+func TestReferencePageIsPrinted(t *testing.T) {
+	var out, problems bytes.Buffer
+	assert.Equal(t, Main(programs(), []string{"reference"}, &out, &problems), exitDone)
+	golden.Assert(t, out.String(), "../../docs/REFERENCE.md")
+}
+
+func TestEveryVerbHasHelpAndACase(t *testing.T) {
+	for _, v := range Table() {
+		var out, problems bytes.Buffer
+		assert.Equal(t, Main(programs(), []string{"help", v.Name}, &out, &problems), exitDone, problems.String())
+		assert.Assert(t, strings.HasPrefix(out.String(), v.Usage))
+		cases, err := filepath.Glob("testdata/cases/" + v.Name + "*/cmd")
+		assert.NilError(t, err)
+		assert.Assert(t, len(cases) > 0, v.Name)
+	}
+}
+
+type fullDisk struct{}
+
+func (fullDisk) Write([]byte) (int, error) { return 0, errors.New("no space left") }
+
+func TestWorkDoneIsNotToldAsFailedWhenOutputIs(t *testing.T) {
+	var problems bytes.Buffer
+	assert.Equal(t, Main(programs(), []string{"demo"}, fullDisk{}, &problems), exitOutput)
+	assert.Equal(t, problems.String(), "wax demo: no space left\n")
+}
