--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,197 @@
+package fleet
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"waxwing.example/croft"
+	"waxwing.example/croft/lease"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		if flag.Set("rapid.seed", "20261204") != nil {
+			os.Exit(2)
+		}
+	}
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		if flag.Set("rapid.checks", "200") != nil {
+			os.Exit(2)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// smallConfig declares three pools, the last of them the spare one.
+func smallConfig() croft.Config {
+	return croft.Config{Version: 1, Pools: []croft.Pool{
+		{ID: "a", Promise: 990_000, MinServing: 2, Size: 4, WaveSize: 2},
+		{ID: "b", Promise: 990_000, MinServing: 2, Size: 4, WaveSize: 1},
+		{ID: "spare", Promise: 900_000, Spare: true, WaveSize: 2},
+	}}
+}
+
+func makeVMs(count, racks int) []croft.VM {
+	var all []croft.VM
+	for i := range count {
+		all = append(all, croft.VM{
+			ID:      croft.VMID(fmt.Sprintf("vm%04d", i)),
+			Rack:    croft.RackID(fmt.Sprintf("r%03d", i%racks)),
+			Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250),
+			Boot:    1,
+			Status:  croft.VMLive,
+			Room:    croft.Resources{MilliCores: 16_000, MemoryMB: 30_000},
+		})
+	}
+	return all
+}
+
+// upset does one thing at random that a fleet may meet.
+func (w *world) upset(options Options) {
+	n := w.entries[w.rnd.IntN(len(w.entries))]
+	v := w.vms[w.order[w.rnd.IntN(len(w.order))]]
+	pool := w.config.Pools[w.rnd.IntN(len(w.config.Pools))].ID
+	switch w.rnd.IntN(9) {
+	case 0, 1:
+		n.frozen = w.now + croft.Millis(w.rnd.IntN(40_000))
+	case 2:
+		if len(w.alive()) > 2 && !n.dead {
+			n.dead = true
+			w.add(croft.EntryID(fmt.Sprintf("e%d", len(w.entries))), options)
+		}
+	case 3:
+		if v.Status != croft.VMFailed {
+			w.setVM(v.WithStatus(croft.VMFailed))
+			w.after(croft.Millis(w.rnd.IntN(120_000)), func() { w.repair(v.ID) })
+		}
+	case 4:
+		w.reboot(v)
+	case 5, 6, 7:
+		// Two operators race for one VM through two entries.
+		w.ask(n, croft.MoveVM{VM: v.ID, To: pool})
+		w.ask(w.entries[w.rnd.IntN(len(w.entries))], croft.MaintainVM{VM: v.ID})
+	case 8:
+		w.ask(n, croft.DrainVM{VM: v.ID})
+		w.after(30_000, func() { w.ask(n, croft.DrainVM{VM: v.ID, End: true}) })
+	}
+}
+
+func (w *world) repair(id croft.VMID) {
+	if v := w.vms[id]; v.Status == croft.VMFailed {
+		v.Boot++
+		w.setVM(v.WithStatus(croft.VMLive))
+	}
+}
+
+func (w *world) ask(n *node, c croft.Command) {
+	w.seq++
+	w.deliver(n, croft.OperatorAsked{At: croft.At{Time: w.now}, Token: fmt.Sprintf("op/%d", w.seq), Command: c})
+}
+
+// chaos upsets a small fleet for some minutes and then lets it come to rest.
+func chaos(seed uint64, f faults, options Options) *world {
+	w := newWorld(seed, smallConfig(), makeVMs(10, 5), 3, options)
+	w.run(30 * croft.Second)
+	w.faults = f
+	for range 12 {
+		w.run(croft.Millis(w.rnd.IntN(20_000)))
+		w.upset(options)
+	}
+	w.run(croft.Minute)
+	w.faults = faults{}
+	for _, v := range w.order {
+		w.repair(v)
+	}
+	for range 60 {
+		w.run(30 * croft.Second)
+		if w.atRest() {
+			break
+		}
+	}
+	return w
+}
+
+func (w *world) atRest() bool {
+	for _, r := range w.rows {
+		m, ok := member(r)
+		if ok && m.Phase != croft.PhaseServing && m.Purpose != croft.PurposeHold {
+			return false
+		}
+	}
+	return true
+}
+
+func drawFaults(t *rapid.T) faults {
+	return faults{
+		lostAnswer:  rapid.SampledFrom([]int{0, 50, 300}).Draw(t, "lost"),
+		unavailable: rapid.SampledFrom([]int{0, 50, 300}).Draw(t, "unavailable"),
+		oldRead:     rapid.SampledFrom([]int{0, 200, 800}).Draw(t, "old"),
+		orderFails:  rapid.SampledFrom([]int{0, 200}).Draw(t, "orders"),
+	}
+}
+
+func TestEveryVMStaysInOnePoolAndEveryMoveEnds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := drawFaults(t)
+		w := chaos(rapid.Uint64().Draw(t, "seed"), f, DefaultOptions())
+		for _, b := range w.broken {
+			t.Error(b)
+		}
+		if !w.atRest() {
+			t.Errorf("moves pending: %v", w.pending())
+		}
+		for token, n := range w.answered {
+			if n != 1 {
+				t.Errorf("command %s got %d answers", token, n)
+			}
+		}
+		if len(w.rows) == 0 || w.decisions["Adopt"] == 0 {
+			t.Errorf("nothing happened: %v", w.decisions)
+		}
+	})
+}
+
+func (w *world) pending() []croft.Member {
+	var all []croft.Member
+	for _, r := range w.rows {
+		if m, ok := member(r); ok && m.Phase != croft.PhaseServing {
+			all = append(all, m)
+		}
+	}
+	return all
+}
+
+// TestFenceIsNeeded shows that the laws are broken where writes carry no fence.
+func TestFenceIsNeeded(t *testing.T) {
+	broken := 0
+	for seed := range uint64(40) {
+		w := chaos(seed, faults{lostAnswer: 50}, Options{Lease: lease.Options{Skew: true}})
+		if len(w.broken) > 0 {
+			broken++
+		}
+	}
+	t.Logf("without the fence %d of 40 runs broke a law", broken)
+	assert.Assert(t, broken > 0)
+}
+
+func TestOlderListDoesNotLowerABoot(t *testing.T) {
+	w := newWorld(1, smallConfig(), makeVMs(10, 5), 2, DefaultOptions())
+	w.run(30 * croft.Second)
+	// This entry has read the rows, but never the VM list.
+	n := w.add("late", DefaultOptions())
+	n.listed = w.listed
+	w.run(5 * croft.Second)
+	w.ask(n, croft.MoveVM{VM: "vm0000", To: "spare"})
+	w.run(2 * croft.Second)
+	m, _ := n.state.Members().Get("vm0000")
+	assert.Equal(t, m.Phase, croft.PhaseDraining)
+	assert.Equal(t, m.Boot, uint64(1))
+	w.run(croft.Minute)
+	assert.DeepEqual(t, w.broken, []string(nil))
+}
--- a/pools/advance.go
+++ b/pools/advance.go
@@ -54,7 +54,7 @@
 	if m.Phase == croft.PhaseDraining && s.finished(m, now, in) {
 		v, _ := s.vms.Get(m.VM)
 		next := m.WithPhase(croft.PhaseAway, croft.PurposeMaintain, now)
-		next.Boot = v.Boot
+		next.Boot = max(m.Boot, v.Boot)
 		return next, decide("Restart", next, "drained for maintenance"), true
 	}
 	return m, croft.Decision{}, false
--- a/pools/command.go
+++ b/pools/command.go
@@ -72,7 +72,7 @@
 func (s State) drained(m croft.Member, purpose croft.Purpose, target croft.PoolID, now croft.Millis) croft.Member {
 	v, _ := s.vms.Get(m.VM)
 	m = m.WithPhase(croft.PhaseDraining, purpose, now).WithTarget(target)
-	m.Boot = v.Boot
+	m.Boot = max(m.Boot, v.Boot)
 	return m
 }
 
