Program stand: stand-ins as processes

Cause: scenarios and the quick start need platform and executors as separate processes. Executor tests: a reboot waits for running requests, slots, crossed answers. Shown by: go test -race -count=2 ./fakes ./stubs.

--- /dev/null
+++ b/fakes/executor_test.go
@@ -0,0 +1,145 @@
+package fakes_test
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"waxwing.example/croft"
+	"waxwing.example/croft/clock"
+	"waxwing.example/croft/fakes"
+	"waxwing.example/croft/invoke"
+)
+
+// patience bounds a test's waits; nothing is decided by it.
+const patience = 10 * time.Second
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !condition(); time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "never: %s", what)
+	}
+}
+
+// heard is a whole answer.
+type heard struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// ask sends one attempt and returns the answer.
+func ask(url, attempt string) (heard, error) {
+	request, err := http.NewRequest(http.MethodPost, url+"/run/lens/read", strings.NewReader(attempt))
+	if err != nil {
+		return heard{}, err
+	}
+	request.Header.Set(invoke.HeaderAttempt, attempt)
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		return heard{}, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return heard{Status: response.StatusCode, Header: response.Header, Body: body}, err
+}
+
+func TestRebootWaitsForRunningRequestsAndCutsNone(t *testing.T) {
+	m := clock.NewManual(1_000_000)
+	e := fakes.NewExecutor(fakes.ExecutorOptions{
+		Clock: m, VM: "vm1", Boot: 1, Behaviour: fakes.Behaviour{WorkMs: 10_000},
+	})
+	server := httptest.NewServer(e.Handler())
+	defer server.Close()
+	vm := croft.VM{ID: "vm1", Boot: 1, Status: croft.VMLive, Address: server.Listener.Addr().String()}
+	p := fakes.NewPlatform(fakes.PlatformOptions{Clock: m, RebootMs: 2000, VMs: []croft.VM{vm}})
+	defer p.Close()
+
+	ended := make(chan int, 1)
+	go func() {
+		long, _ := ask(server.URL, "long") // an error leaves the status zero
+		ended <- long.Status
+	}()
+	eventually(t, "running", func() bool { return e.Status().Running == 1 })
+	order := croft.OrderVM{VM: "vm1", Boot: 1, Verb: croft.VMReboot}
+	assert.NilError(t, p.OrderVM(t.Context(), order))
+	assert.NilError(t, p.OrderVM(t.Context(), order))
+	eventually(t, "leaving", func() bool { return e.Status().Leaving })
+	refused, err := ask(server.URL, "refused")
+	assert.NilError(t, err)
+	assert.Equal(t, refused.Header.Get(invoke.HeaderReason), invoke.ReasonLeaving)
+
+	listed := func() croft.VM {
+		delta, err := p.ListVMs(t.Context(), 0)
+		assert.NilError(t, err)
+		return delta.Changed[0]
+	}
+	for range 100 { // 5 s in steps of the platform's polling: the run is not over
+		m.Advance(50)
+	}
+	assert.DeepEqual(t, listed(), vm.WithStatus(croft.VMLeaving))
+	m.Advance(5000)
+	assert.Equal(t, <-ended, http.StatusOK)
+	eventually(t, "back", func() bool {
+		m.Advance(500)
+		return listed().Boot == 2
+	})
+	assert.DeepEqual(t, e.Status(), fakes.Status{VM: "vm1", Boot: 2})
+	runs := e.Ledger().Runs
+	assert.Equal(t, len(runs), 1)
+	assert.Assert(t, !runs[0].Cut && runs[0].Ended > 0)
+}
+
+func TestExecutorRefusesBeyondItsSlots(t *testing.T) {
+	m := clock.NewManual(1_000_000)
+	e := fakes.NewExecutor(fakes.ExecutorOptions{Clock: m, VM: "vm1", Behaviour: fakes.Behaviour{WorkMs: 1000}})
+	server := httptest.NewServer(e.Handler())
+	defer server.Close()
+	ended := make(chan error, fakes.DefaultSlots)
+	for range fakes.DefaultSlots {
+		go func() {
+			_, err := ask(server.URL, "a")
+			ended <- err
+		}()
+	}
+	eventually(t, "full", func() bool { return m.Sleepers() == fakes.DefaultSlots })
+	ninth, err := ask(server.URL, "ninth")
+	assert.NilError(t, err)
+	assert.Equal(t, ninth.Header.Get(invoke.HeaderReason), invoke.ReasonBusy)
+	m.Advance(1000)
+	for range fakes.DefaultSlots {
+		assert.NilError(t, <-ended)
+	}
+	assert.Equal(t, len(e.Ledger().Runs), fakes.DefaultSlots)
+	assert.Equal(t, e.Ledger().Refused, 1)
+}
+
+func TestCrossedAnswersChangePlacesWhole(t *testing.T) {
+	m := clock.NewManual(1_000_000)
+	e := fakes.NewExecutor(fakes.ExecutorOptions{Clock: m, VM: "vm1", Behaviour: fakes.Behaviour{Cross: 2}})
+	server := httptest.NewServer(e.Handler())
+	defer server.Close()
+	first := make(chan string, 1)
+	own := func(attempt string) string {
+		a, err := ask(server.URL, attempt)
+		if err != nil {
+			return err.Error()
+		}
+		var answered fakes.Answered
+		if err := json.Unmarshal(a.Body, &answered); err != nil {
+			return err.Error()
+		}
+		return answered.Attempt + " " + a.Header.Get(invoke.HeaderAttempt)
+	}
+	go func() { first <- own("one") }()
+	eventually(t, "waiting", func() bool { return m.Sleepers() == 1 })
+	assert.Equal(t, own("two"), "one one")
+	assert.Equal(t, <-first, "two two")
+	assert.Equal(t, own("three"), "three three")
+}
--- a/fakes/vmroutes.go
+++ b/fakes/vmroutes.go
@@ -29,8 +29,7 @@
 	if vm.Status == "" {
 		vm.Status = croft.VMLive
 	}
-	p.PutVM(vm)
-	return answer(c, vm, nil)
+	return answer(c, p.PutVM(vm), nil)
 }
 
 func (p *Platform) deleteVM(c *echo.Context) error {
--- a/fakes/vms.go
+++ b/fakes/vms.go
@@ -49,11 +49,18 @@
 	return d
 }
 
-// PutVM puts a VM in the list, or changes it there.
-func (p *Platform) PutVM(vm croft.VM) {
+// PutVM puts a VM in the list, or changes it there, and returns it as listed; boot zero means the next boot.
+func (p *Platform) PutVM(vm croft.VM) croft.VM {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if vm.Boot == 0 {
+		vm.Boot = 1
+		if w, ok := p.workers[vm.ID]; ok {
+			vm.Boot = w.vm.Boot + 1
+		}
+	}
 	p.putVM(vm)
+	return vm
 }
 
 func (p *Platform) putVM(vm croft.VM) {
--- a/plat/calls.go
+++ b/plat/calls.go
@@ -77,9 +77,11 @@
 	return delta, err
 }
 
-// PutVM registers a VM in the platform's list.
-func (c *Client) PutVM(ctx context.Context, vm croft.VM) error {
-	return c.call(ctx, exchange{Method: http.MethodPut, Path: vmPath(vm.ID)}, vm, nil)
+// PutVM registers a VM in the platform's list and returns it as listed; boot zero asks for the next boot.
+func (c *Client) PutVM(ctx context.Context, vm croft.VM) (croft.VM, error) {
+	var listed croft.VM
+	err := c.call(ctx, exchange{Method: http.MethodPut, Path: vmPath(vm.ID)}, vm, &listed)
+	return listed, err
 }
 
 // OrderVM has the platform act on a VM.
--- a/plat/doc.go
+++ b/plat/doc.go
@@ -6,7 +6,7 @@
 //	PUT  /objects/NAME    body
 //	GET  /objects/NAME                              body, or 404
 //	GET  /vms?Since=                                VMDelta
-//	PUT  /vms/ID          VM
+//	PUT  /vms/ID          VM                        VM as listed; Boot zero asks for the next boot
 //	POST /vms/ID/order    VMOrdered
 //	GET  /reports?Since=                            ReportsAnswer
 //	POST /tasks/order     TaskOrdered
--- a/stand/main.go
+++ b/stand/main.go
@@ -1,4 +1,10 @@
 // Command stand runs stand-ins of the platform and of executors for tests and the quick start.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"waxwing.example/croft/stubs"
+)
+
+func main() { os.Exit(stubs.Main(os.Args[1:], os.Stdout, os.Stderr)) }
