lease: a takeover checks the session row, and waits by rank

Change: the row is checked, and deleted by the last taker; a step of 2 s; the plan row is read again before a takeover; a holder whose lease lapsed plans again only after it has read the plan rows. Ruled out: one candidate for all pools of a holder, which piles them on it.

--- a/lease/reduce.go
+++ b/lease/reduce.go
@@ -42,6 +42,9 @@
 	if s.own.nonce == "" {
 		s.own.nonce = fmt.Sprintf("%s-%x", in.Self.ID, e.Seed)
 	}
+	if s.own.live && now >= s.own.good+TTL-Margin {
+		s.unsure = true
+	}
 	if s.renewalDue(now) {
 		var f croft.Effect
 		s, f = s.renew(now, in)
@@ -146,7 +149,7 @@
 
 func (s State) read(e croft.RowsRead, in Inputs) State {
 	switch {
-	case e.Prefix == croft.PlanPrefix:
+	case strings.HasPrefix(e.Prefix, croft.PlanPrefix):
 		return s.readPlans(e)
 	case strings.HasPrefix(e.Prefix, croft.SessionPrefix):
 		return s.readSessions(e, in)
@@ -160,11 +163,15 @@
 		s = s.learnPlan(r, e.Time)
 		top = max(top, r.Version)
 	}
+	if e.Prefix != croft.PlanPrefix {
+		return s
+	}
 	// The scan after next begins where this one ended, so that a row written between
 	// two pages of one scan is read by the next.
 	s.previous = s.cursor
 	s.cursor = top
 	s.loaded = s.loaded || e.Whole
+	s.unsure = s.unsure && e.Time >= s.own.good+TTL-Margin
 	return s
 }
 
--- a/lease/state.go
+++ b/lease/state.go
@@ -16,7 +16,7 @@
 	// RenewEvery is the span between renewals.
 	RenewEvery = 3 * croft.Second
 	// SkewStep is the takeover delay for each place in the ranking of candidates.
-	SkewStep = 700 * croft.Millis(1)
+	SkewStep = 2 * croft.Second
 
 	scanEvery  = 2 * croft.Second
 	watchEvery = croft.Second
@@ -70,6 +70,8 @@
 	watched  croft.Millis
 	serial   uint64
 	stopped  bool
+	// unsure says that the lease lapsed since the plan rows were read.
+	unsure bool
 	// conflicts counts takeovers that lost a race.
 	conflicts int
 }
@@ -117,7 +119,7 @@
 }
 
 func (s State) live(now croft.Millis) bool {
-	return s.own.live && !s.stopped && now < s.own.good+TTL-Margin
+	return s.own.live && !s.stopped && !s.unsure && now < s.own.good+TTL-Margin
 }
 
 // Fence returns the operations that make a write of the pool's holder fail once another entry has taken over.
--- a/lease/takeover.go
+++ b/lease/takeover.go
@@ -22,6 +22,10 @@
 			watched[row.Holder] = true
 			effects = append(effects, croft.ScanRows{Prefix: croft.SessionKey(row.Holder)})
 		}
+		if ok && s.suspect(row, now) {
+			// A better ranked candidate may have taken over since the last scan.
+			effects = append(effects, croft.ScanRows{Prefix: croft.PlanKey(p.ID)})
+		}
 		var ripe bool
 		s, ripe = s.ripe(p.ID, rank, now)
 		if ripe {
@@ -44,6 +48,12 @@
 	return s, effects
 }
 
+// suspect reports whether the holder may soon be taken for lapsed.
+func (s State) suspect(row planRow, now croft.Millis) bool {
+	seen, ok := s.sessions.Get(row.Holder)
+	return ok && (seen.absent || now+Margin >= seen.since+TTL)
+}
+
 // ripe reports whether the pool's plan is free for a candidate of this rank; the delay by rank is the advertisement
 // skew time of VRRP (RFC 5798, section 6.1), which keeps candidates from racing.
 func (s State) ripe(pool croft.PoolID, rank int, now croft.Millis) (State, bool) {
@@ -82,9 +92,10 @@
 	var plans []Plan
 	if holder != "" {
 		seen, _ := s.sessions.Get(holder)
-		op := croft.Op{Kind: croft.OpDelete, Key: croft.SessionKey(holder), Version: seen.version}
+		// The row is only checked: candidates for other pools of the same holder would conflict on its delete.
+		op := croft.Op{Kind: croft.OpCheck, Key: croft.SessionKey(holder), Version: seen.version}
 		if seen.absent {
-			op = croft.Op{Kind: croft.OpCheck, Key: op.Key}
+			op.Version = 0
 		}
 		ops = append(ops, op)
 	}
@@ -131,7 +142,6 @@
 	reason := "no holder"
 	if c.holder != "" {
 		reason = "session of " + string(c.holder) + " lapsed"
-		s.sessions = s.sessions.With(c.holder, sighting{version: e.Version, since: e.Time, absent: true})
 	}
 	for i, p := range c.pools {
 		known, _ := s.plans.Get(p)
@@ -145,5 +155,22 @@
 			Reason:  reason,
 		})
 	}
-	return s, effects
+	return s, append(effects, s.clean(c.holder)...)
+}
+
+// clean deletes a lapsed session row once no plan names its entry.
+func (s State) clean(holder croft.EntryID) []croft.Effect {
+	seen, ok := s.sessions.Get(holder)
+	if !ok || seen.absent {
+		return nil
+	}
+	for _, p := range s.plans.All() {
+		if p.Holder == holder {
+			return nil
+		}
+	}
+	return []croft.Effect{croft.Commit{
+		Token: "lease/clean/" + string(holder),
+		Ops:   []croft.Op{{Kind: croft.OpDelete, Key: croft.SessionKey(holder), Version: seen.version}},
+	}}
 }
