Thin whole path: daemon, demo and the first scenario

Cause: the parts stood alone; nothing carried a request from a caller to an executor. Ruled out: one process for all (the first outcome to prove is between processes).

--- /dev/null
+++ b/daemon/backend.go
@@ -0,0 +1,193 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"net/netip"
+	"slices"
+
+	"waxwing.example/croft"
+	"waxwing.example/croft/conf"
+	"waxwing.example/croft/meter"
+	"waxwing.example/croft/ops"
+)
+
+// backend answers the operators' address.
+type backend struct{ *parts }
+
+var _ ops.Backend = backend{}
+
+// Ask has a command reduced and turns what came of it into the operators' errors.
+func (b backend) Ask(ctx context.Context, command croft.Command) error {
+	if !b.loop.View().PlatformReachable {
+		return &ops.UnavailableError{Reason: "the platform is out of reach; nothing was changed"}
+	}
+	err := b.questions.ask(ctx, b.loop, b.at(), command)
+	var refused *RefusedError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &refused):
+		return &ops.RefusedError{Reason: refused.Reason}
+	}
+	return &ops.UnknownError{Reason: err.Error()}
+}
+
+// Accept puts a configuration in force and has this entry and its peers learn it at once.
+func (b backend) Accept(ctx context.Context, config croft.Config, reviewed uint64, who string) (uint64, error) {
+	version, err := conf.Accept(ctx, b.table, b.platform, config, reviewed, who)
+	if err != nil {
+		return 0, acceptError(err)
+	}
+	b.loop.deliver(croft.ConfigLearned{At: b.at(), Config: config.WithVersion(version)})
+	return version, nil
+}
+
+// acceptError turns the errors of the configuration's store into the operators' ones.
+func acceptError(err error) error {
+	var race *conf.RaceError
+	var invalid *conf.CheckError
+	var unavailable *croft.UnavailableError
+	switch {
+	case errors.As(err, &race):
+		return &ops.RaceError{Reviewed: race.Reviewed, InForce: race.Winner.Version, Winner: race.Winner.Who}
+	case errors.As(err, &invalid):
+		return &ops.InvalidError{Problems: problemLines(invalid)}
+	case errors.As(err, &unavailable):
+		return &ops.UnavailableError{Reason: unavailable.Reason}
+	}
+	return &ops.UnknownError{Reason: err.Error()}
+}
+
+func problemLines(e *conf.CheckError) []string {
+	lines := make([]string, 0, len(e.Problems))
+	for _, p := range e.Problems {
+		lines = append(lines, p.Field+": "+p.Reason)
+	}
+	return lines
+}
+
+// classCounts is the traffic of each class since the start of the entry, in their order.
+func classCounts(m *meter.Meter) []croft.ClassCount {
+	totals := m.Snapshot()
+	counts := make([]croft.ClassCount, 0, len(totals))
+	for _, name := range slices.Sorted(maps.Keys(totals)) {
+		counts = append(counts, totals[name].ClassCount)
+	}
+	return counts
+}
+
+// Config returns the configuration in force.
+func (b backend) Config() croft.Config { return b.loop.View().Config }
+
+// Status returns the entry's own state.
+func (b backend) Status() ops.Status {
+	v := b.loop.View()
+	return ops.Status{
+		Entry:             v.Self.ID,
+		DataCentre:        v.Self.DataCentre,
+		Version:           v.Config.Version,
+		Ready:             v.Ready,
+		Stopping:          v.Stopping,
+		PlatformReachable: v.PlatformReachable,
+		Peers:             v.Entries,
+		Classes:           classCounts(b.front.Meter()),
+	}
+}
+
+// Pools returns a line for each pool.
+func (b backend) Pools() []ops.PoolLine {
+	s := b.loop.State()
+	now := b.clock.Now()
+	var lines []ops.PoolLine
+	for _, p := range s.Config().Pools {
+		v := s.Fleet().Pool(p.ID, now)
+		lines = append(lines, ops.PoolLine{
+			Pool:      p.ID,
+			Serving:   v.Members - v.Draining - v.Away,
+			Draining:  v.Draining,
+			Away:      v.Away,
+			Endpoints: v.Usable,
+			Buffer:    v.Usable - p.MinServing,
+			Moves:     v.Arrived,
+			Due:       v.Maintenance.Due,
+			Done:      v.Maintenance.Done,
+			Holder:    v.Holder,
+		})
+	}
+	return lines
+}
+
+// VMs returns a line for each VM that has a member row.
+func (b backend) VMs() []ops.VMLine {
+	s := b.loop.State()
+	var lines []ops.VMLine
+	for id, m := range s.Fleet().Members().All() {
+		v, _ := s.Fleet().VMs().Get(id)
+		lines = append(lines, vmLine(v, m.Member))
+	}
+	return lines
+}
+
+// Jobs returns a line for each job.
+func (b backend) Jobs() []ops.JobLine {
+	var lines []ops.JobLine
+	for _, j := range b.loop.State().Fleet().Jobs().All() {
+		lines = append(lines, ops.JobLine{
+			Job:        j.ID,
+			Service:    j.Service,
+			Pool:       j.Pool,
+			Status:     j.Status,
+			Worker:     j.Worker,
+			Run:        j.Run,
+			Urgency:    j.Urgency,
+			Reason:     j.Reason,
+			Checkpoint: j.Checkpoint,
+		})
+	}
+	return lines
+}
+
+// Cut drops traffic to and from IP prefixes until Heal.
+func (b backend) Cut(prefixes []string) error {
+	if !b.settings.Faults.Allowed {
+		return &ops.RefusedError{Reason: "Faults.Allowed is false in the settings"}
+	}
+	parsed := make([]netip.Prefix, 0, len(prefixes))
+	for _, p := range prefixes {
+		prefix, err := netip.ParsePrefix(p)
+		if err != nil {
+			return &ops.InvalidError{Problems: []string{"Prefixes: " + err.Error()}}
+		}
+		parsed = append(parsed, prefix)
+	}
+	b.network.Cut(parsed...)
+	return nil
+}
+
+// Heal ends every cut.
+func (b backend) Heal() error {
+	if !b.settings.Faults.Allowed {
+		return &ops.RefusedError{Reason: "Faults.Allowed is false in the settings"}
+	}
+	b.network.Heal()
+	return nil
+}
+
+func vmLine(v croft.VM, m croft.Member) ops.VMLine {
+	return ops.VMLine{
+		VM:         m.VM,
+		Pool:       m.Pool,
+		Phase:      m.Phase,
+		Purpose:    m.Purpose,
+		Target:     m.Target,
+		Epoch:      m.Epoch,
+		DataCentre: v.DataCentre,
+		Rack:       v.Rack,
+		Status:     v.Status,
+		Boot:       v.Boot,
+		Since:      m.Since,
+		Maintained: m.Maintained,
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -84,7 +84,7 @@
 	p.client = peer.NewClient([]byte(settings.PeerKey), p.network.Dial, p.meter)
 	d := &Daemon{parts: p, effects: newEffects(p)}
 	p.loop = newLoop(state.New(p.stateOptions()), d.effects.perform, micros)
-	p.executor = invoke.New(invoke.Options{Dial: p.network.Dial, Clock: p.clock})
+	p.executor = invoke.New(invoke.Options{Dial: p.network.Dial})
 	p.claims = claim.New(claim.Options{Table: p.platform, Clock: p.clock, Viewer: p.loop, Remote: remote{p}})
 	p.front = front.New(p.frontOptions())
 	p.vars.publish(p)
@@ -180,7 +180,7 @@
 		return peers.Serve(ctx, l.peers)
 	})
 	d.addHTTP(g, l.callers, d.front.Handler())
-	d.addHTTP(g, l.operators, ops.Handler(d.opsOptions()))
+	d.addHTTP(g, l.operators, ops.NewHandler(backend{d.parts}, d.opsOptions()))
 }
 
 // headerSpan bounds the time in which a request's headers must arrive, in milliseconds.
--- a/daemon/poll.go
+++ b/daemon/poll.go
@@ -69,7 +69,7 @@
 		if err != nil || len(answer.VMs) == 0 {
 			continue
 		}
-		p.loop.deliver(croft.VMsListed{At: p.at(), Delta: croft.VMDelta{Changed: answer.VMs}})
+		p.loop.deliver(croft.VMsListed{At: p.at(), Delta: croft.VMDelta{Whole: true, Changed: answer.VMs}})
 		p.loop.deliver(croft.RowsRead{At: p.at(), Prefix: croft.MemberPrefix, Rows: answer.Rows})
 		return
 	}
--- a/entry/main.go
+++ b/entry/main.go
@@ -1,4 +1,10 @@
 // Command entry is the daemon of an entry VM.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"waxwing.example/croft/daemon"
+)
+
+func main() { os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/peer/message.go
+++ b/peer/message.go
@@ -10,6 +10,8 @@
 	MethodTell = "Tell"
 	// MethodConfig asks for a configuration above a version.
 	MethodConfig = "Config"
+	// MethodFleet asks for the VMs and member rows that an entry knows.
+	MethodFleet = "Fleet"
 	// MethodClaim asks the owner of a shard to take claims.
 	MethodClaim = "Claim"
 )
@@ -26,3 +28,12 @@
 
 // ConfigAnswer is the configuration in force, zero where none is above the version asked.
 type ConfigAnswer struct{ Config croft.Config }
+
+// FleetQuestion asks for what an entry knows of the fleet.
+type FleetQuestion struct{}
+
+// FleetAnswer is an entry's last VM list and member rows.
+type FleetAnswer struct {
+	VMs  []croft.VM
+	Rows []croft.Row
+}
--- a/pools/state.go
+++ b/pools/state.go
@@ -21,7 +21,7 @@
 	UndoAfter = 20 * croft.Minute
 
 	scanEvery   = 2 * croft.Second
-	stepEvery   = croft.Second
+	stepEvery   = croft.Second / 4
 	writeWithin = 6 * croft.Second
 	orderWithin = 5 * croft.Second
 	// hintSpan is how long a leaving mark without proof keeps a resumed VM out.
--- a/scen/cmds_test.go
+++ b/scen/cmds_test.go
@@ -68,12 +68,16 @@
 	}
 }
 
-// postCmd posts JSON to an address and fails where the answer is no success: post ADDRESS/PATH JSON.
+// postCmd posts JSON, or a file behind @, and fails where the answer is no success: post ADDRESS/PATH JSON.
 func postCmd(ts *testscript.TestScript, neg bool, args []string) {
 	if len(args) != 2 {
 		ts.Fatalf("usage: post ADDRESS/PATH JSON")
 	}
-	req, err := http.NewRequest(http.MethodPost, "http://"+args[0], strings.NewReader(args[1]))
+	content := args[1]
+	if name, isFile := strings.CutPrefix(content, "@"); isFile {
+		content = ts.ReadFile(name)
+	}
+	req, err := http.NewRequest(http.MethodPost, "http://"+args[0], strings.NewReader(content))
 	ts.Check(err)
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Authorization", "Bearer "+ts.Getenv("TOKEN"))
--- a/scen/load_test.go
+++ b/scen/load_test.go
@@ -14,6 +14,9 @@
 	"strings"
 	"sync"
 	"time"
+
+	"waxwing.example/croft/fakes"
+	"waxwing.example/croft/invoke"
 )
 
 // record is what a caller saw of one request.
@@ -177,3 +180,12 @@
 		r.Detail = string(answer)
 	}
 }
+
+// answersOwn reports whether an answer carries the key and the digest of its own request.
+func answersOwn(answer []byte, key string, body []byte) bool {
+	var a fakes.Answered
+	if err := json.Unmarshal(answer, &a); err != nil {
+		return false
+	}
+	return a.Key == key && a.Digest == invoke.Digest(body)
+}
--- a/scen/scen_test.go
+++ b/scen/scen_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"slices"
@@ -24,13 +25,18 @@
 	testscript.Main(m, map[string]func(){
 		"entry":  exits(daemon.Main),
 		"stand":  exits(stubs.Main),
-		"wax":    exits(verbs.Main),
+		"wax":    exits(waxMain),
 		"load":   loadMain,
 		"verify": verifyMain,
 	})
 }
 
-func exits(run func(args []string, stdout, stderr *os.File) int) func() {
+// waxMain is wax without the demo, which is a process of its own kind.
+func waxMain(args []string, stdout, stderr io.Writer) int {
+	return verbs.Main(verbs.Programs{}, args, stdout, stderr)
+}
+
+func exits(run func(args []string, stdout, stderr io.Writer) int) func() {
 	return func() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 }
 
--- a/scen/verify_test.go
+++ b/scen/verify_test.go
@@ -10,15 +10,17 @@
 	"os"
 	"strings"
 	"time"
+
+	"waxwing.example/croft"
 )
 
 // run is one line of an executor's ledger.
 type run struct {
 	Attempt string
 	Key     string
-	Class   string
-	Started int64
-	Ended   int64
+	Class   croft.Class
+	Started croft.Millis
+	Ended   croft.Millis
 }
 
 // evidence is what callers saw and what executors ran.
--- a/state/state.go
+++ b/state/state.go
@@ -11,7 +11,6 @@
 type Options struct {
 	Self   croft.Peer
 	Roster roster.Options
-	Conf   conf.Options
 	Fleet  fleet.Options
 }
 
@@ -40,8 +39,8 @@
 func New(o Options) State {
 	s := State{
 		roster: roster.New(o.Self, o.Roster),
-		conf:   conf.New(o.Conf),
-		fleet:  fleet.New(o.Fleet),
+
+		fleet: fleet.New(o.Fleet),
 	}
 	return s.withView()
 }
@@ -59,11 +58,20 @@
 func (s State) Fleet() fleet.State { return s.fleet }
 
 // VMs returns the platform's VM list as last read.
-func (s State) VMs() []croft.VM { return s.fleet.VMs() }
+func (s State) VMs() []croft.VM {
+	vms := make([]croft.VM, 0, s.fleet.VMs().Len())
+	for _, v := range s.fleet.VMs().All() {
+		vms = append(vms, v)
+	}
+	return vms
+}
 
 // MemberRows returns the member rows as last read or written.
 func (s State) MemberRows() []croft.Row { return s.fleet.MemberRows() }
 
+// Config returns the configuration in force.
+func (s State) Config() croft.Config { return s.conf.Config() }
+
 // Reachable reports whether the platform answered lately.
 func (s State) Reachable() bool { return s.reachable }
 
@@ -106,9 +114,7 @@
 
 func (s State) reduceConf(e croft.Event, effects []croft.Effect) (State, []croft.Effect) {
 	part, more := conf.Reduce(s.conf, e, conf.Inputs{
-		Self:      s.Self(),
-		Entries:   s.roster.Alive(),
-		Reachable: s.reachable,
+		PlatformReachable: s.reachable,
 	})
 	s.conf = part
 	return s, append(effects, more...)
--- a/state/view.go
+++ b/state/view.go
@@ -6,7 +6,7 @@
 func (s State) withView() State {
 	d := drawn{
 		roster:    s.roster.Serial(),
-		fleet:     s.fleet.Serial(),
+		fleet:     s.fleet.EndpointChanges(),
 		version:   s.conf.Config().Version,
 		ready:     s.conf.Ready(),
 		reachable: s.reachable,
@@ -40,14 +40,8 @@
 
 // endpoints keeps the last view's where the fleet has not changed since.
 func (s State) endpoints(d drawn) map[croft.PoolID][]croft.Endpoint {
-	if s.view != nil && d.fleet == s.drawn.fleet && d.version == s.drawn.version {
+	if s.view != nil && d.fleet == s.drawn.fleet {
 		return s.view.Endpoints
 	}
-	endpoints := map[croft.PoolID][]croft.Endpoint{}
-	for _, p := range s.conf.Config().Pools {
-		if e := s.fleet.Endpoints(p.ID); len(e) > 0 {
-			endpoints[p.ID] = e
-		}
-	}
-	return endpoints
+	return s.fleet.Endpoints()
 }
--- a/wax/main.go
+++ b/wax/main.go
@@ -4,7 +4,11 @@
 import (
 	"os"
 
+	"waxwing.example/croft/demo"
 	"waxwing.example/croft/verbs"
 )
 
-func main() { os.Exit(verbs.Main(verbs.Programs{}, os.Args[1:], os.Stdout, os.Stderr)) }
+func main() {
+	programs := verbs.Programs{Demo: demo.Run}
+	os.Exit(verbs.Main(programs, os.Args[1:], os.Stdout, os.Stderr))
+}
