quest: answers of the questionnaire, read with lines and fields, and the configuration from them

Cause: a new team writes no configuration by hand; the same answers must give the same bytes, and a promise that the VMs cannot keep must be told before.

Ruled out: a decoder that stops at its first fault; machine floats for the quantile of failures, whose last bits differ between processors; a buffer in each pool, since the spare covers the failures of all pools together.

Change: Read over the parsed text with all faults at once, Generate with the sums behind a contradiction, the answers of both first users as examples.

--- /dev/null
+++ b/quest/generate.go
@@ -0,0 +1,192 @@
+package quest
+
+import (
+	"fmt"
+	"math/big"
+	"strings"
+
+	"waxwing.example/croft"
+	"waxwing.example/croft/conf"
+)
+
+const (
+	minuteMillis = int64(croft.Minute)
+	wholeShare   = 1000
+	mostFloors   = 900
+	precision    = 128
+)
+
+// Need is how many VMs a service's pool needs, and why.
+type Need struct {
+	Service string
+	// MeanSlots are the slots in use at the mean of all kinds, rounded up.
+	MeanSlots int64
+	// BurstSlots are the slots in use while the largest burst of one kind lasts.
+	BurstSlots int64
+	// BurstKind is the kind of that burst.
+	BurstKind string
+	// MinServing is the number of VMs that have the burst's slots.
+	MinServing int
+	WaveSize   int
+}
+
+// Size is the number of VMs of the pool.
+func (n Need) Size() int { return n.MinServing + n.WaveSize }
+
+// ContradictionError tells that the VMs cannot keep what the answers promise.
+type ContradictionError struct {
+	Workers int
+	Needs   []Need
+	// Failed is the number of VMs under repair at once that the smallest tolerance asks to cover.
+	Failed       int
+	FailuresADay int
+	RepairDays   int
+	// Tolerance is the smallest one, in parts per million.
+	Tolerance int64
+}
+
+// Error gives the sum with its numbers.
+func (e *ContradictionError) Error() string {
+	lines := []string{fmt.Sprintf("the answers need %d VMs, but there are %d:", e.Needed(), e.Workers)}
+	for _, n := range e.Needs {
+		lines = append(lines, fmt.Sprintf(
+			"  pool %s: %d (%d for %d slots while %s has its burst, and %d away in a wave)",
+			n.Service, n.Size(), n.MinServing, n.BurstSlots, n.BurstKind, n.WaveSize))
+	}
+	lines = append(lines, fmt.Sprintf(
+		"  spare: %d (%d of 1000 VMs fail a day and are away for %d days; more than %d are away in less than %d of a million cases)",
+		e.Failed, e.FailuresADay, e.RepairDays, e.Failed, e.Tolerance))
+	return strings.Join(lines, "\n")
+}
+
+// Needed is the number of VMs that the answers need.
+func (e *ContradictionError) Needed() int {
+	sum := e.Failed
+	for _, n := range e.Needs {
+		sum += n.Size()
+	}
+	return sum
+}
+
+// Generate returns the configuration for answers, the same for the same answers, or a *ContradictionError or *conf.CheckError.
+func Generate(a Answers) (croft.Config, error) {
+	found := ContradictionError{
+		Workers:      len(a.DataCentres) * a.WorkersPerDataCentre,
+		FailuresADay: a.FailuresADay,
+		RepairDays:   a.RepairDays,
+		Tolerance:    million,
+	}
+	for _, s := range a.Services {
+		found.Needs = append(found.Needs, needOf(s, a.Slots))
+		found.Tolerance = min(found.Tolerance, s.Tolerance)
+	}
+	found.Failed = coveredFailures(found)
+	spare := found.Workers - found.Needed() + found.Failed
+	if spare < found.Failed {
+		return croft.Config{}, &found
+	}
+	config := croft.Config{Pools: []croft.Pool{{ID: spareName, Spare: true, Size: spare}}}
+	for _, t := range a.Teams {
+		config.Teams = append(config.Teams, team(t))
+	}
+	for i, s := range a.Services {
+		need := found.Needs[i]
+		config.Pools = append(config.Pools, croft.Pool{
+			ID:         croft.PoolID(s.Name),
+			Promise:    million - s.Tolerance,
+			MinServing: need.MinServing,
+			Size:       need.Size(),
+			WaveSize:   need.WaveSize,
+		})
+		config.Services = append(config.Services, service(s, int64(need.MinServing)*int64(a.Slots)))
+	}
+	config = conf.Normalize(config)
+	return config, conf.Check(config)
+}
+
+// load is the slots that a kind uses, times a minute in milliseconds.
+func load(k Kind) int64 { return k.RequestsAMinute * int64(k.Work) }
+
+func slots(load int64) int64 { return (load + minuteMillis - 1) / minuteMillis }
+
+func needOf(s Service, slotsEach int) Need {
+	n := Need{Service: s.Name, WaveSize: s.WaveSize}
+	mean, burst := int64(0), int64(-1)
+	for _, k := range s.Kinds {
+		mean += load(k)
+		if extra := load(k) * (k.Burst - 1); extra > burst {
+			burst = extra
+			n.BurstKind = k.Name
+		}
+	}
+	n.MeanSlots = slots(mean)
+	n.BurstSlots = slots(mean + max(0, burst))
+	n.MinServing = int((n.BurstSlots + int64(slotsEach) - 1) / int64(slotsEach))
+	return n
+}
+
+// coveredFailures returns the least number that the VMs under repair exceed in no more cases than tolerated.
+func coveredFailures(e ContradictionError) int {
+	number := func(value int64) *big.Float { return new(big.Float).SetPrec(precision).SetInt64(value) }
+	mean := number(int64(e.Workers) * int64(e.FailuresADay) * int64(e.RepairDays))
+	mean.Quo(mean, number(wholeShare))
+	// Software floats keep the result the same on every machine.
+	terms := []*big.Float{number(1)}
+	total := number(1)
+	for k := int64(1); k <= int64(e.Workers); k++ {
+		next := number(0).Mul(terms[k-1], mean)
+		next.Quo(next, number(k))
+		terms = append(terms, next)
+		total.Add(total, next)
+	}
+	wanted := number(0).Mul(total, number(million-e.Tolerance))
+	wanted.Quo(wanted, number(million))
+	sum := number(0)
+	for k, term := range terms {
+		if sum.Add(sum, term).Cmp(wanted) >= 0 {
+			return k
+		}
+	}
+	return e.Workers
+}
+
+func team(t Team) croft.Team {
+	return croft.Team{
+		ID: croft.TeamID(t.Name),
+		Quota: croft.Resources{
+			MilliCores:   t.Cores * 1000,
+			MemoryMB:     t.MemoryGB * 1024,
+			Accelerators: t.Accelerators,
+		},
+	}
+}
+
+// service gives each kind the floor that its mean needs, of the slots always there.
+func service(s Service, slotsKept int64) croft.Service {
+	made := croft.Service{ID: croft.ServiceID(s.Name), Team: croft.TeamID(s.Team), Pool: croft.PoolID(s.Name)}
+	floors := int64(0)
+	for _, k := range s.Kinds {
+		floors += floor(k, slotsKept)
+	}
+	for _, k := range s.Kinds {
+		share := floor(k, slotsKept)
+		if floors > mostFloors {
+			share = share * mostFloors / floors
+		}
+		made.Kinds = append(made.Kinds, croft.Kind{
+			ID:         croft.KindID(k.Name),
+			Urgency:    urgencies[k.Urgent],
+			FloorShare: int(share),
+			Deadline:   k.Wait,
+			Repeatable: k.Repeatable,
+			MeanRate:   k.RequestsAMinute * 1000 / 60,
+		})
+	}
+	return made
+}
+
+// floor is the share in thousandths that a kind's mean takes, at least one slot.
+func floor(k Kind, slotsKept int64) int64 {
+	used := max(slots(load(k)), 1)
+	return min((used*wholeShare+slotsKept-1)/slotsKept, wholeShare)
+}
--- /dev/null
+++ b/quest/quest_test.go
@@ -0,0 +1,102 @@
+package quest
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"waxwing.example/croft/conf"
+)
+
+func example(t *testing.T, name string) Answers {
+	text, found := Example(name)
+	assert.Assert(t, found)
+	a, err := Read(text)
+	assert.NilError(t, err)
+	return a
+}
+
+func TestExamplesGenerateTheSameBytes(t *testing.T) {
+	for _, name := range Examples() {
+		config, err := Generate(example(t, name))
+		assert.NilError(t, err)
+		golden.Assert(t, string(conf.Encode(config))+"\n", name+".json")
+		total := 0
+		for _, p := range config.Pools {
+			total += p.Size
+			t.Logf("%s pool %s: size %d, at least %d, promise %d", name, p.ID, p.Size, p.MinServing, p.Promise)
+			assert.Assert(t, p.Spare || p.Size >= 8 && p.Size <= 12, "%s: %d", p.ID, p.Size)
+		}
+		assert.Equal(t, len(config.Services), 5)
+		assert.Assert(t, total >= 48 && total <= 52)
+	}
+}
+
+func TestContradictionGivesItsNumbers(t *testing.T) {
+	a := example(t, "saeng")
+	a.RepairDays = 30
+	_, err := Generate(a)
+	var found *ContradictionError
+	assert.Assert(t, errors.As(err, &found))
+	assert.Equal(t, found.Workers, 52)
+	assert.Assert(t, found.Needed() > 52)
+	assert.ErrorContains(t, err, "fail a day and are away for 30 days")
+	assert.ErrorContains(t, err, "slots while reading has its burst")
+}
+
+// TestCoveredFailures compares with the tables of the Poisson distribution for the means 1 and 5.
+func TestCoveredFailures(t *testing.T) {
+	for _, c := range []struct{ rate, covered int }{{10, 4}, {50, 11}} {
+		got := coveredFailures(ContradictionError{Workers: 100, FailuresADay: c.rate, RepairDays: 1, Tolerance: 10_000})
+		assert.Equal(t, got, c.covered)
+	}
+}
+
+func TestReadTellsAllFaultsWithTheirLines(t *testing.T) {
+	text, _ := Example("saeng")
+	faulty := strings.Replace(string(text), `"RackSize": 4`, `"RackSize": "four"`, 1)
+	faulty = strings.Replace(faulty, `"Slots": 8`, `"Slot": 8`, 1)
+	_, err := Read([]byte(faulty))
+	assert.Error(t, err, "line 6: RackSize: must be a whole number\nline 7: Slot: unknown field")
+	faulty = strings.Replace(string(text), `"Wait": 2000`, `"Wait": 20`, 1)
+	faulty = strings.Replace(faulty, `"Urgent": "Whenever"`, `"Urgent": "Soon"`, 1)
+	faulty = strings.Replace(faulty, `"Team": "saeng"`, `"Team": "sang"`, 1)
+	_, err = Read([]byte(faulty))
+	assert.Error(t, err, strings.Join([]string{
+		"line 22: Services[0].Kinds[0].Work: a request runs 100 ms, but its caller waits only 20 ms",
+		`line 24: Services[0].Kinds[2].Urgent: "Soon" is not Now, Today or Whenever`,
+		`line 46: Services[3].Team: no team "sang"`,
+	}, "\n"))
+	_, err = Read([]byte("{\n\"Firm\" 1}"))
+	assert.ErrorContains(t, err, "line 2: answers:")
+}
+
+func FuzzRead(f *testing.F) {
+	for _, name := range Examples() {
+		text, _ := Example(name)
+		f.Add(text)
+	}
+	f.Add([]byte(`{"Firm": null, "Teams": [[]], "Services": {"": 1}}`))
+	f.Add([]byte(`{"Slots": 1e400, "RackSize": -0, "Firm": "\ud800", /* */}`))
+	f.Add([]byte(`[`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		a, err := Read(text)
+		var faults *AnswersError
+		if err != nil {
+			assert.Assert(t, errors.As(err, &faults) && len(faults.Problems) > 0)
+			return
+		}
+		if a.WorkersPerDataCentre*len(a.DataCentres) > 5600 {
+			return
+		}
+		first, firstErr := Generate(a)
+		second, _ := Generate(a)
+		assert.Equal(t, conf.Hash(first), conf.Hash(second))
+		var contradiction *ContradictionError
+		assert.Assert(t, firstErr == nil || errors.As(firstErr, &contradiction), "%v", firstErr)
+		assert.Assert(t, firstErr != nil || first.Version == 0)
+	})
+}
