--- a/invoke/client_test.go
+++ b/invoke/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -55,6 +56,11 @@
 	return errors.As(err, &doubt)
 }
 
+func isRefused(err error) bool {
+	var refused *croft.RefusedError
+	return errors.As(err, &refused)
+}
+
 func TestOnlyWholeOwnAnswersPass(t *testing.T) {
 	const requests, callers = 400, 6
 	ctx, cancel := context.WithTimeout(context.Background(), 6*patience)
@@ -65,6 +71,7 @@
 	client := invoke.New(invoke.Options{})
 	defer client.Close()
 	var next, own, doubt, other atomic.Int64
+	var refusals sync.Map
 	var work sync.WaitGroup
 	for range callers {
 		work.Go(func() {
@@ -76,6 +83,9 @@
 					own.Add(1)
 				case isDoubt(err):
 					doubt.Add(1)
+				case isRefused(err):
+					// A kept connection ended before the first byte was written.
+					refusals.Store(a.ID, true)
 				default:
 					other.Add(1)
 				}
@@ -84,9 +94,17 @@
 	}
 	work.Wait()
 	assert.Equal(t, other.Load(), int64(0))
-	assert.Equal(t, own.Load()+doubt.Load(), int64(requests))
+	refused := int64(0)
+	for range refusals.Range {
+		refused++
+	}
+	assert.Equal(t, own.Load()+doubt.Load()+refused, int64(requests))
+	for _, r := range executor.Ledger().Runs {
+		_, wasRefused := refusals.Load(r.Attempt)
+		assert.Assert(t, !wasRefused, "%s was refused as not run and ran", r.Attempt)
+	}
 	// A request on a connection kept for a late answer does not reach the executor.
-	assertOnce(t, executor.Ledger(), requests-30)
+	assertOnce(t, executor.Ledger(), requests-30-int(refused))
 	// Short, untold and reset answers are never whole; crossed ones are where two met.
 	assert.Assert(t, doubt.Load() >= 90, "doubt: %d", doubt.Load())
 }
@@ -138,7 +156,20 @@
 	assert.Assert(t, isDoubt(err))
 }
 
-// rawExecutor answers the first request of each connection as told and counts requests.
+func TestAnswersThatCannotBeCheckedAreDoubts(t *testing.T) {
+	executor, endpoint := newExecutor(t, fakes.Behaviour{NoDigest: true, ShortUntold: 1})
+	client := invoke.New(invoke.Options{MaxBody: 20})
+	defer client.Close()
+	_, err := client.Run(t.Context(), endpoint, newAttempt(1))
+	assert.ErrorContains(t, err, string(invoke.ErrNoLength))
+	assert.Assert(t, isDoubt(err))
+	_, err = client.Run(t.Context(), endpoint, newAttempt(2))
+	assert.ErrorContains(t, err, string(invoke.ErrTooLong))
+	assert.Assert(t, isDoubt(err))
+	assert.Equal(t, len(executor.Ledger().Runs), 2)
+}
+
+// rawExecutor answers requests as told, by their place on their connection, and counts them.
 func rawExecutor(t *testing.T, serve func(conn net.Conn, request *http.Request, nth int)) (croft.Endpoint, *atomic.Int64) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -257,3 +288,30 @@
 	assert.Assert(t, isDoubt(err), "%v", err)
 	assert.Equal(t, count.Load(), int64(1))
 }
+
+func BenchmarkRun(b *testing.B) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set(invoke.HeaderAttempt, r.Header.Get(invoke.HeaderAttempt))
+		_, _ = w.Write([]byte("ok"))
+	}))
+	defer server.Close()
+	a := newAttempt(1)
+	b.Run("bare", func(b *testing.B) {
+		for b.Loop() {
+			response, err := http.Post(server.URL+"/run/lens/read", "", bytes.NewReader(a.Request.Body))
+			assert.NilError(b, err)
+			_, _ = io.Copy(io.Discard, response.Body)
+			response.Body.Close()
+		}
+	})
+	b.Run("client", func(b *testing.B) {
+		client := invoke.New(invoke.Options{})
+		defer client.Close()
+		endpoint := croft.Endpoint{Address: server.Listener.Addr().String()}
+		for b.Loop() {
+			_, err := client.Run(b.Context(), endpoint, a)
+			assert.NilError(b, err)
+		}
+	})
+}
--- a/invoke/reply.go
+++ b/invoke/reply.go
@@ -19,6 +19,7 @@
 const (
 	ErrOtherAttempt AnswerError = "answer is of another attempt"
 	ErrNoLength     AnswerError = "answer has neither a length nor a digest"
+	ErrStatus       AnswerError = "answer is not a final one"
 	ErrTooLong      AnswerError = "answer is longer than the bound"
 	ErrDigest       AnswerError = "answer differs from its digest"
 )
@@ -36,6 +37,9 @@
 	if echoed := header.Values(HeaderAttempt); len(echoed) != 1 || echoed[0] != id {
 		return croft.Reply{}, ErrOtherAttempt
 	}
+	if response.StatusCode < http.StatusOK {
+		return croft.Reply{}, ErrStatus
+	}
 	digest := header.Get(HeaderDigest)
 	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && sha256Of(digest) == "" {
 		return croft.Reply{}, ErrNoLength
