--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -121,7 +121,7 @@
 	var g run.Group
 	d.addControl(&g)
 	d.addServers(&g, listeners)
-	d.addStop(&g, ctx)
+	d.addStop(ctx, &g)
 	err = g.Run()
 	if errors.Is(err, context.Canceled) {
 		return nil
@@ -200,7 +200,7 @@
 }
 
 // addStop ends the group once the context ended and the traffic was drained.
-func (d *Daemon) addStop(g *run.Group, ctx context.Context) {
+func (d *Daemon) addStop(ctx context.Context, g *run.Group) {
 	ended := make(chan struct{})
 	g.Add(func() error {
 		select {
--- a/demo/world.go
+++ b/demo/world.go
@@ -63,7 +63,7 @@
 		return "", err
 	}
 	s := &http.Server{Handler: h, ReadHeaderTimeout: callSpan.Duration()}
-	w.group.Add(func() error { return s.Serve(l) }, func(error) { s.Close() })
+	w.group.Add(func() error { return s.Serve(l) }, func(error) { _ = s.Close() })
 	return l.Addr().String(), nil
 }
 
--- a/scen/verify_test.go
+++ b/scen/verify_test.go
@@ -83,7 +83,7 @@
 func readRecords(name string) []record {
 	file, err := os.Open(name)
 	exitOn(err)
-	defer file.Close()
+	defer func() { _ = file.Close() }()
 	var records []record
 	lines := bufio.NewScanner(file)
 	lines.Buffer(nil, 1<<20)
--- /dev/null
+++ b/verbs/planner.go
@@ -0,0 +1,58 @@
+package verbs
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"waxwing.example/croft"
+	"waxwing.example/croft/conf"
+	"waxwing.example/croft/quest"
+)
+
+// Questionnaire is the Planner over the questionnaire of package quest.
+type Questionnaire struct{}
+
+var _ Planner = Questionnaire{}
+
+// Names lists the examples of answers.
+func (Questionnaire) Names() []string { return quest.Examples() }
+
+// Example returns an example as JSON with comments, and whether there is one of that name.
+func (Questionnaire) Example(name string) ([]byte, bool) { return quest.Example(name) }
+
+// Generate returns the configuration that answers lead to, or an error with a line for each fault.
+func (Questionnaire) Generate(file string, answers []byte) (croft.Config, error) {
+	read, err := quest.Read(answers)
+	if err != nil {
+		return croft.Config{}, inFile(file, err)
+	}
+	config, err := quest.Generate(read)
+	if err != nil {
+		return croft.Config{}, inFile(file, err)
+	}
+	return config, nil
+}
+
+// Diff returns a line for each difference between two configurations.
+func (Questionnaire) Diff(old, next croft.Config) []string {
+	changes := conf.Diff(old, next)
+	lines := make([]string, 0, len(changes))
+	for _, c := range changes {
+		lines = append(lines, c.String())
+	}
+	return lines
+}
+
+// inFile names the file in each line of an error.
+func inFile(file string, err error) error {
+	var faults *quest.AnswersError
+	if !errors.As(err, &faults) {
+		return fmt.Errorf("%s: %w", file, err)
+	}
+	lines := make([]string, 0, len(faults.Problems))
+	for _, p := range faults.Problems {
+		lines = append(lines, fmt.Sprintf("%s:%d: %s: %s", file, p.Line, p.Field, p.Reason))
+	}
+	return errors.New(strings.Join(lines, "\n"))
+}
