--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -185,7 +185,7 @@
 	w.run(30 * croft.Second)
 	// This entry has read the rows, but never the VM list.
 	n := w.add("late", DefaultOptions())
-	n.listed = w.listed
+	n.listed = uint64(len(w.changes))
 	w.run(5 * croft.Second)
 	w.ask(n, croft.MoveVM{VM: "vm0000", To: "spare"})
 	w.run(2 * croft.Second)
--- a/fleet/laws_test.go
+++ b/fleet/laws_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"strings"
 
 	"waxwing.example/croft"
 	"waxwing.example/croft/keyed"
@@ -10,12 +9,17 @@
 )
 
 // check holds each write of a member row against the laws of moves.
-func (w *world) check(n *node, before croft.Row, o croft.Op, known keyed.Map[croft.VMID, croft.VM]) {
+func (w *world) check(n *node, before croft.Row, o croft.Op) {
 	next, ok := member(croft.Row{Key: o.Key, Value: o.Value})
 	if !ok {
 		return
 	}
 	old, existed := member(before)
+	delete(w.members[old.Pool], old.VM)
+	if w.members[next.Pool] == nil {
+		w.members[next.Pool] = map[croft.VMID]croft.Member{}
+	}
+	w.members[next.Pool][next.VM] = next
 	if !existed {
 		if next.Epoch != 1 || next.Phase != croft.PhaseServing {
 			w.fail("%s begins as %+v", o.Key, next)
@@ -69,9 +73,8 @@
 		}
 		pool, _ := w.config.Pool(m.Pool)
 		up := 0
-		for key, r := range w.rows {
-			other, ok := member(r)
-			if !ok || other.Pool != m.Pool || other.Phase != croft.PhaseServing || !strings.HasPrefix(key, croft.MemberPrefix) {
+		for _, other := range w.members[m.Pool] {
+			if other.Phase != croft.PhaseServing {
 				continue
 			}
 			if v, listed := known.Get(other.VM); listed && v.Status == croft.VMLive && v.Boot == other.Boot {
@@ -123,5 +126,5 @@
 
 func (w *world) setVM(v croft.VM) {
 	w.vms[v.ID] = v
-	w.listed++
+	w.changes = append(w.changes, v)
 }
--- a/fleet/sim_test.go
+++ b/fleet/sim_test.go
@@ -22,13 +22,16 @@
 	rows    map[string]croft.Row
 	version uint64
 	// past are copies of the rows, for old reads.
-	past   []map[string]croft.Row
-	vms    map[croft.VMID]croft.VM
-	listed uint64
-	order  []croft.VMID
-	faults faults
-	used   map[usedKey]croft.PoolID
-	broken []string
+	past []map[string]croft.Row
+	vms  map[croft.VMID]croft.VM
+	// changes are those of the VM list since its begin, one a version.
+	changes []croft.VM
+	order   []croft.VMID
+	// members are the member rows by pool.
+	members map[croft.PoolID]map[croft.VMID]croft.Member
+	faults  faults
+	used    map[usedKey]croft.PoolID
+	broken  []string
 	// answers counts commands by refused or not.
 	taken, refused int
 	answered       map[string]int
@@ -47,12 +50,13 @@
 }
 
 type node struct {
-	peer   croft.Peer
-	state  State
-	frozen croft.Millis
-	dead   bool
-	views  uint64
-	listed uint64
+	peer    croft.Peer
+	state   State
+	frozen  croft.Millis
+	dead    bool
+	views   uint64
+	listed  uint64
+	listing bool
 }
 
 type item struct {
@@ -85,6 +89,7 @@
 		config:    config,
 		rows:      map[string]croft.Row{},
 		vms:       map[croft.VMID]croft.VM{},
+		members:   map[croft.PoolID]map[croft.VMID]croft.Member{},
 		used:      map[usedKey]croft.PoolID{},
 		answered:  map[string]int{},
 		decisions: map[string]int{},
@@ -92,9 +97,8 @@
 	}
 	for _, v := range vms {
 		w.order = append(w.order, v.ID)
-		w.vms[v.ID] = v
+		w.setVM(v)
 	}
-	w.listed = 1
 	for i := range entries {
 		w.add(croft.EntryID(fmt.Sprintf("e%d", i)), options)
 	}
@@ -149,19 +153,24 @@
 	w.after(w.tickEvery, func() { w.tick(n) })
 }
 
-// list answers the entry's poll of the VM list with what has changed, some of it late.
+// list answers the entry's poll of the VM list with what has changed, late.
 func (w *world) list(n *node) {
-	if n.listed == w.listed {
+	version := uint64(len(w.changes))
+	if n.listed == version || n.listing {
 		return
 	}
-	delta := croft.VMDelta{Version: w.listed, Whole: true}
-	for _, id := range w.order {
-		if v, ok := w.vms[id]; ok {
+	delta := croft.VMDelta{Version: version, Whole: n.listed == 0}
+	seen := map[croft.VMID]bool{}
+	for i := len(w.changes) - 1; i >= int(n.listed); i-- {
+		if v := w.changes[i]; !seen[v.ID] {
+			seen[v.ID] = true
 			delta.Changed = append(delta.Changed, v)
 		}
 	}
-	n.listed = w.listed
+	n.listing = true
 	w.after(croft.Millis(w.rnd.IntN(3000)), func() {
+		n.listing = false
+		n.listed = version
 		w.deliver(n, croft.VMsListed{At: croft.At{Time: w.now}, Delta: delta})
 	})
 }
@@ -270,8 +279,7 @@
 }
 
 func (w *world) apply(n *node, c croft.Commit, known keyed.Map[croft.VMID, croft.VM]) {
-	before := w.rows
-	if w.version%8 == 0 {
+	if w.version%8 == 0 && w.faults.oldRead > 0 {
 		copied := make(map[string]croft.Row, len(w.rows))
 		for k, r := range w.rows {
 			copied[k] = r
@@ -283,7 +291,7 @@
 	for _, o := range c.Ops {
 		switch o.Kind {
 		case croft.OpPut:
-			w.check(n, before[o.Key], o, known)
+			w.check(n, w.rows[o.Key], o)
 			w.rows[o.Key] = croft.Row{Key: o.Key, Version: w.version, Value: o.Value}
 		case croft.OpDelete:
 			delete(w.rows, o.Key)
--- a/pools/state.go
+++ b/pools/state.go
@@ -27,7 +27,7 @@
 	// hintSpan is how long a leaving mark without proof keeps a resumed VM out.
 	hintSpan = 10 * croft.Second
 	// adoptBatch is the most VMs given their first row in one transaction.
-	adoptBatch = 25
+	adoptBatch = 50
 )
 
 // Known is a member row as last seen.
