Policies.Answers: a baseline that trusts what executors answer

Cause: the checks of answers could not be switched off, so no scenario could show what they are for; the entry's settings for the largest answer and for connections to an executor were read and not used. Ruled out: a switch inside Client, since the baseline must also lack the lanes and the tracking of what was written. Change: invoke.Trusted shares one transport, passes on what arrives and takes each failure for not run; Policies.Answers selects it; the daemon hands Limits.AnswerBytes and Limits.ConnectionsPerExecutor to both.

--- a/daemon/options.go
+++ b/daemon/options.go
@@ -1,8 +1,10 @@
 package daemon
 
 import (
+	"waxwing.example/croft"
 	"waxwing.example/croft/admit"
 	"waxwing.example/croft/front"
+	"waxwing.example/croft/invoke"
 	"waxwing.example/croft/ops"
 	"waxwing.example/croft/retry"
 	"waxwing.example/croft/route"
@@ -41,6 +43,19 @@
 	return chosen
 }
 
+// newExecutor returns the way to executors that the settings select.
+func (p *parts) newExecutor() croft.Executor {
+	o := invoke.Options{
+		Dial:                p.network.Dial,
+		MaxConnsPerEndpoint: p.settings.Limits.ConnectionsPerExecutor,
+		MaxBody:             p.settings.Limits.AnswerBytes,
+	}
+	if p.settings.Policies.Answers == "Trusted" {
+		return invoke.NewTrusted(o)
+	}
+	return invoke.New(o)
+}
+
 func (p *parts) opsOptions() ops.Options {
 	return ops.Options{Token: p.settings.OperatorToken, BodyBytes: p.settings.Limits.OperatorBytes}
 }
--- a/invoke/client.go
+++ b/invoke/client.go
@@ -36,6 +36,19 @@
 	MaxBody int64
 }
 
+func (o Options) withDefaults() Options {
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{}).DialContext
+	}
+	if o.MaxConnsPerEndpoint == 0 {
+		o.MaxConnsPerEndpoint = DefaultMaxConns
+	}
+	if o.MaxBody == 0 {
+		o.MaxBody = DefaultMaxBody
+	}
+	return o
+}
+
 // Client runs attempts over HTTP.
 type Client struct {
 	dial     sent.Dial
@@ -50,15 +63,7 @@
 
 // New returns a client without connections.
 func New(o Options) *Client {
-	if o.Dial == nil {
-		o.Dial = (&net.Dialer{}).DialContext
-	}
-	if o.MaxConnsPerEndpoint == 0 {
-		o.MaxConnsPerEndpoint = DefaultMaxConns
-	}
-	if o.MaxBody == 0 {
-		o.MaxBody = DefaultMaxBody
-	}
+	o = o.withDefaults()
 	return &Client{
 		dial:      sent.Wrap(o.Dial),
 		maxConns:  o.MaxConnsPerEndpoint,
--- a/invoke/reply.go
+++ b/invoke/reply.go
@@ -69,12 +69,9 @@
 }
 
 func (c *Client) readBody(from io.Reader, digest string) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(from, c.maxBody+1))
+	body, err := readBounded(from, c.maxBody)
 	if err != nil {
-		return nil, fmt.Errorf("reading an answer: %w", err)
-	}
-	if int64(len(body)) > c.maxBody {
-		return nil, ErrTooLong
+		return nil, err
 	}
 	if want := sha256Of(digest); want != "" && want != Digest(body) {
 		return nil, ErrDigest
@@ -82,6 +79,17 @@
 	return body, nil
 }
 
+func readBounded(from io.Reader, bound int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(from, bound+1))
+	if err != nil {
+		return nil, fmt.Errorf("reading an answer: %w", err)
+	}
+	if int64(len(body)) > bound {
+		return nil, ErrTooLong
+	}
+	return body, nil
+}
+
 // sha256Of returns the sha-256 member of a Content-Digest, empty where there is none.
 func sha256Of(digest string) string {
 	for member := range strings.SplitSeq(digest, ",") {
--- /dev/null
+++ b/invoke/trusted.go
@@ -0,0 +1,69 @@
+package invoke
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"waxwing.example/croft"
+)
+
+// Trusted is the baseline of Client: it takes whatever arrives for the answer, and every failure for not run.
+type Trusted struct {
+	client    *http.Client
+	transport *http.Transport
+	maxBody   int64
+}
+
+var _ croft.Executor = (*Trusted)(nil)
+
+// NewTrusted returns a baseline client without connections.
+func NewTrusted(o Options) *Trusted {
+	o = o.withDefaults()
+	t := &http.Transport{
+		DialContext:            o.Dial,
+		MaxConnsPerHost:        o.MaxConnsPerEndpoint,
+		MaxIdleConnsPerHost:    o.MaxConnsPerEndpoint,
+		MaxResponseHeaderBytes: maxHeader,
+		DisableCompression:     true,
+		IdleConnTimeout:        idleTimeout.Duration(),
+	}
+	return &Trusted{client: &http.Client{Transport: t}, transport: t, maxBody: o.MaxBody}
+}
+
+// Close closes the idle connections to all endpoints.
+func (t *Trusted) Close() { t.transport.CloseIdleConnections() }
+
+// Run sends an attempt and returns what arrives, or a *croft.RefusedError for any failure.
+func (t *Trusted) Run(ctx context.Context, endpoint croft.Endpoint, attempt croft.Attempt) (croft.Reply, error) {
+	reply, err := t.exchange(ctx, endpoint, attempt)
+	if err == nil {
+		return reply, nil
+	}
+	var refused *croft.RefusedError
+	if errors.As(err, &refused) {
+		return croft.Reply{}, refused
+	}
+	return croft.Reply{}, &croft.RefusedError{Reason: err.Error()}
+}
+
+func (t *Trusted) exchange(ctx context.Context, endpoint croft.Endpoint, attempt croft.Attempt) (croft.Reply, error) {
+	request, err := newRequest(ctx, endpoint, attempt)
+	if err != nil {
+		return croft.Reply{}, err
+	}
+	response, err := t.client.Do(request)
+	if err != nil {
+		return croft.Reply{}, err
+	}
+	defer response.Body.Close()
+	leaving := response.Header.Get(HeaderLeaving) == LeavingTrue
+	if response.Header.Get(HeaderOutcome) == OutcomeNotRun {
+		return croft.Reply{}, refusal(response.Header, leaving)
+	}
+	body, err := readBounded(response.Body, t.maxBody)
+	if err != nil {
+		return croft.Reply{}, err
+	}
+	return croft.Reply{Status: response.StatusCode, Header: response.Header, Body: body, Leaving: leaving}, nil
+}
--- a/setup/entry.go
+++ b/setup/entry.go
@@ -55,12 +55,13 @@
 
 // Policies selects the decision policies.
 type Policies struct {
-	Queue  string `validate:"oneof=Floors FirstCome" doc:"Admission: Floors keeps a share for each service and kind; FirstCome is the baseline for comparison."`
-	Pick   string `validate:"oneof=TwoChoices RoundRobin" doc:"Choice of an executor: TwoChoices takes the less loaded of two at random; RoundRobin is the baseline for comparison."`
-	Retry  string `validate:"oneof=Budget Always" doc:"Retries: Budget bounds them to a share of first attempts; Always is the baseline for comparison."`
-	Claims string `validate:"oneof=Log None" doc:"Requests that may not be repeated: Log claims each in the table first; None is the baseline for comparison."`
-	Buffer string `validate:"oneof=Measured Fixed" doc:"Spare VMs: Measured follows the failures seen; Fixed holds a fifth and is the baseline for comparison."`
-	Fence  bool   `doc:"Whether every write carries the lease's fencing token; false is the baseline for comparison."`
+	Queue   string `validate:"oneof=Floors FirstCome" doc:"Admission: Floors keeps a share for each service and kind; FirstCome is the baseline for comparison."`
+	Pick    string `validate:"oneof=TwoChoices RoundRobin" doc:"Choice of an executor: TwoChoices takes the less loaded of two at random; RoundRobin is the baseline for comparison."`
+	Retry   string `validate:"oneof=Budget Always" doc:"Retries: Budget bounds them to a share of first attempts; Always is the baseline for comparison."`
+	Claims  string `validate:"oneof=Log None" doc:"Requests that may not be repeated: Log claims each in the table first; None is the baseline for comparison."`
+	Answers string `validate:"oneof=Checked Trusted" doc:"Answers of executors: Checked passes on only whole ones of the same attempt, and tells what did not run from what may have; Trusted passes on what arrives, takes every failure for not run, and is the baseline for comparison."`
+	Buffer  string `validate:"oneof=Measured Fixed" doc:"Spare VMs: Measured follows the failures seen; Fixed holds a fifth and is the baseline for comparison."`
+	Fence   bool   `doc:"Whether every write carries the lease's fencing token; false is the baseline for comparison."`
 }
 
 // Faults holds what scenarios may do to the entry.
@@ -80,12 +81,13 @@
 		Limits:          defaultLimits(),
 		Timing:          defaultTiming(),
 		Policies: Policies{
-			Queue:  "Floors",
-			Pick:   "TwoChoices",
-			Retry:  "Budget",
-			Claims: "Log",
-			Buffer: "Measured",
-			Fence:  true,
+			Queue:   "Floors",
+			Pick:    "TwoChoices",
+			Retry:   "Budget",
+			Claims:  "Log",
+			Answers: "Checked",
+			Buffer:  "Measured",
+			Fence:   true,
 		},
 	}
 }
