--- /dev/null
+++ b/scen/ledger_test.go
@@ -0,0 +1,76 @@
+package scen
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"waxwing.example/croft"
+	"waxwing.example/croft/fakes"
+)
+
+// ledgerMain checks what executors ran and exits 1 where a bound is broken.
+func ledgerMain() {
+	executors := flag.String("executors", "", "addresses of the executors, by comma")
+	faults := flag.String("faults", "", "FAULT:LEAST injected in all, by comma")
+	refused := flag.Int("refused", 0, "least refusals in all")
+	after := flag.Int64("after", 0, "count the runs started later than this instant, in milliseconds")
+	most := flag.Int("most", -1, "most runs after the instant, any for -1")
+	least := flag.Int("least", 0, "least runs after the instant")
+	flag.Parse()
+	injected := map[string]int{}
+	started, refusals := 0, 0
+	var last croft.Millis
+	for _, a := range strings.Split(*executors, ",") {
+		l := wholeLedger(a)
+		refusals += l.Refused
+		for _, r := range l.Runs {
+			injected[r.Fault]++
+			last = max(last, r.Started)
+			if r.Started > croft.Millis(*after) {
+				started++
+			}
+		}
+	}
+	fmt.Printf("refusals %d, runs started after the instant %d, the last %d ms after it, faults %v\n",
+		refusals, started, int64(last)-*after, injected)
+	ok := refusals >= *refused && (*most < 0 || started <= *most) && started >= *least
+	for _, f := range strings.Split(*faults, ",") {
+		name, bound, _ := strings.Cut(f, ":")
+		ok = ok && (name == "" || injected[name] >= number(bound))
+	}
+	if !ok {
+		os.Exit(1)
+	}
+	os.Exit(0)
+}
+
+func wholeLedger(address string) fakes.Ledger {
+	client := http.Client{Timeout: 10 * time.Second}
+	res, err := client.Get("http://" + address + "/ledger")
+	exitOn(err)
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	exitOn(err)
+	var l fakes.Ledger
+	exitOn(json.Unmarshal(body, &l))
+	return l
+}
+
+// instantCmd puts the present instant, moved by a span, into a variable, in milliseconds: instant T0 3s.
+func instantCmd(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: instant VARIABLE SPAN")
+	}
+	span, err := time.ParseDuration(args[1])
+	ts.Check(err)
+	ts.Setenv(args[0], strconv.FormatInt(time.Now().Add(span).UnixMilli(), 10))
+}
--- a/scen/scen_test.go
+++ b/scen/scen_test.go
@@ -28,6 +28,7 @@
 		"wax":    exits(waxMain),
 		"load":   loadMain,
 		"verify": verifyMain,
+		"ledger": ledgerMain,
 	})
 }
 
@@ -55,6 +56,8 @@
 			"until":  untilCmd,
 			"post":   postCmd,
 			"fleet":  fleetCmd,
+
+			"instant": instantCmd,
 		},
 		Setup: func(env *testscript.Env) error {
 			name := strings.TrimPrefix(filepath.Base(env.WorkDir), "script-")
