--- a/fakes/executor.go
+++ b/fakes/executor.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"sync"
@@ -32,6 +34,8 @@
 	// CrossWaitMs is how long an answer waits for one to be crossed with, DefaultCrossWaitMs where zero.
 	CrossWaitMs croft.Millis
 	Behaviour   Behaviour
+	// Journal gets each run as a line of JSON before it starts, so that a killed process leaves a trace.
+	Journal io.Writer
 }
 
 // Run is one run of an attempt.
@@ -75,6 +79,7 @@
 	handler http.Handler
 
 	mu        sync.Mutex
+	journal   *json.Encoder
 	behaviour Behaviour
 	turn      faultTurn
 	boot      uint64
@@ -98,7 +103,16 @@
 	if o.CrossWaitMs == 0 {
 		o.CrossWaitMs = DefaultCrossWaitMs
 	}
-	e := &Executor{options: o, behaviour: o.Behaviour, boot: o.Boot, ledger: Ledger{VM: o.VM}}
+	if o.Journal == nil {
+		o.Journal = io.Discard
+	}
+	e := &Executor{
+		options:   o,
+		journal:   json.NewEncoder(o.Journal),
+		behaviour: o.Behaviour,
+		boot:      o.Boot,
+		ledger:    Ledger{VM: o.VM},
+	}
 	e.life, e.end = context.WithCancel(context.Background())
 	e.handler = e.routes()
 	return e
--- a/fakes/run.go
+++ b/fakes/run.go
@@ -98,6 +98,17 @@
 		e.ledger.Refused++
 		return started{}, reason
 	}
+	run := Run{
+		Attempt: a.ID,
+		Key:     a.Key,
+		Class:   a.Class,
+		Boot:    e.boot,
+		Started: now,
+	}
+	if e.journal.Encode(run) != nil {
+		e.ledger.Refused++
+		return started{}, invoke.ReasonRefused // a run that leaves no trace would escape the tests
+	}
 	e.running++
 	s := started{attempt: a, entry: len(e.ledger.Runs), life: e.life}
 	if s.entry == maxLedger {
@@ -105,13 +116,7 @@
 		s.entry = -1
 		return s, ""
 	}
-	e.ledger.Runs = append(e.ledger.Runs, Run{
-		Attempt: a.ID,
-		Key:     a.Key,
-		Class:   a.Class,
-		Boot:    e.boot,
-		Started: now,
-	})
+	e.ledger.Runs = append(e.ledger.Runs, run)
 	return s, ""
 }
 
--- a/stubs/executor.go
+++ b/stubs/executor.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"os"
 
 	"github.com/oklog/run"
 
@@ -29,6 +30,7 @@
 	Boot       uint64           `arg:"--boot" help:"its boot, the next one of the platform's list where zero"`
 	Slots      int              `arg:"--slots" default:"8" help:"runs at once"`
 	WorkMs     croft.Millis     `arg:"--work-ms" default:"20" help:"how long a run takes"`
+	Journal    string           `arg:"--journal" help:"file that each run is appended to before it starts"`
 	MilliCores int64            `arg:"--milli-cores" default:"16000" help:"its VM's processors in thousandths"`
 	MemoryMB   int64            `arg:"--memory-mb" default:"30720" help:"its VM's memory"`
 }
@@ -53,11 +55,17 @@
 // run serves the executor and registers its VM.
 func (j *executorJob) run(ctx context.Context, o output) error {
 	network := newNetwork(j.args.Listen)
+	journal, err := j.openJournal()
+	if err != nil {
+		return err
+	}
+	defer journal.Close()
 	e := fakes.NewExecutor(fakes.ExecutorOptions{
 		VM:        j.args.VM,
 		Boot:      max(1, j.args.Boot),
 		Slots:     j.args.Slots,
 		Behaviour: fakes.Behaviour{WorkMs: j.args.WorkMs},
+		Journal:   journal,
 	})
 	s, err := newServer(network, j.args.Listen, e.Handler())
 	if err != nil {
@@ -73,6 +81,19 @@
 	return stopped(g.Run())
 }
 
+// openJournal opens the file of the runs, or what discards them where none was asked for.
+func (j *executorJob) openJournal() (*os.File, error) {
+	name := j.args.Journal
+	if name == "" {
+		name = os.DevNull
+	}
+	file, err := os.OpenFile(name, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("--journal: %w", err)
+	}
+	return file, nil
+}
+
 // register puts the VM in the platform's list, trying until the context ends, and then waits for that.
 func (j *executorJob) register(
 	ctx context.Context, network *links.Network, s *server, e *fakes.Executor, o output,
