--- a/scen/ledger_test.go
+++ b/scen/ledger_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -74,3 +75,50 @@
 	ts.Check(err)
 	ts.Setenv(args[0], strconv.FormatInt(time.Now().Add(span).UnixMilli(), 10))
 }
+
+// readJournal reads the runs that an executor began, also one that was killed.
+func readJournal(name string) []run {
+	file, err := os.Open(name)
+	exitOn(err)
+	defer func() { _ = file.Close() }()
+	var runs []run
+	for lines := json.NewDecoder(file); lines.More(); {
+		var r run
+		exitOn(lines.Decode(&r))
+		runs = append(runs, r)
+	}
+	return runs
+}
+
+func init() {
+	checks["repeats"] = repeatsAreNotDenied
+	checks["single"] = recordedRanAtMostOnce
+}
+
+// recordedRanAtMostOnce holds where no key of the records ran twice, whatever else executors ran.
+func recordedRanAtMostOnce(e evidence) []string {
+	recorded := evidence{runs: map[string][]run{}}
+	for _, r := range e.records {
+		recorded.runs[r.Key] = e.runs[r.Key]
+	}
+	return ranAtMostOnce(recorded)
+}
+
+// repeatsAreNotDenied holds where no request was refused as not run whose key had run before it was sent.
+func repeatsAreNotDenied(e evidence) []string {
+	var wrong []string
+	repeats := 0
+	for _, r := range e.records {
+		runs := e.runs[r.Key]
+		before := slices.ContainsFunc(runs, func(run run) bool { return int64(run.Started) < r.Sent })
+		if !before {
+			continue
+		}
+		repeats++
+		if r.Outcome == "NotRun" {
+			wrong = append(wrong, fmt.Sprintf("%s through %s was refused as not run after it ran", r.Key, r.Entry))
+		}
+	}
+	fmt.Printf("requests sent again after a run: %d\n", repeats)
+	return wrong
+}
--- a/scen/verify_test.go
+++ b/scen/verify_test.go
@@ -44,7 +44,7 @@
 
 // verifyMain compares records of callers with ledgers of executors and exits 1 where a point is broken.
 func verifyMain() {
-	executors := flag.String("executors", "", "addresses of the executors, by comma")
+	executors := flag.String("executors", "", "addresses of the executors or @FILE of their journals, by comma")
 	points := flag.String("points", "", "points to check, by comma")
 	flag.Parse()
 	e := evidence{runs: map[string][]run{}}
@@ -97,6 +97,9 @@
 }
 
 func readLedger(address string) []run {
+	if name, isFile := strings.CutPrefix(address, "@"); isFile {
+		return readJournal(name)
+	}
 	client := http.Client{Timeout: 10 * time.Second}
 	res, err := client.Get("http://" + address + "/ledger")
 	exitOn(err)
