Settings: each documented field is read by the daemon, or gone

Cause: 9 fields of setup.Entry were checked and documented, but nothing read them, so that an operator could set them without effect. Ruled out: passing on the spans of the lease (constants that holders and candidates must agree on), slots of an executor, waiters and key length (constants of the traffic path). Change: AnswerBytes and ConnectionsPerExecutor reach the executors' client; KeyBytes, TimeoutMs, Waiting, SlotsPerExecutor, RenewMs, LeaseMs and CountMs are gone. The test of rules now uses StopMs above StopWaitMs in place of LeaseMs above RenewMs, the same rule. The reference page says where the stand-ins' arguments are.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -84,7 +84,7 @@
 	p.client = peer.NewClient([]byte(settings.PeerKey), p.network.Dial, p.meter)
 	d := &Daemon{parts: p, effects: newEffects(p)}
 	p.loop = newLoop(state.New(p.stateOptions()), d.effects.perform, micros)
-	p.executor = invoke.New(invoke.Options{Dial: p.network.Dial})
+	p.executor = invoke.New(p.invokeOptions())
 	p.claims = claim.New(claim.Options{Table: p.platform, Clock: p.clock, Viewer: p.loop, Remote: remote{p}})
 	p.front = front.New(p.frontOptions())
 	p.vars.publish(p)
--- a/daemon/options.go
+++ b/daemon/options.go
@@ -3,6 +3,7 @@
 import (
 	"waxwing.example/croft/admit"
 	"waxwing.example/croft/front"
+	"waxwing.example/croft/invoke"
 	"waxwing.example/croft/ops"
 	"waxwing.example/croft/retry"
 	"waxwing.example/croft/route"
@@ -26,6 +27,15 @@
 	}
 }
 
+// invokeOptions turns the settings into those of the attempts at executors.
+func (p *parts) invokeOptions() invoke.Options {
+	return invoke.Options{
+		Dial:                p.network.Dial,
+		MaxConnsPerEndpoint: p.settings.Limits.ConnectionsPerExecutor,
+		MaxBody:             p.settings.Limits.AnswerBytes,
+	}
+}
+
 // policies selects the baselines that the settings name; what stays nil is the front's own choice.
 func (p *parts) policies() front.Policies {
 	var chosen front.Policies
--- a/setup/entry.go
+++ b/setup/entry.go
@@ -28,27 +28,20 @@
 
 // Limits holds the bounds on what is taken from outside.
 type Limits struct {
-	BodyBytes              int64        `validate:"min=1,max=67108864" doc:"Largest body of a caller's request, in bytes."`
-	AnswerBytes            int64        `validate:"min=1,max=67108864" doc:"Largest body of an executor's answer, in bytes."`
-	HeaderBytes            int          `validate:"min=1024,max=1048576" doc:"Largest header block of a request, in bytes."`
-	KeyBytes               int          `validate:"min=16,max=1024" doc:"Longest Idempotency-Key, in bytes."`
-	OperatorBytes          int64        `validate:"min=1024,max=67108864" doc:"Largest body on the operators' address, in bytes."`
-	TimeoutMs              croft.Millis `validate:"min=1,max=600000" doc:"Longest Croft-Timeout-Ms that a caller may ask for, in milliseconds."`
-	Waiting                int          `validate:"min=1,max=65536" doc:"Most requests of one service and kind waiting in this entry."`
-	SlotsPerExecutor       int          `validate:"min=1,max=1024" doc:"Requests that an executor runs at once."`
-	ConnectionsPerExecutor int          `validate:"min=1,max=1024" doc:"Connections to an executor, over all entries."`
+	BodyBytes              int64 `validate:"min=1,max=67108864" doc:"Largest body of a caller's request, in bytes."`
+	AnswerBytes            int64 `validate:"min=1,max=67108864" doc:"Largest body of an executor's answer, in bytes; a larger one leaves the outcome unknown."`
+	HeaderBytes            int   `validate:"min=1024,max=1048576" doc:"Largest header block of a request, in bytes."`
+	OperatorBytes          int64 `validate:"min=1024,max=67108864" doc:"Largest body on the operators' address, in bytes."`
+	ConnectionsPerExecutor int   `validate:"min=1,max=1024" doc:"Most connections of this entry to one executor; an attempt that finds none free is not sent."`
 }
 
 // Timing holds the intervals and timeouts.
 type Timing struct {
 	TickMs         croft.Millis `validate:"min=10,max=10000" doc:"Interval of the control loop, in milliseconds."`
-	RenewMs        croft.Millis `validate:"min=50,max=60000" doc:"Interval of the lease renewal, in milliseconds."`
-	LeaseMs        croft.Millis `validate:"max=600000,gtfield=RenewMs" doc:"Length of this entry's lease, in milliseconds."`
 	ProbeMs        croft.Millis `validate:"min=50,max=60000" doc:"Interval of heartbeats to other entries, in milliseconds."`
 	ProbeTimeoutMs croft.Millis `validate:"min=10,max=60000" doc:"Timeout of one heartbeat, in milliseconds."`
 	PollMs         croft.Millis `validate:"min=50,max=60000" doc:"Interval of reads of the platform's VM list and table, in milliseconds."`
 	PlatformMs     croft.Millis `validate:"min=10,max=60000" doc:"Timeout of one call to the platform, in milliseconds."`
-	CountMs        croft.Millis `validate:"min=100,max=60000" doc:"Interval of traffic counts, in milliseconds."`
 	StopWaitMs     croft.Millis `validate:"min=0,max=600000" doc:"Time between failing readiness and refusing requests at a planned stop, in milliseconds."`
 	StopMs         croft.Millis `validate:"max=3600000,gtfield=StopWaitMs" doc:"Longest planned stop, in milliseconds."`
 }
@@ -95,11 +88,7 @@
 		BodyBytes:              1 << 20,
 		AnswerBytes:            4 << 20,
 		HeaderBytes:            16 << 10,
-		KeyBytes:               128,
 		OperatorBytes:          4 << 20,
-		TimeoutMs:              croft.Minute,
-		Waiting:                1024,
-		SlotsPerExecutor:       8,
 		ConnectionsPerExecutor: 60,
 	}
 }
@@ -107,13 +96,10 @@
 func defaultTiming() Timing {
 	return Timing{
 		TickMs:         100,
-		RenewMs:        3 * croft.Second,
-		LeaseMs:        10 * croft.Second,
 		ProbeMs:        croft.Second,
 		ProbeTimeoutMs: 500,
 		PollMs:         croft.Second,
 		PlatformMs:     croft.Second,
-		CountMs:        croft.Second,
 		StopWaitMs:     2 * croft.Second,
 		StopMs:         30 * croft.Second,
 	}
--- a/setup/setup_test.go
+++ b/setup/setup_test.go
@@ -35,8 +35,8 @@
 	"OperatorToken": "short",
 	"Log": {"Format": "xml", "Depth": 3},
 	"Timing": {
-		"RenewMs": 3000,
-		"LeaseMs": 3000,
+		"StopWaitMs": 3000,
+		"StopMs": 3000,
 		"ProbeMs": "fast",
 		"PollMs": 1.5
 	},
@@ -53,7 +53,7 @@
 		"entry.json:8: OperatorToken: must be at least 16 characters long",
 		"entry.json:9: Log.Depth: unknown field",
 		"entry.json:9: Log.Format: must be one of text, json",
-		"entry.json:12: Timing.LeaseMs: must be above RenewMs",
+		"entry.json:12: Timing.StopMs: must be above StopWaitMs",
 		"entry.json:13: Timing.ProbeMs: must be a whole number",
 		"entry.json:14: Timing.PollMs: must be a whole number",
 		"entry.json:16: Policies.Fence: must be true or false",
--- a/verbs/reference.go
+++ b/verbs/reference.go
@@ -11,6 +11,14 @@
 
 const referenceUsage = `Prints the reference page: every verb, every settings field and the exit codes, as Markdown.`
 
+// standText tells where the arguments of the stand-ins are.
+const standText = `
+## Settings of the stand-ins
+
+The stand-ins of platform and executor take arguments in place of a settings file: ` + "`stand platform --help`" + ` and
+` + "`stand executor --help`" + `.
+`
+
 // Reference is the verb that prints the reference page.
 type Reference struct {
 	programs Programs `arg:"-"`
@@ -30,7 +38,8 @@
 	writeExitCodes(stdout)
 	writeSettings(stdout, "entry", "an entry", setup.DefaultEntry())
 	writeSettings(stdout, "wax", "the command line", setup.DefaultWax())
-	return nil
+	_, err := fmt.Fprint(stdout, standText)
+	return err
 }
 
 func (r *Reference) verb(w io.Writer, v Verb) error {
