--- a/daemon/options.go
+++ b/daemon/options.go
@@ -52,5 +52,9 @@
 }
 
 func (p *parts) opsOptions() ops.Options {
-	return ops.Options{Token: p.settings.OperatorToken, BodyBytes: p.settings.Limits.OperatorBytes}
+	return ops.Options{
+		Token:     p.settings.OperatorToken,
+		BodyBytes: p.settings.Limits.OperatorBytes,
+		Metrics:   p.vars.all,
+	}
 }
--- a/daemon/vars.go
+++ b/daemon/vars.go
@@ -6,10 +6,11 @@
 	"syscall"
 
 	"waxwing.example/croft"
+	"waxwing.example/croft/ops"
 )
 
 // vars are an entry's own counters; expvar's registry is one for each process, so that they
-// are published under the entry's id and a demo can run several.
+// stay out of it and one process can run several entries.
 type vars struct {
 	overflow       expvar.Int
 	platformErrors expvar.Int
@@ -31,11 +32,18 @@
 	v.all.Set("Peers", p.meter.Vars())
 	v.all.Set("Log", p.log.Metrics())
 	v.all.Set("View", expvar.Func(func() any { return viewVars(p.loop.View()) }))
-	name := "Entry"
-	if expvar.Get(name) != nil {
-		name += string(p.self.ID)
+	v.all.Set("Classes", expvar.Func(func() any { return p.front.Meter().Snapshot() }))
+	v.all.Set("Undeclared", expvar.Func(func() any { return p.front.Meter().Undeclared() }))
+	v.all.Set("Pools", expvar.Func(func() any { return poolVars(backend{p}.Pools()) }))
+}
+
+// poolVars is the pools by name, which the configuration bounds.
+func poolVars(lines []ops.PoolLine) map[croft.PoolID]ops.PoolLine {
+	byID := make(map[croft.PoolID]ops.PoolLine, len(lines))
+	for _, l := range lines {
+		byID[l.Pool] = l
 	}
-	expvar.Publish(name, v.all)
+	return byID
 }
 
 // viewVars is what operators watch of the view.
--- a/ops/client.go
+++ b/ops/client.go
@@ -58,9 +58,9 @@
 	return read[[]JobLine](ctx, c, "/v1/jobs")
 }
 
-// Vars returns the entry's metrics as JSON.
-func (c *Client) Vars(ctx context.Context) (json.RawMessage, error) {
-	return read[json.RawMessage](ctx, c, "/debug/vars")
+// Vars returns the metrics of the entry's process by name, the entry's own under VarsEntry.
+func (c *Client) Vars(ctx context.Context) (map[string]json.RawMessage, error) {
+	return read[map[string]json.RawMessage](ctx, c, "/debug/vars")
 }
 
 // Accept puts a configuration in force if the version reviewed still is, and returns the new version.
--- a/ops/ops_test.go
+++ b/ops/ops_test.go
@@ -179,7 +179,7 @@
 	assert.Assert(t, jobs != nil && len(jobs) == 0)
 	vars, err := c.Vars(t.Context())
 	assert.NilError(t, err)
-	assert.Assert(t, strings.Contains(string(vars), "memstats"))
+	assert.Assert(t, len(vars["memstats"]) > 0)
 }
 
 func TestLostAnswerIsUnknownAndNoConnectionIsNot(t *testing.T) {
--- a/ops/server.go
+++ b/ops/server.go
@@ -21,11 +21,13 @@
 	Token string
 	// BodyBytes is the largest body taken.
 	BodyBytes int64
+	// Metrics are the entry's own, in JSON as expvar wants it; nil for none.
+	Metrics expvar.Var
 }
 
 // NewHandler returns the operators' address; every route asks for the token.
 func NewHandler(backend Backend, options Options) http.Handler {
-	s := &server{backend: backend, token: sha256.Sum256([]byte(options.Token))}
+	s := &server{backend: backend, token: sha256.Sum256([]byte(options.Token)), metrics: options.Metrics}
 	e := echo.New()
 	e.HTTPErrorHandler = writeProblem
 	e.Use(middleware.Recover(), s.authorize, middleware.BodyLimit(options.BodyBytes))
@@ -34,7 +36,7 @@
 	e.GET("/v1/pools", get(func() []PoolLine { return list(backend.Pools()) }))
 	e.GET("/v1/vms", get(func() []VMLine { return list(backend.VMs()) }))
 	e.GET("/v1/jobs", get(func() []JobLine { return list(backend.Jobs()) }))
-	e.GET("/debug/vars", echo.WrapHandler(expvar.Handler()))
+	e.GET("/debug/vars", s.vars)
 	e.POST("/v1/config", s.accept)
 	e.POST("/v1/vms/:vm/move", s.move)
 	e.POST("/v1/vms/:vm/drain", s.vm(func(id croft.VMID) croft.Command { return croft.DrainVM{VM: id} }))
@@ -50,6 +52,7 @@
 type server struct {
 	backend Backend
 	token   [sha256.Size]byte
+	metrics expvar.Var
 }
 
 // authorize compares hashes, so that neither the token's bytes nor its length show in the time taken.
--- a/verbs/table.go
+++ b/verbs/table.go
@@ -51,6 +51,7 @@
 		{"plan", planUsage, func(p Programs) Runner { return NewPlan(p) }},
 		{"accept", acceptUsage, func(p Programs) Runner { return NewAccept(p) }},
 		{"status", statusUsage, func(Programs) Runner { return NewStatus() }},
+		{"metrics", metricsUsage, func(Programs) Runner { return NewMetrics() }},
 		{"pools", poolsUsage, func(Programs) Runner { return NewPools() }},
 		{"vms", vmsUsage, func(Programs) Runner { return NewVMs() }},
 		{"move", moveUsage, func(Programs) Runner { return NewMove() }},
--- a/verbs/verbs_test.go
+++ b/verbs/verbs_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"expvar"
 	"fmt"
 	"io"
 	"net/http/httptest"
@@ -93,6 +94,15 @@
 
 func (e *entry) Heal() error { return &ops.RefusedError{Reason: "faults are not allowed"} }
 
+func metrics() expvar.Var {
+	classes := new(expvar.Map)
+	classes.Add("Offered", 12)
+	all := new(expvar.Map)
+	all.Set("intake/reading", classes)
+	all.Add("Undeclared", 1)
+	return all
+}
+
 // planner takes answers that are a configuration already.
 type planner struct{}
 
@@ -135,7 +145,7 @@
 		t.Run(filepath.Base(dir), func(t *testing.T) {
 			command, err := os.ReadFile(f)
 			assert.NilError(t, err)
-			server := httptest.NewServer(ops.NewHandler(newEntry(), ops.Options{Token: token, BodyBytes: 1 << 16}))
+			server := httptest.NewServer(ops.NewHandler(newEntry(), ops.Options{Token: token, BodyBytes: 1 << 16, Metrics: metrics()}))
 			defer server.Close()
 			t.Setenv("WAX_ENTRY", server.Listener.Addr().String())
 			t.Setenv("WAX_SETTINGS", "testdata/wax.json")
