Not run is said of a key only by the holder of its claim

Cause: a balancer may send a key that may not be repeated again through a second entry after the first one died with the request dispatched. The second entry refused at admission, for want of an executor, in a planned stop or without a claim as NotRun, though the request had run.

Ruled out: looking the claim up again at each refusal; the claim is the same write and settles it once. Claiming during a planned stop: a claim given back then may never be written, and the caller's next sending would meet a 409.

Change: the claim comes before admission and takes no slot; a refusal after it gives it back within a span of its own and hints at least 500 ms, since the release is written with the next commit. Without a verdict on the claim the outcome is Unknown with status 503 and Retry-After. A refusal by this entry's own configuration, limits or reading of the body promises nothing for a key either, and an entry without a configuration says 503 instead of 404.

--- a/front/carry.go
+++ b/front/carry.go
@@ -18,24 +18,17 @@
 	noEndpointRetryAfter = 500 * croft.Millis(1)
 	// noClaimRetryAfter is the hint where no claim could be taken.
 	noClaimRetryAfter = croft.Second
+	// releaseSpan bounds the giving back of a claim.
+	releaseSpan = croft.Second
+	// releaseRetryAfter is the least hint where a claim was given back, which takes until its next commit.
+	releaseRetryAfter = 500 * croft.Millis(1)
 )
 
-// carry claims the request where it must, makes its attempts, and gives the claim back if surely none ran.
-func (r *run) carry(ctx context.Context, p *pool) result {
-	claim := uuid.NewString()
-	if !r.Repeatable {
-		if problem := r.claim(ctx, claim); problem != nil {
-			return result{problem: problem}
-		}
-	}
-	end := r.attempt(ctx, p, claim)
-	if !r.Repeatable && end.problem != nil && end.problem.Outcome == croft.OutcomeNotRun {
-		r.front.Claimer.Release(context.WithoutCancel(ctx), r.Request, claim)
-	}
-	return end
-}
-
+// claim takes the request's claim; without one, nothing can be said of earlier requests with its key.
 func (r *run) claim(ctx context.Context, id string) *Problem {
+	span := r.Deadline - r.front.Clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, span.Duration())
+	defer cancel()
 	err := r.front.Claimer.Claim(ctx, r.Request, id)
 	if err == nil {
 		return nil
@@ -46,7 +39,14 @@
 		detail := "an earlier request with this key may have run"
 		return r.refuse("claimed before", unknown(http.StatusConflict, detail))
 	}
-	return r.refuse(err.Error(), notRun("no claim could be taken: "+err.Error(), noClaimRetryAfter))
+	return r.refuse(err.Error(), undispatched("the claims cannot be consulted: "+err.Error(), noClaimRetryAfter))
+}
+
+// release gives the claim back within a span of its own, since the caller's may be over.
+func (r *run) release(ctx context.Context, id string) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseSpan.Duration())
+	defer cancel()
+	r.front.Claimer.Release(ctx, r.Request, id)
 }
 
 // attempt sends the request until it is answered or the retry policy ends it.
--- a/front/parse.go
+++ b/front/parse.go
@@ -16,6 +16,9 @@
 // maxKeyBytes is the longest Idempotency-Key.
 const maxKeyBytes = 128
 
+// noConfigRetryAfter is the hint of an entry that has just started.
+const noConfigRetryAfter = croft.Second
+
 // accepted is a request that may be admitted, and the pool that serves it.
 type accepted struct {
 	croft.Request
@@ -29,13 +32,18 @@
 	if problem != nil {
 		return accepted{}, problem
 	}
+	if v.Config.Version == 0 {
+		problem := notRun("this entry has no configuration yet", noConfigRetryAfter)
+		problem.local = true
+		return accepted{}, problem
+	}
 	service, ok := v.Config.Service(croft.ServiceID(c.Param("service")))
 	if !ok {
-		return accepted{}, badInput(http.StatusNotFound, "service", "no such service is declared")
+		return accepted{}, badHere(http.StatusNotFound, "service", "no such service is declared")
 	}
 	kind, ok := service.Kind(croft.KindID(c.Param("kind")))
 	if !ok {
-		return accepted{}, badInput(http.StatusNotFound, "kind", "the service declares no such kind")
+		return accepted{}, badHere(http.StatusNotFound, "kind", "the service declares no such kind")
 	}
 	repeatable, problem := repeatableOf(r, kind)
 	if problem != nil {
@@ -68,10 +76,10 @@
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		detail := fmt.Sprintf("body is over %d bytes", f.Limits.BodyBytes)
-		return nil, badInput(http.StatusRequestEntityTooLarge, "body", detail)
+		return nil, badHere(http.StatusRequestEntityTooLarge, "body", detail)
 	}
 	if err != nil {
-		return nil, badInput(http.StatusBadRequest, "body", "body could not be read whole")
+		return nil, badHere(http.StatusBadRequest, "body", "body could not be read whole")
 	}
 	return body, nil
 }
--- a/front/problem.go
+++ b/front/problem.go
@@ -35,6 +35,9 @@
 	Field string `json:",omitempty"`
 	// RetryAfter is the same as the header Croft-Retry-After-Ms, zero for none.
 	RetryAfter croft.Millis `json:",omitempty"`
+
+	// local says that another entry might take the same request.
+	local bool
 }
 
 // Error gives the detail.
@@ -44,6 +47,13 @@
 	return &Problem{Status: status, Detail: detail, Field: field, Outcome: croft.OutcomeNotRun}
 }
 
+// badHere is bad input by this entry's configuration and limits, or by what it could read.
+func badHere(status int, field, detail string) *Problem {
+	p := badInput(status, field, detail)
+	p.local = true
+	return p
+}
+
 func notRun(detail string, retryAfter croft.Millis) *Problem {
 	return &Problem{
 		Status:     http.StatusServiceUnavailable,
@@ -57,6 +67,29 @@
 	return &Problem{Status: status, Detail: detail, Outcome: croft.OutcomeUnknown}
 }
 
+// undispatched refuses a request that may not be repeated where its claim was not consulted: an earlier
+// request with its key may have run through another entry.
+func undispatched(detail string, retryAfter croft.Millis) *Problem {
+	p := unknown(http.StatusServiceUnavailable, detail+noPromise)
+	p.RetryAfter = retryAfter
+	return p
+}
+
+// noPromise ends the detail of a refusal that cannot tell what became of earlier requests with the key.
+const noPromise = "; this entry dispatched nothing, but an earlier request with this key may have run; " +
+	"sending again with the same key is safe"
+
+// truthful takes back the promise of a refusal that another entry need not have given to the same request:
+// its configuration or limits may differ, and the request may have run there.
+func (p *Problem) truthful(r *http.Request) *Problem {
+	if !p.local || r.Header.Get(HeaderKey) == "" {
+		return p
+	}
+	p.Outcome = croft.OutcomeUnknown
+	p.Detail += noPromise
+	return p
+}
+
 // write sends the problem with its headers.
 func (p *Problem) write(w http.ResponseWriter) error {
 	p.Type = "about:blank"
--- a/front/serve.go
+++ b/front/serve.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 
+	"github.com/google/uuid"
 	"github.com/labstack/echo/v5"
 
 	"waxwing.example/croft"
@@ -30,16 +31,16 @@
 	v := f.pools.sync()
 	request, problem := f.parse(c, v)
 	if problem != nil {
-		return problem.write(w)
+		return problem.truthful(c.Request()).write(w)
 	}
 	f.meter.Offered(request.Class)
 	run := &run{front: f, accepted: request}
 	if refusing {
-		problem = run.refuse("entry is stopping", notRun("the entry is stopping", stopRetryAfter))
-		run.count(croft.OutcomeNotRun)
+		problem = run.stopped()
+		run.count(problem.Outcome)
 		return problem.write(w)
 	}
-	reply, problem := run.admit(c.Request().Context())
+	reply, problem := run.settle(c.Request().Context())
 	if problem != nil {
 		run.count(problem.Outcome)
 		return problem.write(w)
@@ -94,14 +95,43 @@
 	return problem
 }
 
+// stopped refuses without looking at the claims, since a claim given back in a stop might never be written.
+func (r *run) stopped() *Problem {
+	const reason = "entry is stopping"
+	if r.Repeatable {
+		return r.refuse(reason, notRun("the entry is stopping", stopRetryAfter))
+	}
+	return r.refuse(reason, undispatched("the entry is stopping", stopRetryAfter))
+}
+
 // result is what the attempts of a request came to.
 type result struct {
 	reply   croft.Reply
 	problem *Problem
 }
 
+// settle claims the request where it must, carries it to its outcome, and gives the claim back if surely nothing ran.
+//
+// The claim comes first: a request that may not be repeated may have been dispatched by another entry
+// before, so that only who holds its claim can say that it did not run.
+func (r *run) settle(ctx context.Context) (croft.Reply, *Problem) {
+	id := uuid.NewString()
+	if r.Repeatable {
+		return r.admit(ctx, id)
+	}
+	if problem := r.claim(ctx, id); problem != nil {
+		return croft.Reply{}, problem
+	}
+	reply, problem := r.admit(ctx, id)
+	if problem != nil && problem.Outcome == croft.OutcomeNotRun {
+		r.release(ctx, id)
+		problem.RetryAfter = max(problem.RetryAfter, releaseRetryAfter)
+	}
+	return reply, problem
+}
+
 // admit waits for a slot and then for the outcome, which a caller that is gone doesn't end.
-func (r *run) admit(ctx context.Context) (croft.Reply, *Problem) {
+func (r *run) admit(ctx context.Context, id string) (croft.Reply, *Problem) {
 	p, ok := r.front.pools.get(r.pool)
 	if !ok {
 		return croft.Reply{}, r.refuse("pool is not declared", notRun("the service's pool is not declared", croft.Second))
@@ -115,7 +145,7 @@
 	// The attempt goes on to its end or deadline, since its claim stands whether or not the caller stays.
 	kept, cancel := context.WithTimeout(context.WithoutCancel(ctx), span.Duration())
 	defer cancel()
-	end := r.carry(kept, p)
+	end := r.attempt(kept, p, id)
 	return end.reply, end.problem
 }
 
