--- a/request.go
+++ b/request.go
@@ -12,7 +12,7 @@
 const (
 	// OutcomeAnswered comes with the executor's whole answer.
 	OutcomeAnswered Outcome = "Answered"
-	// OutcomeNotRun promises that the request did not run and will not.
+	// OutcomeNotRun promises that the request did not run and will not; for a repeatable one, this sending of it.
 	OutcomeNotRun Outcome = "NotRun"
 	// OutcomeUnknown says that the request may have run.
 	OutcomeUnknown Outcome = "Unknown"
