--- a/scen/scen_test.go
+++ b/scen/scen_test.go
@@ -21,7 +21,7 @@
 
 // The second octets of the loopback networks of scenarios; each scenario has its own.
 const (
-	firstNet = 20
+	firstNet = 100
 	lastNet  = 250
 )
 
