links: one meter for the bytes between entries and to the platform

Cause: only the bytes between entries were counted; the limit of 3 KB a second is for all control. Change: the meter moves from peer to links and counts the platform's connections too.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -33,21 +33,23 @@
 
 // parts is what the pieces of one entry share.
 type parts struct {
-	settings  setup.Entry
-	self      croft.Peer
-	clock     croft.Clock
-	log       *logs.Logger
-	network   *links.Network
-	platform  croft.Platform
-	table     croft.Table
-	executor  croft.Executor
-	client    *peer.Client
-	meter     *peer.Meter
-	questions *questions
-	loop      *loop
-	claims    *claim.Claimer
-	front     *front.Front
-	vars      *vars
+	settings setup.Entry
+	self     croft.Peer
+	clock    croft.Clock
+	log      *logs.Logger
+	network  *links.Network
+	platform croft.Platform
+	table    croft.Table
+	executor croft.Executor
+	client   *peer.Client
+	// peerMeter and platformMeter count the bytes of control.
+	peerMeter     *links.Meter
+	platformMeter *links.Meter
+	questions     *questions
+	loop          *loop
+	claims        *claim.Claimer
+	front         *front.Front
+	vars          *vars
 }
 
 // Daemon is one entry.
@@ -63,12 +65,13 @@
 		return nil, err
 	}
 	p := &parts{
-		settings:  settings,
-		clock:     clock.NewSystem(),
-		network:   links.New(own.Addr()),
-		meter:     peer.NewMeter(),
-		questions: newQuestions(),
-		vars:      newVars(),
+		settings:      settings,
+		clock:         clock.NewSystem(),
+		network:       links.New(own.Addr()),
+		peerMeter:     links.NewMeter(),
+		platformMeter: links.NewMeter(),
+		questions:     newQuestions(),
+		vars:          newVars(),
 	}
 	p.self = croft.Peer{
 		ID:         newEntryID(settings.DataCentre),
@@ -78,11 +81,11 @@
 	p.log = logs.New(output, settings.Log, p.clock)
 	p.platform = plat.New(plat.Options{
 		Address: "http://" + settings.PlatformAddress,
-		Dial:    p.network.Dial,
+		Dial:    p.platformMeter.Dial(p.network.Dial),
 		Timeout: settings.Timing.PlatformMs,
 	})
 	p.table = settle.New(p.platform, p.clock)
-	p.client = peer.NewClient([]byte(settings.PeerKey), p.network.Dial, p.meter)
+	p.client = peer.NewClient([]byte(settings.PeerKey), p.network.Dial, p.peerMeter)
 	d := &Daemon{parts: p, effects: newEffects(p)}
 	p.loop = newLoop(state.New(p.stateOptions()), d.effects.perform, micros)
 	p.executor = invoke.New(p.invokeOptions())
@@ -181,7 +184,7 @@
 }
 
 func (d *Daemon) addServers(g *run.Group, l listeners) {
-	peers := peer.NewServer([]byte(d.settings.PeerKey), d.handlers(), d.meter)
+	peers := peer.NewServer([]byte(d.settings.PeerKey), d.handlers(), d.peerMeter)
 	addActor(g, func(ctx context.Context) error {
 		go func() {
 			<-ctx.Done()
--- a/peer/meter.go
+++ b/links/meter.go
@@ -1,15 +1,15 @@
-package peer
+package links
 
 import (
+	"context"
 	"expvar"
 	"net"
 )
 
-// Meter counts the bytes between entries.
+// Meter counts the bytes of the connections that pass through it.
 type Meter struct {
 	sent     expvar.Int
 	received expvar.Int
-	refused  expvar.Int
 }
 
 // NewMeter returns counters that stand at zero.
@@ -20,7 +20,6 @@
 	vars := new(expvar.Map)
 	vars.Set("BytesSent", &m.sent)
 	vars.Set("BytesReceived", &m.received)
-	vars.Set("Refused", &m.refused)
 	return vars
 }
 
@@ -30,7 +29,19 @@
 // Received returns the bytes received.
 func (m *Meter) Received() int64 { return m.received.Value() }
 
-func (m *Meter) count(conn net.Conn) net.Conn { return &countedConn{Conn: conn, meter: m} }
+// Count returns the connection with its bytes counted.
+func (m *Meter) Count(conn net.Conn) net.Conn { return &countedConn{Conn: conn, meter: m} }
+
+// Dial returns a dialler of connections whose bytes are counted.
+func (m *Meter) Dial(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return m.Count(conn), nil
+	}
+}
 
 // countedConn adds what passes through it to a meter.
 type countedConn struct {
--- a/peer/client.go
+++ b/peer/client.go
@@ -6,6 +6,8 @@
 	"sync"
 
 	"github.com/sourcegraph/jsonrpc2"
+
+	"waxwing.example/croft/links"
 )
 
 // Dial opens a connection to an address.
@@ -15,7 +17,7 @@
 type Client struct {
 	key   []byte
 	dial  Dial
-	meter *Meter
+	meter *links.Meter
 	mu    sync.Mutex
 	links map[string]*link
 }
@@ -27,7 +29,7 @@
 }
 
 // NewClient returns a client that proves the key on each connection it opens.
-func NewClient(key []byte, dial Dial, meter *Meter) *Client {
+func NewClient(key []byte, dial Dial, meter *links.Meter) *Client {
 	return &Client{key: key, dial: dial, meter: meter, links: map[string]*link{}}
 }
 
@@ -107,7 +109,7 @@
 	if err != nil {
 		return nil, err
 	}
-	counted := c.meter.count(raw)
+	counted := c.meter.Count(raw)
 	if err := proveKey(counted, c.key, dialer); err != nil {
 		raw.Close()
 		return nil, err
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -9,59 +9,59 @@
 	"gotest.tools/v3/assert"
 
 	"waxwing.example/croft"
+	"waxwing.example/croft/links"
 )
 
-func serveProbes(t *testing.T, key string) (address string, meter *Meter) {
+func serveProbes(t *testing.T, key string) (address string, server *Server) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	meter = NewMeter()
-	s := NewServer([]byte(key), map[string]Handler{
+	server = NewServer([]byte(key), map[string]Handler{
 		MethodProbe: func(_ context.Context, params json.RawMessage) (any, error) {
 			var r Report
 			err := json.Unmarshal(params, &r)
 			r.From.ID += "-heard"
 			return r, err
 		},
-	}, meter)
+	}, links.NewMeter())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = s.Serve(context.Background(), l)
+		_ = server.Serve(context.Background(), l)
 	}()
 	t.Cleanup(func() {
 		l.Close()
 		<-done
 	})
-	return l.Addr().String(), meter
+	return l.Addr().String(), server
 }
 
 func newClient(t *testing.T, key string) *Client {
 	t.Helper()
 	var d net.Dialer
-	c := NewClient([]byte(key), d.DialContext, NewMeter())
+	c := NewClient([]byte(key), d.DialContext, links.NewMeter())
 	t.Cleanup(c.Close)
 	return c
 }
 
 func TestProbeIsAnsweredToHoldersOfTheKey(t *testing.T) {
-	address, meter := serveProbes(t, "secret")
+	address, server := serveProbes(t, "secret")
 	c := newClient(t, "secret")
 	var answer Report
 	err := c.Call(context.Background(), address, MethodProbe, Report{From: croft.Peer{ID: "e1"}}, &answer)
 	assert.NilError(t, err)
 	assert.Equal(t, answer.From.ID, croft.EntryID("e1-heard"))
-	assert.Assert(t, meter.Received() > 0)
+	assert.Assert(t, server.meter.Received() > 0)
 }
 
 func TestWrongKeyIsRefusedByBothSides(t *testing.T) {
-	address, meter := serveProbes(t, "secret")
+	address, server := serveProbes(t, "secret")
 	c := newClient(t, "guess")
 	err := c.Call(context.Background(), address, MethodProbe, Report{}, &Report{})
 	var unreachable *UnreachableError
 	assert.Assert(t, err != nil)
 	assert.ErrorType(t, err, unreachable)
-	for meter.refused.Value() == 0 {
+	for server.Refused() == 0 {
 	}
 }
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"expvar"
 	"net"
 	"sync"
 
 	"github.com/sourcegraph/jsonrpc2"
+
+	"waxwing.example/croft/links"
 )
 
 // Handler answers one message; its result is not used for a notification.
@@ -16,13 +19,14 @@
 type Server struct {
 	key      []byte
 	handlers map[string]Handler
-	meter    *Meter
+	meter    *links.Meter
+	refused  expvar.Int
 	mu       sync.Mutex
 	conns    map[*jsonrpc2.Conn]struct{}
 }
 
 // NewServer returns a server that answers holders of the key by a handler for each method.
-func NewServer(key []byte, handlers map[string]Handler, meter *Meter) *Server {
+func NewServer(key []byte, handlers map[string]Handler, meter *links.Meter) *Server {
 	return &Server{
 		key:      key,
 		handlers: handlers,
@@ -31,6 +35,9 @@
 	}
 }
 
+// Refused counts the connections whose other side did not prove the key.
+func (s *Server) Refused() int64 { return s.refused.Value() }
+
 // Serve accepts connections until the listener is closed, and returns its error.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	defer s.closeAll()
@@ -39,13 +46,13 @@
 		if err != nil {
 			return err
 		}
-		go s.serve(ctx, s.meter.count(conn))
+		go s.serve(ctx, s.meter.Count(conn))
 	}
 }
 
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
 	if err := proveKey(conn, s.key, listener); err != nil {
-		s.meter.refused.Add(1)
+		s.refused.Add(1)
 		conn.Close()
 		return
 	}
