--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,7 +18,6 @@
 	"waxwing.example/croft/clock"
 	"waxwing.example/croft/fleet"
 	"waxwing.example/croft/front"
-	"waxwing.example/croft/invoke"
 	"waxwing.example/croft/lease"
 	"waxwing.example/croft/links"
 	"waxwing.example/croft/logs"
@@ -88,7 +87,7 @@
 	p.client = peer.NewClient([]byte(settings.PeerKey), p.network.Dial, p.peerMeter)
 	d := &Daemon{parts: p, effects: newEffects(p)}
 	p.loop = newLoop(state.New(p.stateOptions()), d.effects.perform, micros)
-	p.executor = invoke.New(p.invokeOptions())
+	p.executor = p.newExecutor()
 	p.claims = claim.New(claim.Options{Table: p.platform, Clock: p.clock, Viewer: p.loop, Remote: remote{p}})
 	p.front = front.New(p.frontOptions())
 	p.vars.publish(p)
--- a/scen/scen_test.go
+++ b/scen/scen_test.go
@@ -44,6 +44,7 @@
 		"wax":    exits(waxMain),
 		"load":   loadMain,
 		"verify": verifyMain,
+		"ledger": ledgerMain,
 	})
 }
 
@@ -71,6 +72,8 @@
 			"until":  untilCmd,
 			"post":   postCmd,
 			"fleet":  fleetCmd,
+
+			"instant": instantCmd,
 		},
 		Setup: func(env *testscript.Env) error {
 			network, free, err := reserveNet()
