--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -31,21 +32,23 @@
 
 // parts is what the pieces of one entry share.
 type parts struct {
-	settings  setup.Entry
-	self      croft.Peer
-	clock     croft.Clock
-	log       *logs.Logger
-	network   *links.Network
-	platform  croft.Platform
-	table     croft.Table
-	executor  croft.Executor
-	client    *peer.Client
-	meter     *peer.Meter
-	questions *questions
-	loop      *loop
-	claims    *claim.Claimer
-	front     *front.Front
-	vars      *vars
+	settings setup.Entry
+	self     croft.Peer
+	clock    croft.Clock
+	log      *logs.Logger
+	network  *links.Network
+	platform croft.Platform
+	table    croft.Table
+	executor croft.Executor
+	client   *peer.Client
+	// peerMeter and platformMeter count the bytes of control.
+	peerMeter     *links.Meter
+	platformMeter *links.Meter
+	questions     *questions
+	loop          *loop
+	claims        *claim.Claimer
+	front         *front.Front
+	vars          *vars
 }
 
 // Daemon is one entry.
@@ -61,26 +64,27 @@
 		return nil, err
 	}
 	p := &parts{
-		settings:  settings,
-		clock:     clock.NewSystem(),
-		network:   links.New(own.Addr()),
-		meter:     peer.NewMeter(),
-		questions: newQuestions(),
-		vars:      newVars(),
+		settings:      settings,
+		clock:         clock.NewSystem(),
+		network:       links.New(own.Addr()),
+		peerMeter:     links.NewMeter(),
+		platformMeter: links.NewMeter(),
+		questions:     newQuestions(),
+		vars:          newVars(),
 	}
 	p.self = croft.Peer{
-		ID:         croft.EntryID(uuid.NewString()),
+		ID:         newEntryID(settings.DataCentre),
 		DataCentre: settings.DataCentre,
 		Address:    settings.Peers,
 	}
 	p.log = logs.New(output, settings.Log, p.clock)
 	p.platform = plat.New(plat.Options{
 		Address: "http://" + settings.PlatformAddress,
-		Dial:    p.network.Dial,
+		Dial:    p.platformMeter.Dial(p.network.Dial),
 		Timeout: settings.Timing.PlatformMs,
 	})
 	p.table = settle.New(p.platform, p.clock)
-	p.client = peer.NewClient([]byte(settings.PeerKey), p.network.Dial, p.meter)
+	p.client = peer.NewClient([]byte(settings.PeerKey), p.network.Dial, p.peerMeter)
 	d := &Daemon{parts: p, effects: newEffects(p)}
 	p.loop = newLoop(state.New(p.stateOptions()), d.effects.perform, micros)
 	p.executor = p.newExecutor()
@@ -90,6 +94,15 @@
 	return d, nil
 }
 
+// entryIDBytes is the length of the random part of an entry's id: short, since every message
+// between entries carries several.
+const entryIDBytes = 6
+
+func newEntryID(centre croft.DataCentre) croft.EntryID {
+	id := uuid.New()
+	return croft.EntryID(fmt.Sprintf("%s-%x", centre, id[:entryIDBytes]))
+}
+
 func micros() int64 { return time.Now().UnixMicro() }
 
 func (p *parts) at() croft.At { return croft.At{Time: p.clock.Now()} }
@@ -99,7 +112,7 @@
 	leases.Fence = p.settings.Policies.Fence
 	return state.Options{
 		Self:   p.self,
-		Roster: roster.Options{Seeds: p.settings.SeedPeers, ProbeNear: p.settings.Timing.ProbeMs / 2, ProbeFar: p.settings.Timing.ProbeMs},
+		Roster: roster.Options{Seeds: p.settings.SeedPeers, ProbeNear: p.settings.Timing.ProbeMs, ProbeFar: 3 * p.settings.Timing.ProbeMs},
 		Fleet:  fleet.Options{Lease: leases, FixedBuffer: p.settings.Policies.Buffer == "Fixed"},
 	}
 }
@@ -170,7 +183,7 @@
 }
 
 func (d *Daemon) addServers(g *run.Group, l listeners) {
-	peers := peer.NewServer([]byte(d.settings.PeerKey), d.handlers(), d.meter)
+	peers := peer.NewServer([]byte(d.settings.PeerKey), d.handlers(), d.peerMeter)
 	addActor(g, func(ctx context.Context) error {
 		go func() {
 			<-ctx.Done()
--- a/daemon/options.go
+++ b/daemon/options.go
@@ -57,5 +57,9 @@
 }
 
 func (p *parts) opsOptions() ops.Options {
-	return ops.Options{Token: p.settings.OperatorToken, BodyBytes: p.settings.Limits.OperatorBytes}
+	return ops.Options{
+		Token:     p.settings.OperatorToken,
+		BodyBytes: p.settings.Limits.OperatorBytes,
+		Metrics:   p.vars.all,
+	}
 }
