--- a/stubs/executor.go
+++ b/stubs/executor.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		return err
 	}
-	defer journal.Close()
+	defer func() { _ = journal.Close() }()
 	e := fakes.NewExecutor(fakes.ExecutorOptions{
 		VM:        j.args.VM,
 		Boot:      max(1, j.args.Boot),
