fakes: an executor that runs on while it leaves, and a VM list that stays old

Cause: a leaving executor refused by itself, so that no scenario could see whether entries heed the word; and the list could only lag, not stand still. Ruled out: a long lag, which also delays the start of every scenario. Change: Behaviour.TakeWhileLeaving; Faults.OldList keeps the list as it was.

--- a/fakes/behave.go
+++ b/fakes/behave.go
@@ -33,8 +33,10 @@
 	FailAll bool
 	// Refuse refuses all attempts as not run.
 	Refuse bool
-	// Leave refuses all attempts as not run, and says on every answer that the executor leaves.
+	// Leave says on every answer that the executor leaves, and refuses attempts unless TakeWhileLeaving is set.
 	Leave bool
+	// TakeWhileLeaving goes on running attempts while Leave is set, so that only its word keeps them away.
+	TakeWhileLeaving bool
 }
 
 // check returns an error that names the field at fault.
--- a/fakes/faults.go
+++ b/fakes/faults.go
@@ -18,6 +18,8 @@
 	LoseAnswers int
 	// OldReads keeps the table's reads at the state they had when it was set.
 	OldReads bool
+	// OldList keeps the VM list at the state it had when it was set.
+	OldList bool
 	// FailWorkers are workers that fail every task.
 	FailWorkers []croft.VMID
 	// FailJobs are jobs that fail on every worker.
@@ -41,6 +43,9 @@
 	if !f.OldReads {
 		p.frozen = nil
 	}
+	if f.OldList && !p.faults.OldList {
+		p.listFrozen = p.options.Clock.Now()
+	}
 	p.faults = f
 }
 
--- a/fakes/platform.go
+++ b/fakes/platform.go
@@ -76,14 +76,16 @@
 	end  context.CancelFunc
 	work sync.WaitGroup
 
-	mu      sync.Mutex
-	faults  Faults
-	table   *table
-	frozen  *immutable.SortedMap[string, croft.Row]
-	objects map[string][]byte
-	list    vmLog
-	workers map[croft.VMID]*worker
-	reports reportLog
+	mu     sync.Mutex
+	faults Faults
+	table  *table
+	frozen *immutable.SortedMap[string, croft.Row]
+	// listFrozen is where OldList keeps the VM list.
+	listFrozen croft.Millis
+	objects    map[string][]byte
+	list       vmLog
+	workers    map[croft.VMID]*worker
+	reports    reportLog
 }
 
 var _ croft.Platform = (*Platform)(nil)
--- a/fakes/run.go
+++ b/fakes/run.go
@@ -122,7 +122,7 @@
 
 func (e *Executor) refusal(a attempt, now croft.Millis) string {
 	switch {
-	case e.behaviour.Leave:
+	case e.behaviour.Leave && !e.behaviour.TakeWhileLeaving:
 		return invoke.ReasonLeaving
 	case e.behaviour.Refuse:
 		return invoke.ReasonRefused
--- a/fakes/vms.go
+++ b/fakes/vms.go
@@ -112,5 +112,9 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.list.delta(since, p.options.Clock.Now()-p.options.ListLagMs), nil
+	until := p.options.Clock.Now() - p.options.ListLagMs
+	if p.faults.OldList {
+		until = min(until, p.listFrozen)
+	}
+	return p.list.delta(since, until), nil
 }
