Policies.Leaving: a baseline that believes only the VM list

Cause: no setting showed what the other sources of leaving are for. Ruled out: a switch in the roster's news alone, since orders and the executors' own word reach an entry by other ways too. Change: pools.State.WithListOnly, set through fleet.Options; the daemon drops the executors' word for the baseline; the setting is in the reference.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -113,7 +113,11 @@
 	return state.Options{
 		Self:   p.self,
 		Roster: roster.Options{Seeds: p.settings.SeedPeers, ProbeNear: p.settings.Timing.ProbeMs, ProbeFar: 3 * p.settings.Timing.ProbeMs},
-		Fleet:  fleet.Options{Lease: leases, FixedBuffer: p.settings.Policies.Buffer == "Fixed"},
+		Fleet: fleet.Options{
+			Lease:       leases,
+			FixedBuffer: p.settings.Policies.Buffer == "Fixed",
+			ListOnly:    p.listOnly(),
+		},
 	}
 }
 
--- a/daemon/options.go
+++ b/daemon/options.go
@@ -50,12 +50,19 @@
 		MaxConnsPerEndpoint: p.settings.Limits.ConnectionsPerExecutor,
 		MaxBody:             p.settings.Limits.AnswerBytes,
 	}
+	var executor croft.Executor = invoke.New(o)
 	if p.settings.Policies.Answers == "Trusted" {
-		return invoke.NewTrusted(o)
+		executor = invoke.NewTrusted(o)
 	}
-	return invoke.New(o)
+	if p.listOnly() {
+		return deaf{executor}
+	}
+	return executor
 }
 
+// listOnly reports whether the baseline is selected that believes only the platform's VM list.
+func (p *parts) listOnly() bool { return p.settings.Policies.Leaving == "ListOnly" }
+
 func (p *parts) opsOptions() ops.Options {
 	return ops.Options{
 		Token:     p.settings.OperatorToken,
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -14,6 +14,8 @@
 	Lease lease.Options
 	// FixedBuffer selects the baseline of a fixed share for the pools' sizes.
 	FixedBuffer bool
+	// ListOnly selects the baseline that believes only the platform's VM list of leaving VMs.
+	ListOnly bool
 }
 
 // DefaultOptions returns the options for production.
@@ -44,7 +46,7 @@
 	return State{
 		options: options,
 		lease:   lease.New(options.Lease),
-		pools:   pools.New(),
+		pools:   pools.New().WithListOnly(options.ListOnly),
 		maint:   maint.New(),
 		buffer:  buffer.New(),
 		place:   place.New(),
--- a/pools/state.go
+++ b/pools/state.go
@@ -63,6 +63,8 @@
 	// changes counts what a view of the endpoints depends on.
 	changes uint64
 	failed  int
+	// listOnly selects the baseline that believes only the VM list.
+	listOnly bool
 }
 
 // group is the index of one pool.
@@ -105,6 +107,12 @@
 // New returns the state of an entry that has read nothing.
 func New() State { return State{} }
 
+// WithListOnly returns the state with the baseline selected that believes only the VM list of leaving VMs.
+func (s State) WithListOnly(selected bool) State {
+	s.listOnly = selected
+	return s
+}
+
 // Member returns the known member row of a VM and whether there is one.
 func (s State) Member(id croft.VMID) (Known, bool) { return s.members.Get(id) }
 
@@ -187,6 +195,9 @@
 		return false
 	}
 	m, ok := s.members.Get(id)
+	if ok && s.listOnly {
+		return m.Boot == v.Boot
+	}
 	if !ok || m.Phase != croft.PhaseServing || m.Boot != v.Boot {
 		return false
 	}
--- a/setup/entry.go
+++ b/setup/entry.go
@@ -53,6 +53,7 @@
 	Retry   string `validate:"oneof=Budget Always" doc:"Retries: Budget bounds them to a share of first attempts; Always is the baseline for comparison."`
 	Claims  string `validate:"oneof=Log None" doc:"Requests that may not be repeated: Log claims each in the table first; None is the baseline for comparison."`
 	Answers string `validate:"oneof=Checked Trusted" doc:"Answers of executors: Checked passes on only whole ones of the same attempt, and tells what did not run from what may have; Trusted passes on what arrives, takes every failure for not run, and is the baseline for comparison."`
+	Leaving string `validate:"oneof=AllSources ListOnly" doc:"Executors that take no further work: AllSources believes the first of the VM list, an order, the executor and other entries; ListOnly believes the VM list and is the baseline for comparison."`
 	Buffer  string `validate:"oneof=Measured Fixed" doc:"Spare VMs: Measured follows the failures seen; Fixed holds a fifth and is the baseline for comparison."`
 	Fence   bool   `doc:"Whether every write carries the lease's fencing token; false is the baseline for comparison."`
 }
@@ -79,6 +80,7 @@
 			Retry:   "Budget",
 			Claims:  "Log",
 			Answers: "Checked",
+			Leaving: "AllSources",
 			Buffer:  "Measured",
 			Fence:   true,
 		},
