--- a/scen/load_test.go
+++ b/scen/load_test.go
@@ -49,8 +49,12 @@
 	client  *http.Client
 	seed    uint64
 	again   int
-	mu      sync.Mutex
-	out     *json.Encoder
+	// later is the delay after which requests sent again are sent once more, zero for never.
+	later time.Duration
+	// balancer says that a request whose connection broke is sent again at once through another entry.
+	balancer bool
+	mu       sync.Mutex
+	out      *json.Encoder
 }
 
 // loadMain sends streams of requests to entries at even rates and records what came of each.
@@ -61,6 +65,8 @@
 	out := flag.String("out", "load.jsonl", "file for the records")
 	seed := flag.Uint64("seed", 1, "seed of the choices and part of the keys")
 	again := flag.Int("again", 0, "percent of requests sent again at once through another entry")
+	later := flag.Duration("later", 0, "how long after its first sending such a request is sent a third time")
+	balancer := flag.Bool("balancer", false, "send again at once through another entry where the connection broke")
 	flag.Parse()
 	file, err := os.Create(*out)
 	if err != nil {
@@ -72,7 +78,10 @@
 		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}, Timeout: 30 * time.Second},
 		seed:    *seed,
 		again:   *again,
+		later:   *later,
 		out:     json.NewEncoder(file),
+
+		balancer: *balancer,
 	}
 	l.run(parseStreams(*streams, *span))
 	if err := file.Close(); err != nil {
@@ -124,22 +133,37 @@
 		key := fmt.Sprintf("%d-%d-%d", l.seed, index, n)
 		entry := chance.IntN(len(l.entries))
 		twice := chance.IntN(100) < l.again
-		running.Go(func() { l.ask(s.class, key, l.entries[entry]) })
-		if twice {
-			other := l.entries[(entry+1)%len(l.entries)]
-			running.Go(func() { l.ask(s.class, key, other) })
+		running.Go(func() { l.ask(s.class, key, entry) })
+		if !twice {
+			continue
+		}
+		running.Go(func() { l.ask(s.class, key, entry+1) })
+		if l.later > 0 {
+			running.Go(func() {
+				time.Sleep(l.later)
+				l.ask(s.class, key, entry+2)
+			})
 		}
 	}
 	running.Wait()
 }
 
-func (l *loader) ask(class, key, entry string) {
+// ask sends a request through the entry in that place, and through the next where the balancer would.
+func (l *loader) ask(class, key string, place int) {
+	r := l.askOnce(class, key, l.entries[place%len(l.entries)])
+	if l.balancer && r.Outcome == outcomeCut {
+		l.askOnce(class, key, l.entries[(place+1)%len(l.entries)])
+	}
+}
+
+func (l *loader) askOnce(class, key, entry string) record {
 	r := record{Key: key, Class: class, Entry: entry, Sent: time.Now().UnixMilli()}
 	l.fill(&r, bodyOf(key))
 	r.Ended = time.Now().UnixMilli()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	_ = l.out.Encode(r)
+	return r
 }
 
 // bodyOf gives each key a body of its own, long enough to be cut in the middle.
