conf: a baseline that takes what the platform last read

Cause: the mechanisms that keep a configuration from reverting had nothing to be compared with. Change: setting Policies.Config, Confirmed or LastRead; LastRead takes any version that a read of the platform says, also a lower one, serves by it at once and asks no other entry. Ruled out: switching off single mechanisms; one setting shows the whole without them. Conclusion: the default is unchanged (go test -race ./conf ./state ./setup ./verbs ./daemon).

--- a/conf/reduce.go
+++ b/conf/reduce.go
@@ -18,10 +18,17 @@
 	heardSpan = 30 * croft.Second
 )
 
+// Options set the reducer.
+type Options struct {
+	// LastRead takes whatever the platform's last read says, serves by it at once and asks no peer; the baseline.
+	LastRead bool
+}
+
 // State is the configuration in force on an entry and what it knows of newer ones.
 type State struct {
-	config croft.Config
-	ready  bool
+	options Options
+	config  croft.Config
+	ready   bool
 	// started is when the first event came, zero before.
 	started croft.Millis
 	polled  croft.Millis
@@ -32,6 +39,9 @@
 	askedAt croft.Millis
 }
 
+// New returns the state of an entry that has just started.
+func New(o Options) State { return State{options: o} }
+
 // Config returns the configuration in force.
 func (s State) Config() croft.Config { return s.config }
 
@@ -51,8 +61,14 @@
 	}
 	switch e := e.(type) {
 	case croft.ConfigLearned:
+		if s.options.LastRead {
+			return takeLastRead(s, e), nil
+		}
 		return learn(s, e)
 	case croft.PeerHeard:
+		if s.options.LastRead {
+			return s, nil
+		}
 		return hear(s, e)
 	case croft.Tick:
 		return tick(s, e, in)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"waxwing.example/croft"
 	"waxwing.example/croft/claim"
 	"waxwing.example/croft/clock"
+	"waxwing.example/croft/conf"
 	"waxwing.example/croft/fleet"
 	"waxwing.example/croft/front"
 	"waxwing.example/croft/invoke"
@@ -102,6 +103,7 @@
 		Self:   p.self,
 		Roster: roster.Options{Seeds: p.settings.SeedPeers, ProbeNear: p.settings.Timing.ProbeMs / 2, ProbeFar: p.settings.Timing.ProbeMs},
 		Fleet:  fleet.Options{Lease: leases, FixedBuffer: p.settings.Policies.Buffer == "Fixed"},
+		Conf:   conf.Options{LastRead: p.settings.Policies.Config == policyLastRead},
 	}
 }
 
--- a/daemon/effects.go
+++ b/daemon/effects.go
@@ -153,9 +153,19 @@
 	f.toPlatform(f.fetchFromPlatform, nil)
 }
 
+// policyLastRead is the baseline of Policies.Config.
+const policyLastRead = "LastRead"
+
+func (f *effects) readConfig(ctx context.Context) (croft.Config, bool, error) {
+	if f.settings.Policies.Config == policyLastRead {
+		config, err := conf.FetchLast(ctx, f.table, f.platform)
+		return config, true, err
+	}
+	return conf.Fetch(ctx, f.table, f.platform, f.loop.View().Config)
+}
+
 func (f *effects) fetchFromPlatform(ctx context.Context) {
-	known := f.loop.View().Config
-	config, fresh, err := conf.Fetch(ctx, f.table, f.platform, known)
+	config, fresh, err := f.readConfig(ctx)
 	if err != nil {
 		f.platformFailed(err)
 		return
--- a/setup/entry.go
+++ b/setup/entry.go
@@ -60,6 +60,7 @@
 	Retry  string `validate:"oneof=Budget Always" doc:"Retries: Budget bounds them to a share of first attempts; Always is the baseline for comparison."`
 	Claims string `validate:"oneof=Log None" doc:"Requests that may not be repeated: Log claims each in the table first; None is the baseline for comparison."`
 	Buffer string `validate:"oneof=Measured Fixed" doc:"Spare VMs: Measured follows the failures seen; Fixed holds a fifth and is the baseline for comparison."`
+	Config string `validate:"oneof=Confirmed LastRead" doc:"Configuration: Confirmed takes higher versions only, also from peers; LastRead takes what a read of the platform says and is the baseline for comparison."`
 	Fence  bool   `doc:"Whether every write carries the lease's fencing token; false is the baseline for comparison."`
 }
 
@@ -85,6 +86,7 @@
 			Retry:  "Budget",
 			Claims: "Log",
 			Buffer: "Measured",
+			Config: "Confirmed",
 			Fence:  true,
 		},
 	}
--- a/state/state.go
+++ b/state/state.go
@@ -12,6 +12,7 @@
 	Self   croft.Peer
 	Roster roster.Options
 	Fleet  fleet.Options
+	Conf   conf.Options
 }
 
 // State is the whole immutable control state of an entry.
@@ -39,8 +40,8 @@
 func New(o Options) State {
 	s := State{
 		roster: roster.New(o.Self, o.Roster),
-
-		fleet: fleet.New(o.Fleet),
+		conf:   conf.New(o.Conf),
+		fleet:  fleet.New(o.Fleet),
 	}
 	return s.withView()
 }
