--- a/setup/entry.go
+++ b/setup/entry.go
@@ -55,6 +55,7 @@
 	Answers string `validate:"oneof=Checked Trusted" doc:"Answers of executors: Checked passes on only whole ones of the same attempt, and tells what did not run from what may have; Trusted passes on what arrives, takes every failure for not run, and is the baseline for comparison."`
 	Buffer  string `validate:"oneof=Measured Fixed" doc:"Spare VMs: Measured follows the failures seen; Fixed holds a fifth and is the baseline for comparison."`
 	Fence   bool   `doc:"Whether every write carries the lease's fencing token; false is the baseline for comparison."`
+	Config  string `validate:"oneof=Confirmed LastRead" doc:"Configuration: Confirmed takes higher versions only, also from peers; LastRead takes what a read of the platform says and is the baseline for comparison."`
 }
 
 // Faults holds what scenarios may do to the entry.
@@ -81,6 +82,7 @@
 			Answers: "Checked",
 			Buffer:  "Measured",
 			Fence:   true,
+			Config:  "Confirmed",
 		},
 	}
 }
