conf: a check whose answer was lost is repeated

Cause: in a race of two acceptances with one lost answer, the loser was told "not done: no answer" (exit code 3) instead of the winner (exit code 4). The lost answer was that of the check of the head, and after the winner's write the settling table cannot judge a transaction without writes. Ruled out: the acceptance's own transaction; its lost answers were settled already. Change: the check is repeated where its answer was lost, since it changes nothing; the test's table loses answers of checks too, and only an outage may now fail an acceptance. Conclusion: the stricter property fails without the change and holds with it (go test ./conf -run Accept).

--- a/conf/store.go
+++ b/conf/store.go
@@ -97,7 +97,7 @@
 	if err != nil && !errors.Is(err, croft.ErrNoRow) {
 		return headRow{}, false, &PlatformError{Doing: "read the head", Cause: err}
 	}
-	_, err = table.Commit(ctx, []croft.Op{{Kind: croft.OpCheck, Key: headKey, Version: row.Version}})
+	err = check(ctx, table, row.Version)
 	confirmed := err == nil
 	if now, found := conflicting(err, headKey); found {
 		row, confirmed = now, true
@@ -106,6 +106,19 @@
 	return h, confirmed, err
 }
 
+// check compares the head's version, again where the answer was lost, since a check changes nothing.
+func check(ctx context.Context, table croft.Table, version uint64) error {
+	var err error
+	for range settleTries {
+		_, err = table.Commit(ctx, []croft.Op{{Kind: croft.OpCheck, Key: headKey, Version: version}})
+		var lost *croft.LostAnswerError
+		if !errors.As(err, &lost) {
+			break
+		}
+	}
+	return err
+}
+
 func conflicting(err error, key string) (croft.Row, bool) {
 	var conflict *croft.ConflictError
 	if !errors.As(err, &conflict) {
--- a/conf/store_test.go
+++ b/conf/store_test.go
@@ -37,7 +37,7 @@
 	version uint64
 	oldBy   int
 	down    bool
-	// lose is how many answers of coming commits are lost after they took effect.
+	// lose is how many answers of coming commits and checks are lost after they took effect.
 	lose int
 }
 
@@ -91,7 +91,7 @@
 	if len(conflict.Rows) == 0 && writes {
 		s.write(ops)
 	}
-	if writes && s.lose > 0 {
+	if s.lose > 0 {
 		s.lose--
 		return 0, &croft.LostAnswerError{Reason: "lost"}
 	}
@@ -158,7 +158,8 @@
 			"accept": func(t *rapid.T) {
 				s.oldBy = rapid.SampledFrom([]int{0, 0, 1, 4}).Draw(t, "old")
 				s.lose = rapid.IntRange(0, 2).Draw(t, "lose")
-				s.down = rapid.IntRange(0, 9).Draw(t, "down") == 0
+				down := rapid.IntRange(0, 9).Draw(t, "down") == 0
+				s.down = down
 				reviewed := uint64(max(0, len(accepted)-1-rapid.IntRange(0, 1).Draw(t, "behind")))
 				c := sample(rapid.Int64Range(0, 9).Draw(t, "rate"), rapid.IntRange(1, 4).Draw(t, "pools"))
 				who := rapid.SampledFrom([]string{"anna", "omar"}).Draw(t, "who")
@@ -176,6 +177,7 @@
 					counts["raced"]++
 					assert.Assert(t, race.Winner.Version > reviewed)
 				default:
+					assert.Assert(t, down, "%v", err)
 					counts["failed"]++
 				}
 			},
