--- a/scen/scen_test.go
+++ b/scen/scen_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -37,17 +36,28 @@
 	return "", nil, errors.New("all loopback networks of scenarios are taken")
 }
 
-func TestMain(m *testing.M) {
-	testscript.Main(m, map[string]func(){
-		"entry":  exits(daemon.Main),
-		"stand":  exits(stubs.Main),
-		"wax":    exits(waxMain),
-		"load":   loadMain,
-		"verify": verifyMain,
-		"ledger": ledgerMain,
-	})
+// programs are what scenarios may start as processes of their own.
+var programs = map[string]func(){
+	"entry":  exits(daemon.Main),
+	"stand":  exits(stubs.Main),
+	"wax":    exits(waxMain),
+	"load":   loadMain,
+	"verify": verifyMain,
+	"ledger": ledgerMain,
 }
 
+// commands are the words of the scenario language besides those of testscript.
+var commands = map[string]func(ts *testscript.TestScript, neg bool, args []string){
+	"fleet":   fleetCmd,
+	"instant": instantCmd,
+	"pause":   pauseCmd,
+	"post":    postCmd,
+	"signal":  signalCmd,
+	"until":   untilCmd,
+}
+
+func TestMain(m *testing.M) { testscript.Main(m, programs) }
+
 // waxMain is wax without the demo, which is a process of its own kind.
 func waxMain(args []string, stdout, stderr io.Writer) int {
 	return verbs.Main(verbs.Programs{Planner: verbs.Questionnaire{}}, args, stdout, stderr)
@@ -58,24 +68,18 @@
 }
 
 // TestScen runs each scenario in a network of its own, 127.N.0.0/16, given to it as $NET.
-func TestScen(t *testing.T) {
-	files, err := filepath.Glob("*.txtar")
+func TestScen(t *testing.T) { testscript.Run(t, params(t, "*.txtar")) }
+
+func params(t *testing.T, pattern string) testscript.Params {
+	files, err := filepath.Glob(pattern)
 	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 0, pattern)
 	slices.Sort(files)
-	testscript.Run(t, testscript.Params{
+	return testscript.Params{
 		Files:               files,
 		RequireExplicitExec: true,
 		RequireUniqueNames:  true,
-		TestWork:            flag.Lookup("test.v").Value.String() == "debug",
-		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"signal": signalCmd,
-			"until":  untilCmd,
-			"post":   postCmd,
-			"fleet":  fleetCmd,
-
-			"instant": instantCmd,
-			"pause":   pauseCmd,
-		},
+		Cmds:                commands,
 		Setup: func(env *testscript.Env) error {
 			network, free, err := reserveNet()
 			if err != nil {
@@ -86,5 +90,5 @@
 			env.Setenv("TOKEN", "operators-token-of-the-scenarios")
 			return nil
 		},
-	})
+	}
 }
