An admitted request waits for an executor's slot instead of being refused

Cause: two entries share an executor's slots by shares that lag and are rounded up to whole slots, so that an executor is full for a moment though the pool is not. An admitted request was then refused ('no executor is free', 'executor says Busy; retry budget is spent').

Ruled out: shares (each entry kept to its own), the queue (no refusal came from it), time (no answer was late).

Change: a request that holds a slot of its entry waits up to 500 ms, at most half of its time, for an executor with room; Busy and Leaving cost no retry budget, since they surely did not run, leave the executor out for a while and add no request in flight.

TestOutcomesAreTrue: two rows used Busy as an example of a refusal and asked for its end after two attempts. They use a plain refusal now and ask for the end after four; Busy has two rows and a test of its own.

--- a/front/carry.go
+++ b/front/carry.go
@@ -54,9 +54,10 @@
 	var tried []croft.VMID
 	mayHaveRun := false
 	id := first
+	until := r.patience()
 	p.retry.First()
 	for {
-		choice, ok := r.pick(p, tried)
+		choice, ok := r.pickWithin(ctx, p, tried, until)
 		if !ok {
 			return result{problem: r.failed("no executor is free", mayHaveRun)}
 		}
@@ -71,6 +72,10 @@
 		if err == nil {
 			return result{reply: reply}
 		}
+		if r.elsewhere(err, until) {
+			id = r.again("another executor: " + err.Error())
+			continue
+		}
 		tried = append(tried, vm)
 		var refused *croft.RefusedError
 		mayHaveRun = mayHaveRun || !errors.As(err, &refused)
@@ -84,12 +89,17 @@
 		if !verdict.Again {
 			return result{problem: r.failed(fmt.Sprintf("%v; %s", err, verdict.Reason), mayHaveRun)}
 		}
-		r.retried++
-		r.log("Retry", "", verdict.Reason+": "+err.Error())
-		id = uuid.NewString()
+		id = r.again(verdict.Reason + ": " + err.Error())
 	}
 }
 
+// again counts a further attempt and returns its id.
+func (r *run) again(reason string) string {
+	r.retried++
+	r.log("Retry", "", reason)
+	return uuid.NewString()
+}
+
 func (r *run) pick(p *pool, tried []croft.VMID) (route.Choice, bool) {
 	v := r.front.Viewer.View()
 	return r.front.Policies.Picker.Pick(route.Ask{
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -51,7 +51,8 @@
 
 // TestOutcomesAreTrue drives both kinds through what executors and claims can say.
 func TestOutcomesAreTrue(t *testing.T) {
-	refused := &croft.RefusedError{Reason: "no slot", Busy: true}
+	refused := &croft.RefusedError{Reason: "refuses"}
+	busy := &croft.RefusedError{Reason: "no slot", Busy: true}
 	doubt := &croft.DoubtError{Reason: "answer cut"}
 	for _, c := range []struct {
 		name, kind string
@@ -66,14 +67,16 @@
 	}{
 		{"answered", "book", nil, nil, 200, croft.OutcomeAnswered, 1, false},
 		{"refused once", "book", []error{refused}, nil, 200, croft.OutcomeAnswered, 2, false},
-		{"refused everywhere", "book", []error{refused, refused}, nil, 503, croft.OutcomeNotRun, 2, true},
+		{"refused everywhere", "book", []error{refused, refused, refused, refused}, nil, 503, croft.OutcomeNotRun, 4, true},
+		{"busy", "book", []error{busy, busy, busy, busy, busy}, nil, 200, croft.OutcomeAnswered, 6, false},
+		{"busy, then doubt", "book", []error{busy, doubt}, nil, 504, croft.OutcomeUnknown, 2, false},
 		{"doubt", "book", []error{doubt}, nil, 504, croft.OutcomeUnknown, 1, false},
 		{"refused, then doubt", "book", []error{refused, doubt}, nil, 504, croft.OutcomeUnknown, 2, false},
 		{"foreign error", "book", []error{io.ErrUnexpectedEOF}, nil, 504, croft.OutcomeUnknown, 1, false},
 		{"claimed", "book", nil, &croft.ClaimedError{Attempt: "x"}, 409, croft.OutcomeUnknown, 0, false},
 		{"no claim", "book", nil, &croft.NoClaimError{Reason: "platform"}, 503, croft.OutcomeUnknown, 0, false},
 		{"repeatable doubt", "read", []error{doubt}, nil, 200, croft.OutcomeAnswered, 2, false},
-		{"doubt, then refused", "read", []error{doubt, refused, refused}, nil, 504, croft.OutcomeUnknown, 3, false},
+		{"doubt, then refused", "read", []error{doubt, refused, refused, refused}, nil, 504, croft.OutcomeUnknown, 4, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			b := systemBench(t)
@@ -106,6 +109,18 @@
 	}
 }
 
+// TestBusyExecutorsAreAskedForAWhileOnly has no executor ever free a slot.
+func TestBusyExecutorsAreAskedForAWhileOnly(t *testing.T) {
+	b := systemBench(t)
+	b.execute = func(context.Context, croft.Endpoint, croft.Attempt) (croft.Reply, error) {
+		return croft.Reply{}, &croft.RefusedError{Reason: "no slot", Busy: true}
+	}
+	got := b.ask(t, "POST", "/v1/lens/book", "body", HeaderKey, "order-7", HeaderTimeout, "400")
+	assert.Equal(t, got.Header.Get(HeaderOutcome), string(croft.OutcomeNotRun), got.body)
+	assert.Assert(t, len(b.runs) > 2 && len(b.runs) < 30, "%d attempts", len(b.runs))
+	assert.Equal(t, len(b.released), 1)
+}
+
 // TestFrozenAfterItsClaimSendsNothing has the deadline pass while the claim is taken.
 func TestFrozenAfterItsClaimSendsNothing(t *testing.T) {
 	manual := clock.NewManual(1000)
