scen: an accepted configuration is in force within 8 s and never reverts

Cause: nothing showed it across processes. Program versions polls all entries and judges falls by address and the span from the platform's commit to in force at each process; program race runs commands at the same time. Ruled out: judging an entry that is not ready; it serves nothing by its version.

--- a/scen/cmds_test.go
+++ b/scen/cmds_test.go
@@ -140,7 +140,7 @@
 			override(ts, s, strings.Split(path, "."), value)
 		}
 		write(ts, p.name+".jsonc", s)
-		write(ts, p.name+".wax.jsonc", map[string]any{"Entry": p.ip + ":7001", "Token": ts.Getenv("TOKEN")})
+		write(ts, p.name+".wax.jsonc", map[string]any{"Entry": p.ip + ":7001", "Token": ts.Getenv("TOKEN"), "Who": p.name})
 	}
 }
 
--- a/scen/scen_test.go
+++ b/scen/scen_test.go
@@ -39,11 +39,13 @@
 
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
-		"entry":  exits(daemon.Main),
-		"stand":  exits(stubs.Main),
-		"wax":    exits(waxMain),
-		"load":   loadMain,
-		"verify": verifyMain,
+		"entry":    exits(daemon.Main),
+		"stand":    exits(stubs.Main),
+		"wax":      exits(waxMain),
+		"load":     loadMain,
+		"verify":   verifyMain,
+		"versions": versionsMain,
+		"race":     raceMain,
 	})
 }
 
