--- a/daemon/options.go
+++ b/daemon/options.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"waxwing.example/croft"
 	"waxwing.example/croft/admit"
 	"waxwing.example/croft/front"
 	"waxwing.example/croft/invoke"
@@ -27,15 +28,6 @@
 	}
 }
 
-// invokeOptions turns the settings into those of the attempts at executors.
-func (p *parts) invokeOptions() invoke.Options {
-	return invoke.Options{
-		Dial:                p.network.Dial,
-		MaxConnsPerEndpoint: p.settings.Limits.ConnectionsPerExecutor,
-		MaxBody:             p.settings.Limits.AnswerBytes,
-	}
-}
-
 // policies selects the baselines that the settings name; what stays nil is the front's own choice.
 func (p *parts) policies() front.Policies {
 	var chosen front.Policies
@@ -51,6 +43,19 @@
 	return chosen
 }
 
+// newExecutor returns the way to executors that the settings select.
+func (p *parts) newExecutor() croft.Executor {
+	o := invoke.Options{
+		Dial:                p.network.Dial,
+		MaxConnsPerEndpoint: p.settings.Limits.ConnectionsPerExecutor,
+		MaxBody:             p.settings.Limits.AnswerBytes,
+	}
+	if p.settings.Policies.Answers == "Trusted" {
+		return invoke.NewTrusted(o)
+	}
+	return invoke.New(o)
+}
+
 func (p *parts) opsOptions() ops.Options {
 	return ops.Options{
 		Token:     p.settings.OperatorToken,
--- a/scen/scen_test.go
+++ b/scen/scen_test.go
@@ -46,6 +46,7 @@
 		"verify":   verifyMain,
 		"versions": versionsMain,
 		"race":     raceMain,
+		"ledger":   ledgerMain,
 	})
 }
 
@@ -73,7 +74,9 @@
 			"until":  untilCmd,
 			"post":   postCmd,
 			"fleet":  fleetCmd,
-			"pause":  pauseCmd,
+
+			"instant": instantCmd,
+			"pause":   pauseCmd,
 		},
 		Setup: func(env *testscript.Env) error {
 			network, free, err := reserveNet()
