--- a/scen/judge_test.go
+++ b/scen/judge_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 
 	"waxwing.example/croft"
 	"waxwing.example/croft/conf"
@@ -85,10 +86,10 @@
 	return times
 }
 
-// late tells of each version that was not in force on a process in time, and the longest span that was kept.
-func (x *samples) late(accepted map[uint64]croft.Millis, within croft.Millis) ([]string, croft.Millis) {
+// late tells of each version that was not in force on a process in time, and gives the spans of the others, shortest first.
+func (x *samples) late(accepted map[uint64]croft.Millis, within croft.Millis) ([]string, []croft.Millis) {
 	var wrong []string
-	slowest := croft.Millis(0)
+	var spans []croft.Millis
 	for version, at := range accepted {
 		for id, seen := range x.byProcess {
 			due := max(at, seen[0].Time)
@@ -98,7 +99,7 @@
 			}
 			switch {
 			case reached > 0 && reached-due <= within:
-				slowest = max(slowest, reached-due)
+				spans = append(spans, reached-due)
 			case reached == 0 && gone-due <= within:
 				// It ended, or the watch did, before the version was due.
 			default:
@@ -106,7 +107,8 @@
 			}
 		}
 	}
-	return wrong, slowest
+	slices.Sort(spans)
+	return wrong, spans
 }
 
 // firstWith returns when a process first had a version in force, zero for never, and when it was gone.
--- a/scen/versions_test.go
+++ b/scen/versions_test.go
@@ -105,9 +105,12 @@
 func judge(name, platform string, within time.Duration) {
 	seen := readSamples(name)
 	falls := fallen(seen.byAddress)
-	late, slowest := seen.late(acceptances(platform), croft.Millis(within.Milliseconds()))
-	fmt.Printf("entries %d processes %d falls %d late %d slowest %d ms\n",
-		len(seen.byAddress), len(seen.byProcess), len(falls), len(late), slowest)
+	late, spans := seen.late(acceptances(platform), croft.Millis(within.Milliseconds()))
+	fmt.Printf("entries %d processes %d falls %d late %d\n",
+		len(seen.byAddress), len(seen.byProcess), len(falls), len(late))
+	if n := len(spans); n > 0 {
+		fmt.Printf("spans to in force: median %d ms slowest %d ms\n", spans[n/2], spans[n-1])
+	}
 	for _, line := range append(falls, late...) {
 		fmt.Println("  " + line)
 	}
