--- a/event.go
+++ b/event.go
@@ -94,6 +94,8 @@
 	Config Config
 	// Fresh says that the platform confirmed it as the newest.
 	Fresh bool
+	// Accepted says that it was accepted through this entry just now.
+	Accepted bool
 }
 
 // Peer is another entry as it describes itself.
