conf: the accepting entry tells all others at once

Cause: others learned a version by their next probe or by their poll of the platform each 1.5 to 2 s. Ruled out: every entry that learns a version tells all; messages would grow as the square of the entries. Change: ConfigLearned.Accepted makes the reducer ask for one TellPeers without news; who hears of the higher version fetches it from the accepting entry. Probes and polls stay, for who misses it. Messages of a change at 90 entries: 89 tells and 89 fetches (go test ./conf -run OnlyTheAccepting).

--- a/conf/reduce.go
+++ b/conf/reduce.go
@@ -88,12 +88,17 @@
 	if !higher {
 		return s, nil
 	}
-	return s, []croft.Effect{croft.Decision{
+	effects := []croft.Effect{croft.Decision{
 		Action:  "Configure",
 		Subject: fmt.Sprintf("version %d", s.config.Version),
 		Choice:  "in force",
 		Reason:  "the highest version known",
 	}}
+	if e.Accepted {
+		// Only the entry that accepted tells all others; those that learn don't, or messages would grow as the square.
+		effects = append(effects, croft.TellPeers{Scope: croft.ScopeAll})
+	}
+	return s, effects
 }
 
 func hear(s State, e croft.PeerHeard) (State, []croft.Effect) {
--- a/conf/reduce_test.go
+++ b/conf/reduce_test.go
@@ -129,3 +129,30 @@
 	}
 	assert.Assert(t, polls >= 30 && polls <= 40, "%d polls", polls)
 }
+
+// TestOnlyTheAcceptingEntryTells counts the messages of one change at 90 entries.
+func TestOnlyTheAcceptingEntryTells(t *testing.T) {
+	const entries = 90
+	in := Inputs{PlatformReachable: true}
+	accepted := learned(1000, 7, false)
+	accepted.Accepted = true
+	_, effects := Reduce(State{}, accepted, in)
+	assert.Equal(t, len(effects), 2)
+	tell, tells := effects[1].(croft.TellPeers)
+	assert.Assert(t, tells && tell.Scope == croft.ScopeAll)
+	fetches := 0
+	for range entries - 1 {
+		s, asked := Reduce(State{}, croft.PeerHeard{
+			At: croft.At{Time: 1001}, Peer: croft.Peer{ID: "a", ConfigVersion: 7, Address: "127.0.0.1:1"},
+		}, in)
+		fetches += len(asked)
+		s, told := Reduce(s, learned(1002, 7, false), in)
+		assert.Equal(t, s.Config().Version, uint64(7))
+		assert.Equal(t, len(told), 1, "only the log line")
+		_, again := Reduce(s, croft.PeerHeard{
+			At: croft.At{Time: 1003}, Peer: croft.Peer{ID: "b", ConfigVersion: 7, Address: "127.0.0.1:2"},
+		}, in)
+		assert.Equal(t, len(again), 0)
+	}
+	assert.Equal(t, fetches, entries-1)
+}
