--- a/scen/scen_test.go
+++ b/scen/scen_test.go
@@ -38,12 +38,14 @@
 
 // programs are what scenarios may start as processes of their own.
 var programs = map[string]func(){
-	"entry":  exits(daemon.Main),
-	"stand":  exits(stubs.Main),
-	"wax":    exits(waxMain),
-	"load":   loadMain,
-	"verify": verifyMain,
-	"ledger": ledgerMain,
+	"entry":    exits(daemon.Main),
+	"stand":    exits(stubs.Main),
+	"wax":      exits(waxMain),
+	"load":     loadMain,
+	"verify":   verifyMain,
+	"ledger":   ledgerMain,
+	"versions": versionsMain,
+	"race":     raceMain,
 }
 
 // commands are the words of the scenario language besides those of testscript.
