--- a/scen/scen_test.go
+++ b/scen/scen_test.go
@@ -55,6 +55,7 @@
 			"until":  untilCmd,
 			"post":   postCmd,
 			"fleet":  fleetCmd,
+			"exits":  exitsCmd,
 		},
 		Setup: func(env *testscript.Env) error {
 			name := strings.TrimPrefix(filepath.Base(env.WorkDir), "script-")
--- a/verbs/jobs.go
+++ b/verbs/jobs.go
@@ -67,6 +67,6 @@
 	if err := client.Cancel(ctx, j.Cancel); err != nil {
 		return err
 	}
-	_, err := fmt.Fprintf(stdout, "cancelling %d jobs\n", len(j.Cancel))
+	_, err := fmt.Fprintf(stdout, "jobs cancelled: %d\n", len(j.Cancel))
 	return err
 }
