--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -15,9 +16,9 @@
 	"waxwing.example/croft"
 	"waxwing.example/croft/claim"
 	"waxwing.example/croft/clock"
+	"waxwing.example/croft/conf"
 	"waxwing.example/croft/fleet"
 	"waxwing.example/croft/front"
-	"waxwing.example/croft/invoke"
 	"waxwing.example/croft/lease"
 	"waxwing.example/croft/links"
 	"waxwing.example/croft/logs"
@@ -32,21 +33,23 @@
 
 // parts is what the pieces of one entry share.
 type parts struct {
-	settings  setup.Entry
-	self      croft.Peer
-	clock     croft.Clock
-	log       *logs.Logger
-	network   *links.Network
-	platform  croft.Platform
-	table     croft.Table
-	executor  croft.Executor
-	client    *peer.Client
-	meter     *peer.Meter
-	questions *questions
-	loop      *loop
-	claims    *claim.Claimer
-	front     *front.Front
-	vars      *vars
+	settings setup.Entry
+	self     croft.Peer
+	clock    croft.Clock
+	log      *logs.Logger
+	network  *links.Network
+	platform croft.Platform
+	table    croft.Table
+	executor croft.Executor
+	client   *peer.Client
+	// peerMeter and platformMeter count the bytes of control.
+	peerMeter     *links.Meter
+	platformMeter *links.Meter
+	questions     *questions
+	loop          *loop
+	claims        *claim.Claimer
+	front         *front.Front
+	vars          *vars
 }
 
 // Daemon is one entry.
@@ -62,35 +65,45 @@
 		return nil, err
 	}
 	p := &parts{
-		settings:  settings,
-		clock:     clock.NewSystem(),
-		network:   links.New(own.Addr()),
-		meter:     peer.NewMeter(),
-		questions: newQuestions(),
-		vars:      newVars(),
+		settings:      settings,
+		clock:         clock.NewSystem(),
+		network:       links.New(own.Addr()),
+		peerMeter:     links.NewMeter(),
+		platformMeter: links.NewMeter(),
+		questions:     newQuestions(),
+		vars:          newVars(),
 	}
 	p.self = croft.Peer{
-		ID:         croft.EntryID(uuid.NewString()),
+		ID:         newEntryID(settings.DataCentre),
 		DataCentre: settings.DataCentre,
 		Address:    settings.Peers,
 	}
 	p.log = logs.New(output, settings.Log, p.clock)
 	p.platform = plat.New(plat.Options{
 		Address: "http://" + settings.PlatformAddress,
-		Dial:    p.network.Dial,
+		Dial:    p.platformMeter.Dial(p.network.Dial),
 		Timeout: settings.Timing.PlatformMs,
 	})
 	p.table = settle.New(p.platform, p.clock)
-	p.client = peer.NewClient([]byte(settings.PeerKey), p.network.Dial, p.meter)
+	p.client = peer.NewClient([]byte(settings.PeerKey), p.network.Dial, p.peerMeter)
 	d := &Daemon{parts: p, effects: newEffects(p)}
 	p.loop = newLoop(state.New(p.stateOptions()), d.effects.perform, micros)
-	p.executor = invoke.New(p.invokeOptions())
+	p.executor = p.newExecutor()
 	p.claims = claim.New(claim.Options{Table: p.platform, Clock: p.clock, Viewer: p.loop, Remote: remote{p}})
 	p.front = front.New(p.frontOptions())
 	p.vars.publish(p)
 	return d, nil
 }
 
+// entryIDBytes is the length of the random part of an entry's id: short, since every message
+// between entries carries several.
+const entryIDBytes = 6
+
+func newEntryID(centre croft.DataCentre) croft.EntryID {
+	id := uuid.New()
+	return croft.EntryID(fmt.Sprintf("%s-%x", centre, id[:entryIDBytes]))
+}
+
 func micros() int64 { return time.Now().UnixMicro() }
 
 func (p *parts) at() croft.At { return croft.At{Time: p.clock.Now()} }
@@ -100,8 +113,9 @@
 	leases.Fence = p.settings.Policies.Fence
 	return state.Options{
 		Self:   p.self,
-		Roster: roster.Options{Seeds: p.settings.SeedPeers, ProbeNear: p.settings.Timing.ProbeMs / 2, ProbeFar: p.settings.Timing.ProbeMs},
+		Roster: roster.Options{Seeds: p.settings.SeedPeers, ProbeNear: p.settings.Timing.ProbeMs, ProbeFar: 3 * p.settings.Timing.ProbeMs},
 		Fleet:  fleet.Options{Lease: leases, FixedBuffer: p.settings.Policies.Buffer == "Fixed"},
+		Conf:   conf.Options{LastRead: p.settings.Policies.Config == policyLastRead},
 	}
 }
 
@@ -171,7 +185,7 @@
 }
 
 func (d *Daemon) addServers(g *run.Group, l listeners) {
-	peers := peer.NewServer([]byte(d.settings.PeerKey), d.handlers(), d.meter)
+	peers := peer.NewServer([]byte(d.settings.PeerKey), d.handlers(), d.peerMeter)
 	addActor(g, func(ctx context.Context) error {
 		go func() {
 			<-ctx.Done()
--- a/scen/scen_test.go
+++ b/scen/scen_test.go
@@ -1,13 +1,13 @@
 package scen
 
 import (
-	"flag"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"path/filepath"
 	"slices"
-	"strings"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -18,19 +18,47 @@
 	"waxwing.example/croft/verbs"
 )
 
-// firstNet is the second octet of the loopback network of the first scenario; each has its own.
-const firstNet = 20
+// The second octets of the loopback networks of scenarios; each scenario has its own.
+const (
+	firstNet = 100
+	lastNet  = 250
+)
+
+// reserveNet takes a loopback network that no other scenario of this machine uses, by a
+// listener that stands for it until free is called.
+func reserveNet() (network string, free func(), err error) {
+	for n := firstNet; n <= lastNet; n++ {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.1:7999", n))
+		if err == nil {
+			return fmt.Sprintf("127.%d", n), func() { _ = l.Close() }, nil
+		}
+	}
+	return "", nil, errors.New("all loopback networks of scenarios are taken")
+}
+
+// programs are what scenarios may start as processes of their own.
+var programs = map[string]func(){
+	"entry":  exits(daemon.Main),
+	"stand":  exits(stubs.Main),
+	"wax":    exits(waxMain),
+	"load":   loadMain,
+	"verify": verifyMain,
+	"ledger": ledgerMain,
+}
 
-func TestMain(m *testing.M) {
-	testscript.Main(m, map[string]func(){
-		"entry":  exits(daemon.Main),
-		"stand":  exits(stubs.Main),
-		"wax":    exits(waxMain),
-		"load":   loadMain,
-		"verify": verifyMain,
-	})
+// commands are the words of the scenario language besides those of testscript.
+var commands = map[string]func(ts *testscript.TestScript, neg bool, args []string){
+	"fleet":   fleetCmd,
+	"exits":  exitsCmd,
+	"instant": instantCmd,
+	"pause":   pauseCmd,
+	"post":    postCmd,
+	"signal":  signalCmd,
+	"until":   untilCmd,
 }
 
+func TestMain(m *testing.M) { testscript.Main(m, programs) }
+
 // waxMain is wax without the demo, which is a process of its own kind.
 func waxMain(args []string, stdout, stderr io.Writer) int {
 	return verbs.Main(verbs.Programs{Planner: verbs.Questionnaire{}}, args, stdout, stderr)
@@ -41,28 +69,27 @@
 }
 
 // TestScen runs each scenario in a network of its own, 127.N.0.0/16, given to it as $NET.
-func TestScen(t *testing.T) {
-	files, err := filepath.Glob("*.txtar")
+func TestScen(t *testing.T) { testscript.Run(t, params(t, "*.txtar")) }
+
+func params(t *testing.T, pattern string) testscript.Params {
+	files, err := filepath.Glob(pattern)
 	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 0, pattern)
 	slices.Sort(files)
-	testscript.Run(t, testscript.Params{
+	return testscript.Params{
 		Files:               files,
 		RequireExplicitExec: true,
 		RequireUniqueNames:  true,
-		TestWork:            flag.Lookup("test.v").Value.String() == "debug",
-		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"signal": signalCmd,
-			"until":  untilCmd,
-			"post":   postCmd,
-			"fleet":  fleetCmd,
-			"exits":  exitsCmd,
-		},
+		Cmds:                commands,
 		Setup: func(env *testscript.Env) error {
-			name := strings.TrimPrefix(filepath.Base(env.WorkDir), "script-")
-			i := slices.Index(files, name+".txtar")
-			env.Setenv("NET", fmt.Sprintf("127.%d", firstNet+i))
+			network, free, err := reserveNet()
+			if err != nil {
+				return err
+			}
+			env.Defer(free)
+			env.Setenv("NET", network)
 			env.Setenv("TOKEN", "operators-token-of-the-scenarios")
 			return nil
 		},
-	})
+	}
 }
