--- a/scen/scen_test.go
+++ b/scen/scen_test.go
@@ -49,7 +49,7 @@
 // commands are the words of the scenario language besides those of testscript.
 var commands = map[string]func(ts *testscript.TestScript, neg bool, args []string){
 	"fleet":   fleetCmd,
-	"exits":  exitsCmd,
+	"exits":   exitsCmd,
 	"instant": instantCmd,
 	"pause":   pauseCmd,
 	"post":    postCmd,
