--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"waxwing.example/croft"
 	"waxwing.example/croft/claim"
 	"waxwing.example/croft/clock"
+	"waxwing.example/croft/conf"
 	"waxwing.example/croft/fleet"
 	"waxwing.example/croft/front"
 	"waxwing.example/croft/lease"
@@ -118,6 +119,7 @@
 			FixedBuffer: p.settings.Policies.Buffer == "Fixed",
 			ListOnly:    p.listOnly(),
 		},
+		Conf:   conf.Options{LastRead: p.settings.Policies.Config == policyLastRead},
 	}
 }
 
--- a/setup/entry.go
+++ b/setup/entry.go
@@ -56,6 +56,7 @@
 	Leaving string `validate:"oneof=AllSources ListOnly" doc:"Executors that take no further work: AllSources believes the first of the VM list, an order, the executor and other entries; ListOnly believes the VM list and is the baseline for comparison."`
 	Buffer  string `validate:"oneof=Measured Fixed" doc:"Spare VMs: Measured follows the failures seen; Fixed holds a fifth and is the baseline for comparison."`
 	Fence   bool   `doc:"Whether every write carries the lease's fencing token; false is the baseline for comparison."`
+	Config  string `validate:"oneof=Confirmed LastRead" doc:"Configuration: Confirmed takes higher versions only, also from peers; LastRead takes what a read of the platform says and is the baseline for comparison."`
 }
 
 // Faults holds what scenarios may do to the entry.
@@ -83,6 +84,7 @@
 			Leaving: "AllSources",
 			Buffer:  "Measured",
 			Fence:   true,
+			Config:  "Confirmed",
 		},
 	}
 }
