Attempts name the boot they are meant for

Cause: a VM that was rebooted, or moved and rebooted, ran attempts that were meant for its earlier incarnation. Ruled out: a check by the entry alone, since its list lags; a plain refusal without the word Leaving, since the entry would pick the executor again until the list shows the new boot.

--- a/fakes/run.go
+++ b/fakes/run.go
@@ -29,6 +29,15 @@
 	Class    croft.Class
 	Deadline croft.Millis
 	Digest   string
+	// Boot is the boot that the attempt is meant for, zero for any.
+	Boot uint64
+}
+
+// refusal is why an attempt does not run.
+type refusal struct {
+	Reason string
+	// Leaving says that the boot which was meant takes no further work.
+	Leaving bool
 }
 
 // reply is a whole answer before it is sent.
@@ -53,9 +62,9 @@
 	if err != nil {
 		return answer(c, nil, err)
 	}
-	s, refusal := e.start(a)
-	if refusal != "" {
-		return e.refuse(c, a, refusal)
+	s, why := e.start(a)
+	if why.Reason != "" {
+		return e.refuse(c, a, why)
 	}
 	e.work(s)
 	f, r, cut := e.finish(s)
@@ -77,26 +86,36 @@
 		Class:  croft.Class{Service: croft.ServiceID(c.Param("service")), Kind: croft.KindID(c.Param("kind"))},
 		Digest: invoke.Digest(body),
 	}
-	text := header.Get(invoke.HeaderDeadline)
+	deadline, err := headerNumber(header, invoke.HeaderDeadline)
+	if err != nil {
+		return attempt{}, err
+	}
+	a.Deadline = croft.Millis(deadline)
+	a.Boot, err = headerNumber(header, invoke.HeaderBoot)
+	return a, err
+}
+
+// headerNumber returns a header's number, zero where it is not there.
+func headerNumber(header http.Header, name string) (uint64, error) {
+	text := header.Get(name)
 	if text == "" {
-		return a, nil
+		return 0, nil
 	}
-	deadline, err := strconv.ParseInt(text, 10, 64)
+	n, err := strconv.ParseUint(text, 10, 63)
 	if err != nil {
-		return attempt{}, rejected(http.StatusBadRequest, "%s: %q is not a number", invoke.HeaderDeadline, text)
+		return 0, rejected(http.StatusBadRequest, "%s: %q is not a number", name, text)
 	}
-	a.Deadline = croft.Millis(deadline)
-	return a, nil
+	return n, nil
 }
 
 // start enters a run in the ledger, or returns the reason why it does not run.
-func (e *Executor) start(a attempt) (started, string) {
+func (e *Executor) start(a attempt) (started, refusal) {
 	now := e.options.Clock.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if reason := e.refusal(a, now); reason != "" {
+	if why := e.refusal(a, now); why.Reason != "" {
 		e.ledger.Refused++
-		return started{}, reason
+		return started{}, why
 	}
 	run := Run{
 		Attempt: a.ID,
@@ -107,31 +126,33 @@
 	}
 	if e.journal.Encode(run) != nil {
 		e.ledger.Refused++
-		return started{}, invoke.ReasonRefused // a run that leaves no trace would escape the tests
+		return started{}, refusal{Reason: invoke.ReasonRefused} // a run that leaves no trace would escape the tests
 	}
 	e.running++
 	s := started{attempt: a, entry: len(e.ledger.Runs), life: e.life}
 	if s.entry == maxLedger {
 		e.ledger.Forgotten++
 		s.entry = -1
-		return s, ""
+		return s, refusal{}
 	}
 	e.ledger.Runs = append(e.ledger.Runs, run)
-	return s, ""
+	return s, refusal{}
 }
 
-func (e *Executor) refusal(a attempt, now croft.Millis) string {
+func (e *Executor) refusal(a attempt, now croft.Millis) refusal {
 	switch {
+	case a.Boot > 0 && a.Boot != e.boot:
+		return refusal{Reason: invoke.ReasonBoot, Leaving: a.Boot < e.boot}
 	case e.behaviour.Leave && !e.behaviour.TakeWhileLeaving:
-		return invoke.ReasonLeaving
+		return refusal{Reason: invoke.ReasonLeaving, Leaving: true}
 	case e.behaviour.Refuse:
-		return invoke.ReasonRefused
+		return refusal{Reason: invoke.ReasonRefused}
 	case a.Deadline > 0 && a.Deadline <= now:
-		return invoke.ReasonDeadline
+		return refusal{Reason: invoke.ReasonDeadline}
 	case e.running >= e.options.Slots:
-		return invoke.ReasonBusy
+		return refusal{Reason: invoke.ReasonBusy}
 	}
-	return ""
+	return refusal{}
 }
 
 func (e *Executor) work(s started) {
@@ -174,13 +195,13 @@
 	return r
 }
 
-func (e *Executor) refuse(c *echo.Context, a attempt, reason string) error {
+func (e *Executor) refuse(c *echo.Context, a attempt, why refusal) error {
 	header := c.Response().Header()
 	header.Set(invoke.HeaderAttempt, a.ID)
 	header.Set(invoke.HeaderOutcome, invoke.OutcomeNotRun)
-	header.Set(invoke.HeaderReason, reason)
-	if reason == invoke.ReasonLeaving {
+	header.Set(invoke.HeaderReason, why.Reason)
+	if why.Leaving {
 		header.Set(invoke.HeaderLeaving, invoke.LeavingTrue)
 	}
-	return problem(c, http.StatusServiceUnavailable, "not run: "+reason)
+	return problem(c, http.StatusServiceUnavailable, "not run: "+why.Reason)
 }
--- a/invoke/client.go
+++ b/invoke/client.go
@@ -149,6 +149,9 @@
 	request.Header.Set(HeaderAttempt, attempt.ID)
 	request.Header.Set(HeaderKey, r.Key)
 	request.Header.Set(HeaderDeadline, strconv.FormatInt(int64(r.Deadline), 10))
+	if endpoint.Boot > 0 {
+		request.Header.Set(HeaderBoot, strconv.FormatUint(endpoint.Boot, 10))
+	}
 	if r.ContentType != "" {
 		request.Header.Set("Content-Type", r.ContentType)
 	}
--- a/invoke/client_test.go
+++ b/invoke/client_test.go
@@ -136,6 +136,17 @@
 	assert.Assert(t, errors.As(err, &refused))
 	assert.Equal(t, len(executor.Ledger().Runs), 0)
 
+	// An older boot than the executor's takes no further work; a newer one is not there yet.
+	executor.Behave(fakes.Behaviour{})
+	executor.Restart(5)
+	for boot, leaves := range map[uint64]bool{4: true, 6: false} {
+		endpoint.Boot = boot
+		_, err = client.Run(ctx, endpoint, newAttempt(4))
+		assert.Assert(t, errors.As(err, &refused))
+		assert.DeepEqual(t, refused, &croft.RefusedError{Reason: "executor says Boot", Leaving: leaves})
+	}
+	assert.Equal(t, len(executor.Ledger().Runs), 0)
+	endpoint.Boot = 5
 	executor.Behave(fakes.Behaviour{FailAll: true})
 	reply, err := client.Run(ctx, endpoint, newAttempt(3))
 	assert.NilError(t, err)
--- a/invoke/wire.go
+++ b/invoke/wire.go
@@ -11,6 +11,7 @@
 const (
 	HeaderAttempt  = "Croft-Attempt"
 	HeaderDeadline = "Croft-Deadline"
+	HeaderBoot     = "Croft-Boot"
 	HeaderKey      = "Idempotency-Key"
 	HeaderOutcome  = "Croft-Outcome"
 	HeaderReason   = "Croft-Reason"
@@ -30,6 +31,8 @@
 	ReasonLeaving = "Leaving"
 	// ReasonDeadline says that the deadline had passed.
 	ReasonDeadline = "Deadline"
+	// ReasonBoot says that the attempt was meant for another boot of the executor's VM.
+	ReasonBoot = "Boot"
 	// ReasonRefused says that the executor did not want the attempt.
 	ReasonRefused = "Refused"
 )
