invoke: the attempt after a refusal is no doubt

Cause: an executor's own refusal sealed and closed the connection, and the transport could hand it to the next attempt before it noticed; that attempt failed with "use of closed network connection", counted as written, and its caller was told Unknown. Ruled out: the executor closing its connections; the deadline's refusal. Change: a refusal whose answer is whole keeps its connection; a connection that was closed is dropped with its lane; a sealed connection carries no other exchange, so that the platform's client reports such a write as not done. Conclusion: fewer requests end as Unknown after a Busy or Leaving refusal.

--- a/invoke/client.go
+++ b/invoke/client.go
@@ -112,26 +112,41 @@
 	if l == nil {
 		return croft.Reply{}, &croft.RefusedError{Reason: "no free connection", Busy: true}
 	}
-	defer all.give(l)
+	reply, keep, err := c.attempt(ctx, l, endpoint, attempt)
+	if keep {
+		all.give(l)
+	} else {
+		all.drop(l)
+	}
+	return reply, err
+}
+
+// attempt makes the attempt on a lane and reports whether the lane's connection is still to be trusted.
+func (c *Client) attempt(
+	ctx context.Context, l *lane, endpoint croft.Endpoint, attempt croft.Attempt,
+) (croft.Reply, bool, error) {
 	ctx, track := sent.NewTrack(ctx)
 	request, err := newRequest(ctx, endpoint, attempt)
 	if err != nil {
-		return croft.Reply{}, &croft.RefusedError{Reason: err.Error()}
+		return croft.Reply{}, true, &croft.RefusedError{Reason: err.Error()}
 	}
 	reply, err := c.exchange(l, request, attempt.ID)
 	if err == nil {
-		return reply, nil
+		return reply, true, nil
+	}
+	var refused *croft.RefusedError
+	if errors.As(err, &refused) && !errors.Is(err, errBody) {
+		return croft.Reply{}, true, refused
 	}
 	// Sealing comes before judging: from here on no byte of the request can leave.
 	written := track.Seal()
-	var refused *croft.RefusedError
-	if errors.As(err, &refused) {
-		return croft.Reply{}, refused
+	if refused != nil {
+		return croft.Reply{}, false, refused
 	}
 	if !written {
-		return croft.Reply{}, &croft.RefusedError{Reason: err.Error()}
+		return croft.Reply{}, false, &croft.RefusedError{Reason: err.Error()}
 	}
-	return croft.Reply{}, &croft.DoubtError{Reason: err.Error()}
+	return croft.Reply{}, false, &croft.DoubtError{Reason: err.Error()}
 }
 
 // bodyReader hides the body's type, since the transport repeats requests whose body it can rewind.
--- a/invoke/client_test.go
+++ b/invoke/client_test.go
@@ -129,6 +129,12 @@
 	assert.Assert(t, errors.As(err, &refused))
 	assert.DeepEqual(t, refused, &croft.RefusedError{Reason: "executor says Leaving", Leaving: true})
 
+	// The attempt after a refusal is no doubt: its connection was kept, or is a new one.
+	for range 500 {
+		_, err = client.Run(ctx, endpoint, newAttempt(1))
+		assert.Assert(t, errors.As(err, &refused), "%v", err)
+	}
+
 	executor.Behave(fakes.Behaviour{})
 	past := newAttempt(2)
 	past.Request.Deadline = 1
@@ -142,7 +148,7 @@
 	for boot, leaves := range map[uint64]bool{4: true, 6: false} {
 		endpoint.Boot = boot
 		_, err = client.Run(ctx, endpoint, newAttempt(4))
-		assert.Assert(t, errors.As(err, &refused))
+		assert.Assert(t, errors.As(err, &refused), "%v", err)
 		assert.DeepEqual(t, refused, &croft.RefusedError{Reason: "executor says Boot", Leaving: leaves})
 	}
 	assert.Equal(t, len(executor.Ledger().Runs), 0)
--- a/invoke/lane.go
+++ b/invoke/lane.go
@@ -55,6 +55,15 @@
 	l.idle = append(l.idle, taken)
 }
 
+// drop forgets a lane whose connection was closed: its transport may not have noticed yet, and would send the
+// next attempt into the closed connection.
+func (l *lanes) drop(taken *lane) {
+	taken.transport.CloseIdleConnections()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.used--
+}
+
 func (l *lanes) close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/invoke/reply.go
+++ b/invoke/reply.go
@@ -1,6 +1,7 @@
 package invoke
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -24,6 +25,9 @@
 	ErrDigest       AnswerError = "answer differs from its digest"
 )
 
+// errBody marks a refusal whose connection is not to be used again.
+var errBody = errors.New("its body is not whole")
+
 // ownHeaders are those of an answer that concern only this connection or this attempt.
 var ownHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "Te", "Trailer", "Upgrade",
@@ -48,6 +52,9 @@
 	body, err := c.readBody(response.Body, digest)
 	if header.Get(HeaderOutcome) == OutcomeNotRun {
 		// The header alone is the executor's word, whatever became of the body.
+		if err != nil {
+			return croft.Reply{}, fmt.Errorf("%w: %w", refusal(header, leaving), errBody)
+		}
 		return croft.Reply{}, refusal(header, leaving)
 	}
 	if err != nil {
--- a/sent/conn.go
+++ b/sent/conn.go
@@ -34,6 +34,11 @@
 	return c.Conn.Write(data)
 }
 
+// reopen begins another exchange; it reports false where the connection was sealed, which nothing undoes.
+func (c *conn) reopen() bool {
+	return c.state.CompareAndSwap(stateDirty, stateClean) || c.state.Load() == stateClean
+}
+
 // seal forbids a first write and closes the connection; it reports whether a write had begun.
 func (c *conn) seal() bool {
 	dirty := !c.state.CompareAndSwap(stateClean, stateSealed)
--- a/sent/track.go
+++ b/sent/track.go
@@ -30,7 +30,10 @@
 		t.blind = true
 		return
 	}
-	c.state.Store(stateClean)
+	// A transport may not have noticed yet that a connection was closed with an earlier exchange.
+	if !c.reopen() {
+		return
+	}
 	// The transport repeats some requests by itself; a request that was sent once is never sent again.
 	if t.over || t.dirty() {
 		c.seal()
--- a/sent/track_test.go
+++ b/sent/track_test.go
@@ -60,6 +60,18 @@
 	assert.Assert(t, track.Seal())
 }
 
+func TestSealedConnectionCarriesNoOtherExchange(t *testing.T) {
+	c := &conn{Conn: &discard{}}
+	_, first := NewTrack(t.Context())
+	first.gotConn(httptrace.GotConnInfo{Conn: c})
+	assert.Assert(t, !first.Seal())
+	_, second := NewTrack(t.Context())
+	second.gotConn(httptrace.GotConnInfo{Conn: c})
+	_, err := io.WriteString(c, "request")
+	assert.ErrorIs(t, err, errSealed)
+	assert.Assert(t, !second.Seal())
+}
+
 func TestConnectionsOfOthersCountAsWritten(t *testing.T) {
 	_, track := NewTrack(t.Context())
 	track.gotConn(httptrace.GotConnInfo{Conn: &discard{}})
