plat: answers to something else than what was asked are in doubt

Cause: Get took any well-formed row, and also null, for the row asked for, Scan any rows, Commit a conflict over any rows; a crossed answer of the platform would have been taken for a claim's row. Ruled out: an echoed id as for executors, since the platform's form is given. Change: rows must carry the key or prefix asked for, be above Since, and a conflict must be over rows of the transaction; else *LostAnswerError.

--- a/plat/calls.go
+++ b/plat/calls.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
+	"strings"
 
 	"waxwing.example/croft"
 )
@@ -17,9 +20,18 @@
 	if notFound(err) {
 		return croft.Row{}, croft.ErrNoRow
 	}
-	return row, err
+	if err != nil {
+		return croft.Row{}, err
+	}
+	if row.Key != key || row.Version == 0 {
+		return croft.Row{}, errOtherAnswer
+	}
+	return row, nil
 }
 
+// errOtherAnswer tells of a well-formed answer to something else than what was asked.
+var errOtherAnswer = &croft.LostAnswerError{Reason: "answer is not to what was asked"}
+
 // Scan returns rows in the order of their keys; its answer may be old.
 func (c *Client) Scan(ctx context.Context, rows croft.Range) ([]croft.Row, error) {
 	query := url.Values{
@@ -29,8 +41,15 @@
 		"Limit":  {strconv.Itoa(rows.Limit)},
 	}
 	var found RowsAnswer
-	err := c.call(ctx, exchange{Method: http.MethodGet, Path: PathRows, Query: query}, nil, &found)
-	return found.Rows, err
+	if err := c.call(ctx, exchange{Method: http.MethodGet, Path: PathRows, Query: query}, nil, &found); err != nil {
+		return nil, err
+	}
+	for _, r := range found.Rows {
+		if !strings.HasPrefix(r.Key, rows.Prefix) || r.Key <= rows.After || r.Version <= rows.Since {
+			return nil, errOtherAnswer
+		}
+	}
+	return found.Rows, nil
 }
 
 // Commit does all operations or none and returns the version written, *croft.ConflictError,
@@ -39,7 +58,7 @@
 	var done CommitAnswer
 	x := exchange{Method: http.MethodPost, Path: PathCommit}
 	if err := c.call(ctx, x, CommitAsked{Ops: ops}, &done); err != nil {
-		return 0, err
+		return 0, conflictOver(ops, err)
 	}
 	if done.Version == 0 {
 		return 0, &croft.LostAnswerError{Reason: "answer names no version"}
@@ -47,6 +66,20 @@
 	return done.Version, nil
 }
 
+// conflictOver returns the error, unless it is a conflict over rows that were not asked for.
+func conflictOver(ops []croft.Op, err error) error {
+	var conflict *croft.ConflictError
+	if !errors.As(err, &conflict) {
+		return err
+	}
+	for _, r := range conflict.Rows {
+		if !slices.ContainsFunc(ops, func(o croft.Op) bool { return o.Key == r.Key }) {
+			return errOtherAnswer
+		}
+	}
+	return err
+}
+
 // PutObject stores a body under a name.
 func (c *Client) PutObject(ctx context.Context, name string, body []byte) error {
 	return c.call(ctx, exchange{Method: http.MethodPut, Path: objectPath(name), Body: body}, nil, nil)
