Entry: what libraries print goes to its log without the bytes of answers

Cause: net/http prints late answers on idle connections through the standard log, their bodies included, to standard error beside the entry's log. Ruled out: discarding all of it, since net/http also tells of panics that way. Conclusion: the log tells of late answers and keeps their bytes out.

--- a/daemon/main.go
+++ b/daemon/main.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -41,6 +42,8 @@
 		fmt.Fprintln(stderr, "entry:", err)
 		return exitFailed
 	}
+	log.SetFlags(0)
+	log.SetOutput(libraryLog{log: d.log, lines: &d.vars.libraryLines})
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	if err := d.Run(ctx); err != nil {
--- a/daemon/vars.go
+++ b/daemon/vars.go
@@ -14,7 +14,9 @@
 type vars struct {
 	overflow       expvar.Int
 	platformErrors expvar.Int
-	all            *expvar.Map
+	// libraryLines counts what libraries printed through the standard log.
+	libraryLines expvar.Int
+	all          *expvar.Map
 }
 
 func newVars() *vars { return &vars{all: new(expvar.Map)} }
@@ -26,6 +28,7 @@
 	control.Set("ReduceMicros", &p.loop.busy)
 	control.Set("EffectsOverflown", &v.overflow)
 	control.Set("PlatformErrors", &v.platformErrors)
+	control.Set("LibraryLines", &v.libraryLines)
 	control.Set("ProcessorMillis", expvar.Func(func() any { return processorMillis() }))
 	control.Set("MemoryBytes", expvar.Func(func() any { return memoryBytes() }))
 	v.all.Set("Control", control)
