A dial that a cut left unanswered no longer holds its connection after the cut

Cause: an entry cut off from the platform did not reach it again after the cut (seen by hand: two entries, a cut of 11 s, healed, PlatformReachable still false 20 s later). net/http dials with a context of its own since Go 1.23, which the request's end does not cancel; each unanswered dial kept one of MaxConnsPerHost connections for good. A real dropped SYN would keep it for some two minutes. A lane to an executor has one connection and the same fault. Ruled out: kept-alive connections (closed by the cut), the exchange's timeout (it ends the request, not the dial). Change: sent.Wrap bounds each dial: the platform's by its exchange timeout, an executor's by 1 s.

--- a/invoke/client.go
+++ b/invoke/client.go
@@ -22,6 +22,8 @@
 	DefaultMaxBody = 8 << 20
 	// maxHeader bounds an answer's headers, in bytes.
 	maxHeader = 64 << 10
+	// dialTimeout bounds the opening of a connection, in milliseconds.
+	dialTimeout = croft.Second
 	// idleTimeout closes connections that nobody used for so long, in milliseconds.
 	idleTimeout = 90 * croft.Second
 )
@@ -65,7 +67,7 @@
 func New(o Options) *Client {
 	o = o.withDefaults()
 	return &Client{
-		dial:      sent.Wrap(o.Dial),
+		dial:      sent.Wrap(o.Dial, dialTimeout),
 		maxConns:  o.MaxConnsPerEndpoint,
 		maxBody:   o.MaxBody,
 		endpoints: map[string]*lanes{},
--- a/plat/client.go
+++ b/plat/client.go
@@ -59,7 +59,7 @@
 		base:    strings.TrimSuffix(o.Address, "/"),
 		timeout: o.Timeout,
 		transport: &http.Transport{
-			DialContext:            sent.Wrap(o.Dial),
+			DialContext:            sent.Wrap(o.Dial, o.Timeout),
 			MaxConnsPerHost:        MaxConns,
 			MaxIdleConnsPerHost:    MaxConns,
 			MaxResponseHeaderBytes: maxHeader,
--- a/sent/conn.go
+++ b/sent/conn.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net"
 	"sync/atomic"
+
+	"waxwing.example/croft"
 )
 
 // Dial opens a connection, as net.Dialer.DialContext does.
@@ -41,9 +43,14 @@
 	return dirty
 }
 
-// Wrap returns a dial function whose connections a Track can follow.
-func Wrap(dial Dial) Dial {
+// Wrap returns a dial function whose connections a Track can follow and whose dials end within the timeout in milliseconds.
+//
+// A transport dials with a context of its own, which outlives the request; an unanswered dial would hold one of
+// its connections long after the network is back.
+func Wrap(dial Dial, timeout croft.Millis) Dial {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
+		defer cancel()
 		c, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
