conf: entries send each other what changed since, not the whole configuration

Cause: a fetch from a peer carried the whole configuration. It also had no timeout, so a frozen peer held a worker for good. Ruled out: change rows of the platform; an entry cut off from it has its peers only. Change: an entry keeps its last 8 versions and answers with the sections that differ from the version that the other knows, and the hash of the result; where that does not fit, the whole is asked for. The call is bounded by PlatformMs.

--- a/conf/reduce.go
+++ b/conf/reduce.go
@@ -28,6 +28,8 @@
 type State struct {
 	options Options
 	config  croft.Config
+	// earlier are the versions in force before, the newest last.
+	earlier []croft.Config
 	ready   bool
 	// started is when the first event came, zero before.
 	started croft.Millis
@@ -82,6 +84,7 @@
 	}
 	higher := e.Config.Version > s.config.Version
 	if higher {
+		s = s.withEarlier(s.config)
 		s.config = e.Config
 	}
 	s.ready = s.ready || e.Fresh && s.config.Version > 0
--- a/daemon/effects.go
+++ b/daemon/effects.go
@@ -174,10 +174,25 @@
 }
 
 func (f *effects) fetchFromPeer(ctx context.Context, e croft.FetchConfig) {
+	known := f.loop.View().Config
+	config, fits := f.updateFromPeer(ctx, e.Address, known)
+	if !fits {
+		config, fits = f.updateFromPeer(ctx, e.Address, croft.Config{})
+	}
+	if fits && config.Version > known.Version {
+		f.loop.deliver(croft.ConfigLearned{At: f.at(), Config: config})
+	}
+}
+
+// updateFromPeer returns what a peer has above the configuration known, and whether the peer's change fits it.
+func (f *effects) updateFromPeer(ctx context.Context, address string, known croft.Config) (croft.Config, bool) {
+	// A frozen peer must not hold a worker.
+	ctx, cancel := context.WithTimeout(ctx, f.settings.Timing.PlatformMs.Duration())
+	defer cancel()
 	var answer peer.ConfigAnswer
-	err := f.client.Call(ctx, e.Address, peer.MethodConfig, peer.ConfigQuestion{Above: e.Above}, &answer)
-	if err != nil || answer.Config.Version <= e.Above {
-		return
+	err := f.client.Call(ctx, address, peer.MethodConfig, peer.ConfigQuestion{Above: known.Version}, &answer)
+	if err != nil || !answer.Newer {
+		return known, true
 	}
-	f.loop.deliver(croft.ConfigLearned{At: f.at(), Config: answer.Config})
+	return answer.Update.Apply(known)
 }
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -89,11 +89,8 @@
 	if err := json.Unmarshal(params, &q); err != nil {
 		return nil, err
 	}
-	config := p.loop.View().Config
-	if config.Version <= q.Above {
-		return peer.ConfigAnswer{}, nil
-	}
-	return peer.ConfigAnswer{Config: config}, nil
+	update, newer := p.loop.State().ConfigUpdate(q.Above)
+	return peer.ConfigAnswer{Newer: newer, Update: update}, nil
 }
 
 // handleFleet gives a new entry that cannot reach the platform what this one knows of the fleet.
--- a/peer/message.go
+++ b/peer/message.go
@@ -1,6 +1,9 @@
 package peer
 
-import "waxwing.example/croft"
+import (
+	"waxwing.example/croft"
+	"waxwing.example/croft/conf"
+)
 
 // Methods of the protocol between entries.
 const (
@@ -33,8 +36,11 @@
 // ConfigQuestion asks for a configuration above a version.
 type ConfigQuestion struct{ Above uint64 }
 
-// ConfigAnswer is the configuration in force, zero where none is above the version asked.
-type ConfigAnswer struct{ Config croft.Config }
+// ConfigAnswer leads to the configuration in force, if it is above the version asked.
+type ConfigAnswer struct {
+	Newer  bool
+	Update conf.Update
+}
 
 // FleetQuestion asks for what an entry knows of the fleet.
 type FleetQuestion struct{}
--- a/state/state.go
+++ b/state/state.go
@@ -75,6 +75,9 @@
 // Config returns the configuration in force.
 func (s State) Config() croft.Config { return s.conf.Config() }
 
+// ConfigUpdate returns what leads from a version to the one in force, and whether that one is higher.
+func (s State) ConfigUpdate(known uint64) (conf.Update, bool) { return s.conf.UpdateFrom(known) }
+
 // Reachable reports whether the platform answered lately.
 func (s State) Reachable() bool { return s.reachable }
 
