claim: counters, bounds on releases and rows, and the true reason for a refusal

Cause: claims had no metrics; an entry with another layout refused with "the platform's table does not answer"; releases that another entry sends and rows read were not bounded in length. Change: Vars, published as Claims: Granted, Held, Refused, Released, Served, Commits, Conflicts and CircuitOpen; refusals at once name the layout in force or the table; FuzzDecode over rows and batches.

--- a/claim/batch.go
+++ b/claim/batch.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -71,6 +72,11 @@
 	if err := json.Unmarshal(row.Value, &b); err != nil {
 		return logBatch{}, &RowError{Key: row.Key, Reason: err.Error()}
 	}
+	for _, r := range slices.Concat(b.Claims, b.Releases) {
+		if r.Hash == "" || len(r.Hash) > hashLength || r.Attempt == "" || len(r.Attempt) > maxAttempt {
+			return logBatch{}, &RowError{Key: row.Key, Reason: "Claims or Releases: a hash or an attempt is empty or too long"}
+		}
+	}
 	return b, nil
 }
 
--- a/claim/claimer.go
+++ b/claim/claimer.go
@@ -81,6 +81,9 @@
 	failures atomic.Int64
 	// open says that claims are refused at once.
 	open atomic.Bool
+	// refusal is why claims are refused at once.
+	refusal  atomic.Pointer[string]
+	counters counters
 	// layoutVersion is the version of the layout row, zero before it is known.
 	layoutVersion atomic.Uint64
 }
@@ -105,8 +108,22 @@
 
 // Claim returns nil once the claim is this attempt's alone, a *croft.ClaimedError or a *croft.NoClaimError.
 func (c *Claimer) Claim(ctx context.Context, request croft.Request, attempt string) error {
+	err := c.claim(ctx, request, attempt)
+	var held *croft.ClaimedError
+	switch {
+	case err == nil:
+		c.counters.granted.Add(1)
+	case errors.As(err, &held):
+		c.counters.held.Add(1)
+	default:
+		c.counters.refused.Add(1)
+	}
+	return err
+}
+
+func (c *Claimer) claim(ctx context.Context, request croft.Request, attempt string) error {
 	if c.open.Load() {
-		return &croft.NoClaimError{Reason: "the platform's table does not answer"}
+		return &croft.NoClaimError{Reason: c.why()}
 	}
 	start := c.options.Clock.Elapsed()
 	left := request.Deadline - c.options.Clock.Now()
@@ -157,6 +174,7 @@
 
 // Release gives back the claim of an attempt that surely did not run and will not.
 func (c *Claimer) Release(_ context.Context, request croft.Request, attempt string) {
+	c.counters.released.Add(1)
 	hash, number := hashOf(request)
 	s := c.shards[number%uint64(len(c.shards))]
 	s.giveBack(Record{Hash: hash, Attempt: attempt})
@@ -190,7 +208,9 @@
 type LayoutError struct{ Row string }
 
 // Error shows the layout in force.
-func (e *LayoutError) Error() string { return "claim: another layout is in force: " + e.Row }
+func (e *LayoutError) Error() string {
+	return "claim: this entry's layout of claims differs from the one in force, which is " + e.Row
+}
 
 // agree writes the layout row or compares it with this entry's layout.
 func (c *Claimer) agree(ctx context.Context) error {
@@ -227,11 +247,25 @@
 		c.open.Store(false)
 		return
 	}
+	reason := "the platform's table does not answer"
+	var mismatch *LayoutError
+	if errors.As(err, &mismatch) {
+		reason = mismatch.Error()
+	}
+	c.refusal.Store(&reason)
 	if c.failures.Add(1) >= int64(c.options.Failures) {
 		c.open.Store(true)
 	}
 }
 
+// why returns the reason for which claims are refused at once.
+func (c *Claimer) why() string {
+	if reason := c.refusal.Load(); reason != nil {
+		return *reason
+	}
+	return "no claim has been tried"
+}
+
 // admit waits for this entry's share of the table's writes.
 func (c *Claimer) admit(ctx context.Context) error {
 	now := time.UnixMilli(int64(c.options.Clock.Elapsed()))
--- a/claim/claimer_test.go
+++ b/claim/claimer_test.go
@@ -114,6 +114,17 @@
 	}
 	racing.Wait()
 	t.Log(other, table.commits, "commits")
+	counted := map[string]int64{}
+	for _, c := range claimers {
+		counted["granted"] += c.counters.granted.Value()
+		counted["held"] += c.counters.held.Value()
+		counted["refused"] += c.counters.refused.Value()
+		counted["conflicts"] += c.counters.conflicts.Value()
+	}
+	assert.Equal(t, counted["granted"], int64(keys))
+	assert.Equal(t, counted["held"], int64(keys*(entries*attempts-1)))
+	assert.Equal(t, counted["refused"], int64(0))
+	assert.Assert(t, counted["conflicts"] > 0)
 	assert.Equal(t, len(won), keys)
 	for key, count := range won {
 		assert.Equal(t, count, 1, key)
@@ -168,5 +179,12 @@
 	other := New(Options{Table: table, Clock: clock.NewSystem(), Layout: Layout{Shards: 8}})
 	assert.NilError(t, start(t, 1, table)[0].Claim(context.Background(), request("k"), "a"))
 	var mismatch *LayoutError
-	assert.Assert(t, errors.As(other.agree(context.Background()), &mismatch))
+	for range other.options.Failures {
+		err := other.agree(context.Background())
+		assert.Assert(t, errors.As(err, &mismatch))
+		other.note(err)
+	}
+	err := other.Claim(context.Background(), request("k"), "b")
+	assert.ErrorContains(t, err, `differs from the one in force, which is {"Shards":4,"Slots":8192,`)
+	assert.Equal(t, other.counters.refused.Value(), int64(1))
 }
--- a/claim/remote.go
+++ b/claim/remote.go
@@ -74,6 +74,7 @@
 		select {
 		case v := <-one.ended:
 			result.Results[i] = Result{Granted: v.granted, Holder: v.holder}
+			c.counters.served.Add(1)
 		case <-ctx.Done():
 			one.gone.Store(true)
 		}
@@ -86,7 +87,11 @@
 	if b.Shard < 0 || b.Shard >= shards || len(b.Claims) > maxBatch || len(b.Releases) > maxBatch {
 		return false
 	}
-	for _, r := range b.Claims {
+	return validRecords(b.Claims) && validRecords(b.Releases)
+}
+
+func validRecords(records []Record) bool {
+	for _, r := range records {
 		if len(r.Hash) != hashLength || r.Attempt == "" || len(r.Attempt) > maxAttempt {
 			return false
 		}
--- a/claim/shard.go
+++ b/claim/shard.go
@@ -97,7 +97,7 @@
 	c := s.claimer
 	if c.layoutVersion.Load() == 0 {
 		if c.open.Load() {
-			s.writer.refuseAll("the platform's table does not answer")
+			s.writer.refuseAll(c.why())
 		}
 		_ = c.options.Clock.Sleep(ctx, c.options.Gap)
 		return
@@ -105,15 +105,17 @@
 	if c.admit(ctx) != nil {
 		return
 	}
-	before := s.writer.commits
+	before, lost := s.writer.commits, s.writer.conflicts
 	bounded, cancel := c.bounded(ctx)
 	err := s.writer.step(bounded)
 	cancel()
 	c.note(err)
+	c.counters.commits.Add(int64(s.writer.commits - before))
+	c.counters.conflicts.Add(int64(s.writer.conflicts - lost))
 	pause := croft.Millis(0)
 	switch {
 	case c.open.Load():
-		s.writer.refuseAll("the platform's table does not answer")
+		s.writer.refuseAll(c.why())
 		pause = c.options.ProbeGap
 	case err != nil || s.writer.commits > before:
 		pause = c.options.Gap
--- a/claim/table_test.go
+++ b/claim/table_test.go
@@ -2,9 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"sort"
 	"strings"
 	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
 
 	"waxwing.example/croft"
 )
@@ -122,3 +127,32 @@
 	}
 	t.late = nil
 }
+
+// FuzzDecode feeds rows of the table and batches of other entries; what is taken must fold and bound what it holds.
+func FuzzDecode(f *testing.F) {
+	hash := strings.Repeat("a", hashLength)
+	f.Add([]byte(`{"Seq":1,"Nonce":"n","Taken":5,"Claims":[{"Hash":"` + hash + `","Attempt":"x"}]}`))
+	f.Add([]byte(`{"Seq":18446744073709551615,"Claims":null,"Releases":[{"Hash":"h","Attempt":"x"}]}`))
+	f.Add([]byte(`{"Shard":3,"Releases":[{"Hash":"` + hash + `","Attempt":"` + strings.Repeat("y", maxAttempt+1) + `"}]}`))
+	f.Add([]byte(`{"Shard":-1,"Claims":[{}]}`))
+	f.Add([]byte(`[`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		l := newLedger(smallLayout)
+		var row *RowError
+		if err := l.read(croft.Row{Key: "r", Version: 1, Value: text}); err != nil {
+			assert.Assert(t, errors.As(err, &row))
+		}
+		l.fold()
+		for hash, h := range l.holders {
+			assert.Assert(t, len(hash) <= hashLength && len(h.attempt) <= maxAttempt && h.attempt != "")
+		}
+		var b Batch
+		if json.Unmarshal(text, &b) != nil || !b.valid(4) {
+			return
+		}
+		assert.Assert(t, b.Shard >= 0 && b.Shard < 4 && len(b.Claims) <= maxBatch && len(b.Releases) <= maxBatch)
+		for _, r := range append(b.Claims, b.Releases...) {
+			assert.Assert(t, len(r.Hash) == hashLength && len(r.Attempt) <= maxAttempt)
+		}
+	})
+}
--- a/claim/writer.go
+++ b/claim/writer.go
@@ -35,6 +35,8 @@
 	waiting []*wanted
 	// commits counts the transactions asked for.
 	commits int
+	// conflicts counts those that lost to another entry's.
+	conflicts int
 }
 
 func newWriter(shard int, layout Layout, table croft.Table, clock croft.Clock, nonce func() string) *writer {
@@ -210,6 +212,7 @@
 
 // lost takes in the row that came first and queues the batch's claims again.
 func (w *writer) lost(row croft.Row) error {
+	w.conflicts++
 	releases := w.flight.Releases
 	w.flight = nil
 	w.requeue(w.waiting)
--- a/daemon/vars.go
+++ b/daemon/vars.go
@@ -34,6 +34,7 @@
 	v.all.Set("Log", p.log.Metrics())
 	v.all.Set("View", expvar.Func(func() any { return viewVars(p.loop.View()) }))
 	v.all.Set("Classes", expvar.Func(func() any { return p.front.Meter().Snapshot() }))
+	v.all.Set("Claims", p.claims.Vars())
 	v.all.Set("Undeclared", expvar.Func(func() any { return p.front.Meter().Undeclared() }))
 	v.all.Set("Pools", expvar.Func(func() any { return poolVars(backend{p}.Pools()) }))
 }
