--- a/scen/scen_test.go
+++ b/scen/scen_test.go
@@ -45,6 +45,8 @@
 		"load":   loadMain,
 		"verify": verifyMain,
 		"ledger": ledgerMain,
+		"kept":   keptMain,
+		"wave":   waveMain,
 	})
 }
 
