quest: a whole rack and the teams' quotas count against the fleet

Cause: RackSize was asked for and not used, and quotas were never compared with what the VMs have; the answers of Saeng promised 3,300 cores and 13,200 GB where 52 VMs have 3,120 and 13,000. Answers have the size of a worker.

--- a/quest/answers.go
+++ b/quest/answers.go
@@ -12,7 +12,9 @@
 	DataCentres []croft.DataCentre
 	// WorkersPerDataCentre counts VMs.
 	WorkersPerDataCentre int
-	// RackSize is the number of workers in a rack.
+	// Worker is the size of each.
+	Worker Worker
+	// RackSize is the number of workers in a rack, which may fail as a whole.
 	RackSize int
 	// Slots is how many requests an executor runs at once.
 	Slots int
@@ -24,6 +26,13 @@
 	Services   []Service
 }
 
+// Worker is the size of a VM.
+type Worker struct {
+	Cores        int64
+	MemoryGB     int64
+	Accelerators int64
+}
+
 // Team is an owner of services with its quota.
 type Team struct {
 	Name         string
--- a/quest/generate.go
+++ b/quest/generate.go
@@ -1,9 +1,8 @@
 package quest
 
 import (
-	"fmt"
+	"errors"
 	"math/big"
-	"strings"
 
 	"waxwing.example/croft"
 	"waxwing.example/croft/conf"
@@ -33,47 +32,13 @@
 // Size is the number of VMs of the pool.
 func (n Need) Size() int { return n.MinServing + n.WaveSize }
 
-// ContradictionError tells that the VMs cannot keep what the answers promise.
-type ContradictionError struct {
-	Workers int
-	Needs   []Need
-	// Failed is the number of VMs under repair at once that the smallest tolerance asks to cover.
-	Failed       int
-	FailuresADay int
-	RepairDays   int
-	// Tolerance is the smallest one, in parts per million.
-	Tolerance int64
-}
-
-// Error gives the sum with its numbers.
-func (e *ContradictionError) Error() string {
-	lines := []string{fmt.Sprintf("the answers need %d VMs, but there are %d:", e.Needed(), e.Workers)}
-	for _, n := range e.Needs {
-		lines = append(lines, fmt.Sprintf(
-			"  pool %s: %d (%d for %d slots while %s has its burst, and %d away in a wave)",
-			n.Service, n.Size(), n.MinServing, n.BurstSlots, n.BurstKind, n.WaveSize))
-	}
-	lines = append(lines, fmt.Sprintf(
-		"  spare: %d (%d of 1000 VMs fail a day and are away for %d days; more than %d are away in less than %d of a million cases)",
-		e.Failed, e.FailuresADay, e.RepairDays, e.Failed, e.Tolerance))
-	return strings.Join(lines, "\n")
-}
-
-// Needed is the number of VMs that the answers need.
-func (e *ContradictionError) Needed() int {
-	sum := e.Failed
-	for _, n := range e.Needs {
-		sum += n.Size()
-	}
-	return sum
-}
-
-// Generate returns the configuration for answers, the same for the same answers, or a *ContradictionError or *conf.CheckError.
+// Generate returns the configuration for answers, the same for the same answers, or a *ContradictionError and a *QuotaError or a *conf.CheckError.
 func Generate(a Answers) (croft.Config, error) {
 	found := ContradictionError{
 		Workers:      len(a.DataCentres) * a.WorkersPerDataCentre,
 		FailuresADay: a.FailuresADay,
 		RepairDays:   a.RepairDays,
+		RackSize:     a.RackSize,
 		Tolerance:    million,
 	}
 	for _, s := range a.Services {
@@ -81,9 +46,10 @@
 		found.Tolerance = min(found.Tolerance, s.Tolerance)
 	}
 	found.Failed = coveredFailures(found)
-	spare := found.Workers - found.Needed() + found.Failed
-	if spare < found.Failed {
-		return croft.Config{}, &found
+	found.Ordinary = (found.Workers*a.FailuresADay*a.RepairDays + wholeShare - 1) / wholeShare
+	spare := found.Workers - found.Needed() + found.Spare()
+	if err := errors.Join(found.errorIf(spare < found.Spare()), overQuota(a, found.Workers)); err != nil {
+		return croft.Config{}, err
 	}
 	config := croft.Config{Pools: []croft.Pool{{ID: spareName, Spare: true, Size: spare}}}
 	for _, t := range a.Teams {
--- a/quest/quest_test.go
+++ b/quest/quest_test.go
@@ -47,6 +47,22 @@
 	assert.ErrorContains(t, err, "slots while reading has its burst")
 }
 
+// TestRackAndQuotasAreCounted asks for a rack that the spare VMs don't cover, and for quotas above what there is.
+func TestRackAndQuotasAreCounted(t *testing.T) {
+	a := example(t, "sohar")
+	a.RackSize = 12
+	a.Teams[0].MemoryGB = 900
+	_, err := Generate(a)
+	var found *ContradictionError
+	assert.Assert(t, errors.As(err, &found))
+	assert.Equal(t, found.Spare(), 2+12)
+	assert.ErrorContains(t, err, "14: a rack of 12 fails as a whole while 2 are away as on an ordinary day")
+	var quota *QuotaError
+	assert.Assert(t, errors.As(err, &quota))
+	assert.Equal(t, quota.Error(),
+		"the teams' quotas of MemoryGB are 1500 together (trust 900, halls 600), but 48 VMs of 30 have 1440")
+}
+
 // TestCoveredFailures compares with the tables of the Poisson distribution for the means 1 and 5.
 func TestCoveredFailures(t *testing.T) {
 	for _, c := range []struct{ rate, covered int }{{10, 4}, {50, 11}} {
@@ -60,15 +76,15 @@
 	faulty := strings.Replace(string(text), `"RackSize": 4`, `"RackSize": "four"`, 1)
 	faulty = strings.Replace(faulty, `"Slots": 8`, `"Slot": 8`, 1)
 	_, err := Read([]byte(faulty))
-	assert.Error(t, err, "line 6: RackSize: must be a whole number\nline 7: Slot: unknown field")
+	assert.Error(t, err, "line 7: RackSize: must be a whole number\nline 8: Slot: unknown field")
 	faulty = strings.Replace(string(text), `"Wait": 2000`, `"Wait": 20`, 1)
 	faulty = strings.Replace(faulty, `"Urgent": "Whenever"`, `"Urgent": "Soon"`, 1)
 	faulty = strings.Replace(faulty, `"Team": "saeng"`, `"Team": "sang"`, 1)
 	_, err = Read([]byte(faulty))
 	assert.Error(t, err, strings.Join([]string{
-		"line 22: Services[0].Kinds[0].Work: a request runs 100 ms, but its caller waits only 20 ms",
-		`line 24: Services[0].Kinds[2].Urgent: "Soon" is not Now, Today or Whenever`,
-		`line 46: Services[3].Team: no team "sang"`,
+		"line 23: Services[0].Kinds[0].Work: a request runs 100 ms, but its caller waits only 20 ms",
+		`line 25: Services[0].Kinds[2].Urgent: "Soon" is not Now, Today or Whenever`,
+		`line 47: Services[3].Team: no team "sang"`,
 	}, "\n"))
 	_, err = Read([]byte("{\n\"Firm\" 1}"))
 	assert.ErrorContains(t, err, "line 2: answers:")
@@ -96,7 +112,9 @@
 		second, _ := Generate(a)
 		assert.Equal(t, conf.Hash(first), conf.Hash(second))
 		var contradiction *ContradictionError
-		assert.Assert(t, firstErr == nil || errors.As(firstErr, &contradiction), "%v", firstErr)
+		var quota *QuotaError
+		known := firstErr == nil || errors.As(firstErr, &contradiction) || errors.As(firstErr, &quota)
+		assert.Assert(t, known, "%v", firstErr)
 		assert.Assert(t, firstErr != nil || first.Version == 0)
 	})
 }
--- a/quest/read.go
+++ b/quest/read.go
@@ -21,6 +21,8 @@
 	maxRepair    = 60
 	maxFailures  = 1000
 	maxQuotaSize = 1 << 40
+	// maxWorkerSize bounds a VM's cores, gigabytes and accelerators.
+	maxWorkerSize = 1 << 20
 )
 
 var segment = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._~-]{0,62}$`)
@@ -58,6 +60,9 @@
 	d.require(len(a.DataCentres) > 0, "DataCentres", "none is named")
 	d.require(len(a.Services) > 0, "Services", "none is described")
 	within(d, "WorkersPerDataCentre", a.WorkersPerDataCentre, 1, maxWorkers)
+	within(d, "Worker.Cores", a.Worker.Cores, 1, maxWorkerSize)
+	within(d, "Worker.MemoryGB", a.Worker.MemoryGB, 1, maxWorkerSize)
+	within(d, "Worker.Accelerators", a.Worker.Accelerators, 0, maxWorkerSize)
 	within(d, "RackSize", a.RackSize, 1, maxWorkers)
 	within(d, "Slots", a.Slots, 1, maxSlots)
 	within(d, "FailuresADay", a.FailuresADay, 0, maxFailures)
