--- a/scen/scen_test.go
+++ b/scen/scen_test.go
@@ -44,6 +44,7 @@
 	"load":     loadMain,
 	"verify":   verifyMain,
 	"ledger":   ledgerMain,
+	"curl":     curlMain,
 	"versions": versionsMain,
 	"race":     raceMain,
 }
@@ -53,6 +54,7 @@
 	"fleet":   fleetCmd,
 	"exits":   exitsCmd,
 	"instant": instantCmd,
+	"listed":  listedCmd,
 	"pause":   pauseCmd,
 	"post":    postCmd,
 	"signal":  signalCmd,
