conf: serving entries read the platform each 4 s, new ones each second

Cause: each read of the head is followed by a check in a transaction, which counts as a write: 34 a minute and entry, 51 a second at 90 entries, a tenth or more of the table's several hundred. Ruled out: reading without the check while serving; after a cut and with old reads an entry alone in its data centre would learn nothing within 8 s. Change: 4 s for entries that serve, since the accepting entry and probes tell them sooner, 1 s for entries that do not serve yet.

--- a/conf/reduce.go
+++ b/conf/reduce.go
@@ -8,8 +8,11 @@
 
 // Spans of the reducer, in milliseconds.
 const (
-	pollSpan   = 2 * croft.Second
-	pollJitter = croft.Second / 2
+	// pollSpan is the time between two reads of the platform by an entry that serves; peers tell it sooner.
+	pollSpan = 4 * croft.Second
+	// bootPollSpan is that time for an entry that does not serve yet.
+	bootPollSpan = croft.Second
+	pollJitter   = croft.Second / 2
 	// askSpan is how long an answer of a peer is awaited before another is asked.
 	askSpan = croft.Second / 2
 	// bootSpan is how long a new entry waits for the platform's word before it serves without.
@@ -129,7 +132,10 @@
 		return s, nil
 	}
 	s.polled = e.Time
-	s.pause = pollSpan - croft.Millis(e.Seed%uint64(pollJitter))
+	s.pause = bootPollSpan
+	if s.ready {
+		s.pause = pollSpan - croft.Millis(e.Seed%uint64(pollJitter))
+	}
 	return s, []croft.Effect{croft.FetchConfig{Above: s.config.Version}}
 }
 
