--- a/scen/scen_test.go
+++ b/scen/scen_test.go
@@ -54,6 +54,7 @@
 	"fleet":   fleetCmd,
 	"exits":   exitsCmd,
 	"instant": instantCmd,
+	"listed":  listedCmd,
 	"pause":   pauseCmd,
 	"post":    postCmd,
 	"signal":  signalCmd,
