--- a/quest/contradiction.go
+++ b/quest/contradiction.go
@@ -11,7 +11,7 @@
 	Needs   []Need
 	// Failed is the number of VMs under repair at once that the smallest tolerance asks to cover.
 	Failed int
-	// Ordinary is the mean number of VMs under repair, rounded up.
+	// Ordinary is the mean number of VMs under repair, rounded to the nearest.
 	Ordinary int
 	// RackSize is the number of VMs that fail as a whole.
 	RackSize     int
--- a/quest/generate.go
+++ b/quest/generate.go
@@ -46,7 +46,7 @@
 		found.Tolerance = min(found.Tolerance, s.Tolerance)
 	}
 	found.Failed = coveredFailures(found)
-	found.Ordinary = (found.Workers*a.FailuresADay*a.RepairDays + wholeShare - 1) / wholeShare
+	found.Ordinary = (found.Workers*a.FailuresADay*a.RepairDays + wholeShare/2) / wholeShare
 	spare := found.Workers - found.Needed() + found.Spare()
 	if err := errors.Join(found.errorIf(spare < found.Spare()), overQuota(a, found.Workers)); err != nil {
 		return croft.Config{}, err
