scen: processes under the race detector do not sleep for a second at their end

Ruled out: slow programs; without -race there is no such wait. Change: GORACE=atexit_sleep_ms=100 for all processes; races are still reported and end them with an error.

--- a/scen/scen_test.go
+++ b/scen/scen_test.go
@@ -92,6 +92,8 @@
 			}
 			env.Defer(free)
 			env.Setenv("NET", network)
+			// Each process under the race detector sleeps for a second at its end by default.
+			env.Setenv("GORACE", "atexit_sleep_ms=100")
 			env.Setenv("TOKEN", "operators-token-of-the-scenarios")
 			return nil
 		},
