place: never two runs at once, quotas with placements in flight, suspects, cancellations that go on after a conflict

Cause: place had no test. A property over three entries, 44 jobs and two workers that fail all, with real sizes from 25 to 300 % of the declared, lost answers, outages, old reads, failed orders, freezes, moves and restarts, found: 1. the order to stop could be lost before a planned stop, and the job was placed again while its lease still ran; 2. a VM that served again turned a job held at its checkpoint to Running for good: it never ended; 3. a job on a worker that had restarted was renewed for ever, though no report named it; 4. placements and growths still being written were not counted: room and quotas were given out twice; 5. a worker that fails all always has the most room and drew all jobs; with three of them good jobs were stopped; 6. a job submitted at an entry that does not plan for its pool waited up to 2 s for the planner's scan; 7. one changed row had a whole batch of a cancellation refused; 8. jobs of a team at its quota at the head of the queue kept others from being looked at. Change: a planned stop waits for the worker's word on the stop or for the lease; a checkpoint asked for ends in a new placement; a task unreported for a lease is given up after another; batches begin with what is in flight; a suspect worker gets one task at a time and none that failed elsewhere; planners scan job rows each 500 ms (2 s before); a conflict has the batch worked out again, at most 20 times for one command. An order to start that is held up for longer than a lease is not fenced on a worker that never saw a newer run. Quarantine is in memory only.

--- a/fleet/laws_test.go
+++ b/fleet/laws_test.go
@@ -113,13 +113,19 @@
 		w.setVM(v.WithStatus(croft.VMLive))
 	case verb == croft.VMReboot && v.Status != croft.VMFailed:
 		w.setVM(v.WithStatus(croft.VMLeaving))
-		w.after(croft.Millis(1000+w.rnd.IntN(20_000)), func() { w.reboot(v) })
+		w.after(croft.Millis(1000+w.rnd.IntN(20_000)), func() {
+			w.checkCut(v)
+			w.reboot(v)
+		})
 	}
 }
 
 func (w *world) reboot(v croft.VM) {
 	if now := w.vms[v.ID]; now.Boot == v.Boot && now.Status != croft.VMFailed {
 		now.Boot++
+		if w.labour != nil {
+			delete(w.labour.runs, v.ID)
+		}
 		w.setVM(now.WithStatus(croft.VMLive))
 	}
 }
--- a/fleet/sim_test.go
+++ b/fleet/sim_test.go
@@ -40,6 +40,8 @@
 	answered       map[string]int
 	decisions      map[string]int
 	tickEvery      croft.Millis
+	// labour runs tasks on the VMs, nil where a test places none.
+	labour *labour
 }
 
 type writtenKey struct {
@@ -239,6 +241,10 @@
 		w.after(w.latency(), func() { w.scan(n, f) })
 	case croft.OrderVM:
 		w.after(w.latency(), func() { w.orderVM(n, f) })
+	case croft.OrderTask:
+		if w.labour != nil {
+			w.after(w.latency(), func() { w.orderTask(n, f) })
+		}
 	case croft.TellPeers:
 		for _, o := range w.entries {
 			if o != n && !o.dead {
@@ -310,6 +316,9 @@
 			w.check(n, w.rows[o.Key], o)
 			w.rows[o.Key] = croft.Row{Key: o.Key, Version: w.version, Value: o.Value}
 			k := kind(o.Key)
+			if w.labour != nil {
+				w.learnJob(o)
+			}
 			w.written[k] = append(w.written[k], writtenKey{version: w.version, key: o.Key})
 		case croft.OpDelete:
 			delete(w.rows, o.Key)
@@ -333,6 +342,9 @@
 
 // newest returns the rows of a scan in the order of their versions.
 func (w *world) newest(f croft.ScanRows) []croft.Row {
+	if r, ok := w.rows[f.Prefix]; ok && r.Version > f.Since {
+		return []croft.Row{r}
+	}
 	var found []croft.Row
 	all := w.written[kind(f.Prefix)]
 	first := sort.Search(len(all), func(i int) bool { return all[i].version > f.Since })
--- a/place/attend.go
+++ b/place/attend.go
@@ -1,6 +1,17 @@
 package place
 
-import "waxwing.example/croft"
+import (
+	"fmt"
+	"strings"
+
+	"waxwing.example/croft"
+)
+
+const (
+	// leaseMargin is how much longer than a lease an order to renew it may be under way.
+	leaseMargin = 5 * croft.Second
+	taskToken   = "place/task/"
+)
 
 // attend does what is due for the placed jobs of a pool: starts, renewals, planned stops and lost workers.
 func (s State) attend(pool croft.PoolID, now croft.Millis, in Inputs) (State, []croft.Effect) {
@@ -44,18 +55,18 @@
 	}
 	t.lost = 0
 	m, _ := in.Pools.Member(j.Worker)
-	if m.Phase != croft.PhaseServing || m.Pool != j.Pool {
+	// A task asked for a checkpoint may be held at it, also where its VM serves again: it is stopped and placed anew.
+	asked := t.asked > 0 || j.Status == croft.JobCheckpointing
+	if asked || m.Phase != croft.PhaseServing || m.Pool != j.Pool {
 		return s.leave(j, t, now)
 	}
-	switch j.Status {
-	case croft.JobStarting:
+	if now >= t.heard+TaskLease {
+		return s.silent(j, t, now)
+	}
+	t.renewed = now
+	if j.Status == croft.JobStarting {
 		s = s.schedule(j, t, now+startWithin)
 		return s, []croft.Effect{s.task(j, croft.TaskStart)}, j, false
-	case croft.JobCheckpointing:
-		j.Status = croft.JobRunning
-		j.Reason = "the VM serves again"
-		s = s.schedule(j, t, now+croft.Second)
-		return s, nil, j, true
 	}
 	s = s.schedule(j, t, now+renewEvery)
 	return s, []croft.Effect{s.task(j, croft.TaskRenew)}, j, false
@@ -73,10 +84,24 @@
 	return s, nil, again(j, "the worker is gone and its lease ran out"), true
 }
 
-// leave has the task checkpointed and stopped, and the job wait again with its checkpoint.
+// silent gives up a task that its worker no longer reports, once the lease last asked for has run out.
+func (s State) silent(j croft.Job, t task, now croft.Millis) (State, []croft.Effect, croft.Job, bool) {
+	if t.renewed == 0 {
+		t.renewed = now
+	}
+	s = s.schedule(j, t, now+croft.Second)
+	if now < t.renewed+TaskLease+leaseMargin {
+		return s, nil, j, false
+	}
+	return s, []croft.Effect{s.task(j, croft.TaskStop)}, again(j, "its worker no longer reports it"), true
+}
+
+// leave has the task checkpointed and stopped, and the job wait again with its checkpoint once the worker took the
+// order to stop or the lease ran out.
 func (s State) leave(j croft.Job, t task, now croft.Millis) (State, []croft.Effect, croft.Job, bool) {
 	if t.asked == 0 {
 		t.asked = now
+		t.renewed = max(t.renewed, now)
 		s = s.schedule(j, t, now+croft.Second)
 		effects := []croft.Effect{s.task(j, croft.TaskCheckpoint)}
 		changed := j.Status != croft.JobCheckpointing
@@ -85,10 +110,30 @@
 		return s, effects, j, changed
 	}
 	s = s.schedule(j, t, now+croft.Second)
+	if t.stopped || now >= t.renewed+TaskLease+leaseMargin {
+		return s, nil, again(j, "stopped at its checkpoint"), true
+	}
 	if !t.checkpointed && now < t.asked+CheckpointWithin {
-		return s, nil, j, false
+		return s, []croft.Effect{s.task(j, croft.TaskCheckpoint)}, j, false
+	}
+	return s, []croft.Effect{s.task(j, croft.TaskStop)}, j, false
+}
+
+// ordered notes that a worker took the order to stop a run.
+func (s State) ordered(e croft.OrderEnded) State {
+	rest, ok := strings.CutPrefix(e.Token, taskToken)
+	parts := strings.Split(rest, "/")
+	if !ok || e.Failed != "" || len(parts) < 3 || parts[len(parts)-1] != string(croft.TaskStop) {
+		return s
+	}
+	id := croft.JobID(strings.Join(parts[:len(parts)-2], "/"))
+	t, known := s.tasks.Get(id)
+	if !known || fmt.Sprint(t.run) != parts[len(parts)-2] {
+		return s
 	}
-	return s, []croft.Effect{s.task(j, croft.TaskStop)}, again(j, "stopped before the VM left"), true
+	t.stopped = true
+	s.tasks = s.tasks.With(id, t)
+	return s
 }
 
 func again(j croft.Job, reason string) croft.Job {
--- a/place/command.go
+++ b/place/command.go
@@ -98,9 +98,19 @@
 }
 
 // cancelled stops the tasks of a batch and goes on with the next one.
-func (s State) cancelled(w write, refused string, now croft.Millis, in Inputs) (State, []croft.Effect) {
+func (s State) cancelled(e croft.CommitEnded, w write, refused string, in Inputs) (State, []croft.Effect) {
 	var effects []croft.Effect
 	c, _ := s.cancels.Get(w.cancel)
+	if refused != "" && e.Outcome == croft.CommitConflict && c.conflicts < cancelConflicts {
+		// The conflict told the rows as they are now, so the batch is worked out again.
+		c.conflicts++
+		ids := make([]croft.JobID, 0, len(w.rows)+len(c.left))
+		for _, j := range w.rows {
+			ids = append(ids, j.ID)
+		}
+		c.left = append(ids, c.left...)
+		return s.cancelNext(w.cancel, c, e.Time, in)
+	}
 	for _, j := range w.rows {
 		if refused != "" {
 			c = c.refuse(fmt.Sprintf("job %s: %s", j.ID, refused))
@@ -117,13 +127,13 @@
 			Reason:  "operator's command",
 		})
 	}
-	s, more := s.cancelNext(w.cancel, c, now, in)
+	s, more := s.cancelNext(w.cancel, c, e.Time, in)
 	return s, append(effects, more...)
 }
 
 func (s State) task(j croft.Job, verb croft.TaskVerb) croft.Effect {
 	return croft.OrderTask{
-		Token:      fmt.Sprintf("place/task/%s/%d/%s", j.ID, j.Run, verb),
+		Token:      fmt.Sprintf(taskToken+"%s/%d/%s", j.ID, j.Run, verb),
 		VM:         j.Worker,
 		Job:        j.ID,
 		Run:        j.Run,
--- a/place/reduce.go
+++ b/place/reduce.go
@@ -17,6 +17,8 @@
 		return s.ended(e, in)
 	case croft.WorkersReported:
 		return s.reported(e, in)
+	case croft.OrderEnded:
+		return s.ordered(e), nil
 	case croft.OperatorAsked:
 		return s.command(e, in)
 	}
@@ -25,7 +27,7 @@
 
 func (s State) tick(e croft.Tick, in Inputs) (State, []croft.Effect) {
 	var effects []croft.Effect
-	if e.Time >= s.scanned+scanEvery {
+	if e.Time >= s.scanned+s.scanSpan(e.Time, in) {
 		s.scanned = e.Time
 		effects = append(effects, croft.ScanRows{Prefix: croft.JobPrefix, Since: s.previous})
 	}
@@ -46,19 +48,29 @@
 	return s, effects
 }
 
+// scanSpan returns the span between reads of the job rows, shorter at an entry that places them.
+func (s State) scanSpan(now croft.Millis, in Inputs) croft.Millis {
+	for _, p := range in.Config.Pools {
+		if in.holds(p.ID, now) {
+			return scanHeldEvery
+		}
+	}
+	return scanEvery
+}
+
 // fill places the first waiting jobs of a pool, in one transaction.
 func (s State) fill(pool croft.PoolID, now croft.Millis, in Inputs) (State, []croft.Effect) {
 	var w write
-	b := &batch{state: s, in: in, now: now, taken: map[croft.VMID]croft.Resources{}, teams: map[croft.TeamID]croft.Resources{}}
+	b := newBatch(s, now, in)
 	for _, id := range s.queue(pool).All() {
-		if len(w.rows) == batchRows || b.tried == batchRows*2 {
+		if len(w.rows) == batchRows || b.tried == batchRows*2 || b.seen == maxSeen {
 			break
 		}
+		b.seen++
 		if s.busy.Has(id) {
 			continue
 		}
 		j, _ := s.jobs.Get(id)
-		b.tried++
 		row, decision, ok := b.decide(j.Job)
 		if ok {
 			w.rows = append(w.rows, row)
@@ -78,11 +90,41 @@
 	now   croft.Millis
 	taken map[croft.VMID]croft.Resources
 	teams map[croft.TeamID]croft.Resources
-	tried int
+	// tried counts the jobs a worker was looked for, seen all jobs looked at.
+	tried, seen int
+}
+
+// newBatch counts what placements in flight take as taken.
+func newBatch(s State, now croft.Millis, in Inputs) *batch {
+	b := &batch{
+		state: s,
+		in:    in,
+		now:   now,
+		taken: map[croft.VMID]croft.Resources{},
+		teams: map[croft.TeamID]croft.Resources{},
+	}
+	for _, w := range s.writes.All() {
+		for _, j := range w.rows {
+			if !placed(j) {
+				continue
+			}
+			more := Size(j)
+			if known, _ := s.jobs.Get(j.ID); placed(known.Job) {
+				more = more.Minus(Size(known.Job))
+			}
+			b.taken[j.Worker] = b.taken[j.Worker].Plus(more)
+			b.teams[j.Team] = b.teams[j.Team].Plus(more)
+		}
+	}
+	return b
 }
 
 func (b *batch) decide(j croft.Job) (croft.Job, croft.Decision, bool) {
 	size := Size(j)
+	if !b.quota(j.Team, size) {
+		return j, croft.Decision{}, false
+	}
+	b.tried++
 	vm, fits, ever := b.choose(j, size)
 	d := croft.Decision{Action: "Place", Subject: string(j.ID), Choice: string(vm)}
 	if !ever {
@@ -93,7 +135,7 @@
 		d.Reason = j.Reason
 		return j, d, true
 	}
-	if !fits || !b.quota(j.Team, size) {
+	if !fits {
 		return j, d, false
 	}
 	b.taken[vm] = b.taken[vm].Plus(size)
@@ -134,6 +176,9 @@
 		if !b.in.Pools.Usable(id, b.now) || b.state.Quarantined(id) || failedOn(j, id) {
 			continue
 		}
+		if b.shuns(j, id) {
+			continue
+		}
 		room := v.Room.Minus(b.state.Used(id)).Minus(b.taken[id])
 		if !size.Fits(room) {
 			continue
@@ -146,6 +191,16 @@
 	return best, best != "", ever
 }
 
+// shuns reports whether a worker on which a task failed lately is kept from a job: it would draw all jobs, since it
+// always has the most room.
+func (b *batch) shuns(j croft.Job, id croft.VMID) bool {
+	w, _ := b.state.workers.Get(id)
+	if w.suspect == 0 || b.now >= w.suspect+SuspectSpan {
+		return false
+	}
+	return len(j.FailedOn) > 0 || w.tasks.Len() > 0 || b.taken[id] != (croft.Resources{})
+}
+
 func failedOn(j croft.Job, id croft.VMID) bool {
 	for _, f := range j.FailedOn {
 		if f == id {
--- a/place/report.go
+++ b/place/report.go
@@ -23,6 +23,7 @@
 			if !in.holds(j.Pool, e.Time) {
 				continue
 			}
+			s = s.suspect(r.VM, t.State, e.Time)
 			var row croft.Job
 			var changed bool
 			s, row, changed = s.heard(j.Job, t, e.Time)
@@ -51,6 +52,21 @@
 	return s, effects
 }
 
+// suspect notes a failure on a worker, or that a task runs there.
+func (s State) suspect(id croft.VMID, state croft.TaskState, now croft.Millis) State {
+	w, _ := s.workers.Get(id)
+	switch {
+	case state == croft.TaskFailed:
+		w.suspect = now
+	case state == croft.TaskDone && w.suspect > 0:
+		w.suspect = 0
+	default:
+		return s
+	}
+	s.workers = s.workers.With(id, w)
+	return s
+}
+
 // heard returns the row that follows from one report.
 func (s State) heard(j croft.Job, r croft.TaskReport, now croft.Millis) (State, croft.Job, bool) {
 	t, _ := s.tasks.Get(j.ID)
--- a/place/rows.go
+++ b/place/rows.go
@@ -155,7 +155,7 @@
 	}
 	if w.cancel != "" {
 		var f []croft.Effect
-		s, f = s.cancelled(w, refused, e.Time, in)
+		s, f = s.cancelled(e, w, refused, in)
 		effects = append(effects, f...)
 	}
 	return s, effects
--- a/place/state.go
+++ b/place/state.go
@@ -22,12 +22,21 @@
 	// FaultsToQuarantine is the number of jobs that failed on a worker and ran elsewhere before it is quarantined.
 	FaultsToQuarantine = 3
 
+	// SuspectSpan is how long a worker on which a task failed is given one task at a time, none of which failed elsewhere.
+	SuspectSpan = 10 * croft.Minute
+
 	renewEvery  = TaskLease / 3
 	startWithin = 10 * croft.Second
 	scanEvery   = 2 * croft.Second
-	writeWithin = 6 * croft.Second
+	// scanHeldEvery bounds how late a planner learns of a job that was submitted at another entry.
+	scanHeldEvery = croft.Second / 2
+	writeWithin   = 6 * croft.Second
 	// batchRows is the most rows of one transaction.
 	batchRows = 25
+	// cancelConflicts is how many batches of one cancellation are taken again after a conflict.
+	cancelConflicts = 20
+	// maxSeen is the most waiting jobs looked at for one transaction.
+	maxSeen = 1000
 )
 
 // Inputs are what the decisions about jobs read from other parts.
@@ -80,6 +89,10 @@
 	heard croft.Millis
 	// lost is when the worker was first seen gone, zero while it is there.
 	lost croft.Millis
+	// renewed is when an order that lengthens the lease was last sent, or when this entry first missed the task.
+	renewed croft.Millis
+	// stopped says that the worker took the order to stop.
+	stopped bool
 	// asked is when a checkpoint was asked for, zero before.
 	asked croft.Millis
 	// checkpointed says that the worker reported the checkpoint asked for.
@@ -92,6 +105,8 @@
 	tasks keyed.Map[croft.JobID, struct{}]
 	// faults are the jobs that failed here and ran elsewhere.
 	faults keyed.Map[croft.JobID, struct{}]
+	// suspect is when a task last failed here with none seen running since, zero for never.
+	suspect croft.Millis
 	// quarantined keeps further jobs away.
 	quarantined bool
 }
@@ -111,6 +126,8 @@
 	left    []croft.JobID
 	refused int
 	first   string
+	// conflicts counts the batches that met rows which others had changed.
+	conflicts int
 }
 
 // New returns the state of an entry that has read nothing.
