--- a/verbs/metrics.go
+++ b/verbs/metrics.go
@@ -8,6 +8,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 	"text/tabwriter"
 
 	"waxwing.example/croft/ops"
@@ -61,7 +62,7 @@
 
 func flattenInto(values map[string]string, path string, text json.RawMessage) error {
 	if !bytes.HasPrefix(text, []byte("{")) {
-		values[path] = string(text)
+		values[path] = strings.Trim(string(text), `"`)
 		return nil
 	}
 	var members map[string]json.RawMessage
