--- a/scen/scen_test.go
+++ b/scen/scen_test.go
@@ -47,6 +47,8 @@
 	"curl":     curlMain,
 	"versions": versionsMain,
 	"race":     raceMain,
+	"kept":     keptMain,
+	"wave":     waveMain,
 }
 
 // commands are the words of the scenario language besides those of testscript.
