--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
+	"syscall"
 
 	"waxwing.example/croft"
 	"waxwing.example/croft/peer"
@@ -33,7 +35,7 @@
 	defer cancel()
 	var answer peer.Report
 	if err := f.client.Call(ctx, to.Address, peer.MethodProbe, f.report(to, nil), &answer); err != nil {
-		f.loop.Post(croft.PeerSilent{At: f.at(), ID: to.ID})
+		f.loop.Post(croft.PeerSilent{At: f.at(), ID: to.ID, Refused: errors.Is(err, syscall.ECONNREFUSED)})
 		return
 	}
 	f.heard(answer)
@@ -89,11 +91,8 @@
 	if err := json.Unmarshal(params, &q); err != nil {
 		return nil, err
 	}
-	config := p.loop.View().Config
-	if config.Version <= q.Above {
-		return peer.ConfigAnswer{}, nil
-	}
-	return peer.ConfigAnswer{Config: config}, nil
+	update, newer := p.loop.State().ConfigUpdate(q.Above)
+	return peer.ConfigAnswer{Newer: newer, Update: update}, nil
 }
 
 // handleFleet gives a new entry that cannot reach the platform what this one knows of the fleet.
