links: a cut hangs, as a partition does

Cause: Cut closed connections, so that both ends heard of it at once; a real partition leaves them half-open, and no test had met that. Ruled out: blocking each write, since a socket takes some bytes first. A peer call that times out gives its connection up.

--- a/links/network.go
+++ b/links/network.go
@@ -5,12 +5,15 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 )
 
 // Network opens connections from one IP number, except to and from what it is cut off from.
 type Network struct {
 	dialer net.Dialer
+	// changes has cuts and heals take effect one after the other.
+	changes sync.Mutex
 
 	mu    sync.Mutex
 	cuts  []netip.Prefix
@@ -26,29 +29,37 @@
 	return n
 }
 
-// Cut closes the connections to and from these prefixes and lets no new ones through until Heal.
+// Cut has the connections to and from these prefixes hang, and lets no new ones through until Heal.
 func (n *Network) Cut(prefixes ...netip.Prefix) {
+	n.change(func(cuts []netip.Prefix) []netip.Prefix { return append(cuts, prefixes...) })
+}
+
+// Heal ends all cuts; what hung goes on.
+func (n *Network) Heal() {
+	n.change(func([]netip.Prefix) []netip.Prefix { return nil })
+}
+
+// Replace has the network cut off from these prefixes and from no others.
+func (n *Network) Replace(prefixes ...netip.Prefix) {
+	n.change(func([]netip.Prefix) []netip.Prefix { return prefixes })
+}
+
+func (n *Network) change(next func([]netip.Prefix) []netip.Prefix) {
+	n.changes.Lock()
+	defer n.changes.Unlock()
 	n.mu.Lock()
-	n.cuts = append(n.cuts, prefixes...)
-	var cut []net.Conn
+	n.cuts = next(slices.Clone(n.cuts))
+	cut := make(map[*conn]bool, len(n.conns))
 	for c, remote := range n.conns {
-		if n.isCut(remote) {
-			cut = append(cut, c)
-		}
+		cut[c] = n.isCut(remote)
 	}
 	n.mu.Unlock()
-	for _, c := range cut {
-		c.Close()
+	// A connection locks the network when it ends, so that it must not be the other way round here.
+	for c, now := range cut {
+		c.setCut(now)
 	}
 }
 
-// Heal ends all cuts.
-func (n *Network) Heal() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.cuts = nil
-}
-
 // Cuts returns the prefixes that the network is cut off from.
 func (n *Network) Cuts() []netip.Prefix {
 	n.mu.Lock()
@@ -90,16 +101,17 @@
 	return c, nil
 }
 
-// enter follows a connection, or closes it and reports false where it is cut.
+// enter follows a connection; it reports false for one that is cut, which ends once it is healed.
 func (n *Network) enter(c net.Conn, remote netip.Addr) (*conn, bool) {
-	followed := &conn{Conn: c, network: n}
+	followed := newConn(c, n)
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.conns[followed] = remote
 	if n.isCut(remote) {
-		c.Close()
+		followed.cut = true
+		followed.closed = true
 		return nil, false
 	}
-	n.conns[followed] = remote
 	return followed, true
 }
 
@@ -109,19 +121,7 @@
 	delete(n.conns, c)
 }
 
-// conn is a connection that its network can close.
-type conn struct {
-	net.Conn
-	network *Network
-}
-
-// Close closes the connection and forgets it.
-func (c *conn) Close() error {
-	c.network.leave(c)
-	return c.Conn.Close()
-}
-
-// Listen accepts connections, and drops those from cut prefixes.
+// Listen accepts connections; those from cut prefixes hang and end once healed.
 func (n *Network) Listen(network, address string) (net.Listener, error) {
 	l, err := net.Listen(network, address)
 	if err != nil {
--- a/links/routes.go
+++ b/links/routes.go
@@ -30,8 +30,7 @@
 			http.Error(w, "body: "+err.Error(), http.StatusBadRequest)
 			return
 		}
-		n.Heal()
-		n.Cut(order.Prefixes...)
+		n.Replace(order.Prefixes...)
 		n.answer(w)
 	})
 	return mux
--- a/peer/client.go
+++ b/peer/client.go
@@ -40,6 +40,11 @@
 		return &UnreachableError{Address: address, Cause: err}
 	}
 	if err := conn.Call(ctx, method, params, result); err != nil {
+		if ctx.Err() != nil {
+			// The other end may be cut off or gone without a word; the next message tries a new connection,
+			// rather than wait until TCP sends again on this one.
+			_ = conn.Close()
+		}
 		return &UnreachableError{Address: address, Cause: err}
 	}
 	return nil
