Benchmark of the path with the decision log written, at 1 and 32 callers

The benchmark's log threw its lines away and it had one caller. It now writes JSON lines to a file by package logs and reports the ratio of requests a second and of the median latency to a handler that only copies, with the number of lines dropped.

--- a/front/bench_test.go
+++ b/front/bench_test.go
@@ -3,27 +3,43 @@
 import (
 	"bytes"
 	"context"
+	"expvar"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"waxwing.example/croft"
 	"waxwing.example/croft/clock"
+	"waxwing.example/croft/logs"
+	"waxwing.example/croft/route"
+	"waxwing.example/croft/setup"
 )
 
-// BenchmarkPath measures a request through the front against a handler that only copies it, in turns.
+// BenchmarkPath measures requests through the front, which logs its decisions to a file, against a handler
+// that only copies them; in turns, so that what else the machine does falls on both.
 func BenchmarkPath(b *testing.B) {
+	for _, callers := range []int{1, 32} {
+		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) { benchmarkPath(b, callers) })
+	}
+}
+
+func benchmarkPath(b *testing.B, callers int) {
 	executor := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		_, _ = w.Write(body)
 	}))
 	defer executor.Close()
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
+	client := clientOf(callers)
 	defer client.CloseIdleConnections()
-
 	bare := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		answer, err := post(r.Context(), client, executor.URL, body)
@@ -34,38 +50,92 @@
 		_, _ = w.Write(answer)
 	}))
 	defer bare.Close()
-
-	c := clock.NewSystem()
+	log := fileLog(b)
+	defer log.Close()
 	state := &bench{view: viewOf()}
-	ours := httptest.NewServer(New(Options{Clock: c, Viewer: state, Claimer: state, Poster: state, Log: quiet{},
-		Executor: copier{client, executor.URL}}).Handler())
+	// As many slots as callers, so that the path is measured and not the queue.
+	for len(state.view.Endpoints["p"])*route.SlotsPerEndpoint < callers {
+		e := state.view.Endpoints["p"][0]
+		e.VM = croft.VMID(fmt.Sprintf("more%d", len(state.view.Endpoints["p"])))
+		state.view.Endpoints["p"] = append(state.view.Endpoints["p"], e)
+	}
+	ours := httptest.NewServer(New(Options{Clock: clock.NewSystem(), Viewer: state, Claimer: state, Poster: state,
+		Log: log, Executor: copier{client, executor.URL}}).Handler())
 	defer ours.Close()
 
-	var spent [2]croft.Millis
+	rounds := [2]rounds{{url: bare.URL}, {url: ours.URL + "/v1/lens/read"}}
+	for b.Loop() {
+		for i := range rounds {
+			rounds[i].run(b, callers)
+		}
+	}
+	b.ReportMetric(rounds[1].rate()/rounds[0].rate(), "rate-ratio")
+	b.ReportMetric(rounds[1].median()/rounds[0].median(), "median-ratio")
+	b.ReportMetric(rounds[0].rate(), "bare-req/s")
+	b.ReportMetric(rounds[1].rate(), "front-req/s")
+	b.ReportMetric(rounds[0].median(), "bare-median-µs")
+	b.ReportMetric(rounds[1].median(), "front-median-µs")
+	b.ReportMetric(float64(lines(log, "Dropped")), "lines-dropped")
+	assert.Assert(b, lines(log, "Written") > 0)
+}
+
+func clientOf(callers int) *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callers}}
+}
+
+func fileLog(b *testing.B) *logs.Logger {
+	file, err := os.Create(filepath.Join(b.TempDir(), "decisions.jsonl"))
+	assert.NilError(b, err)
+	b.Cleanup(func() { _ = file.Close() })
+	settings := setup.DefaultEntry().Log
+	settings.Format = "json"
+	return logs.New(file, settings, clock.NewSystem())
+}
+
+func lines(log *logs.Logger, name string) int64 {
+	return log.Metrics().(*expvar.Map).Get(name).(*expvar.Int).Value()
+}
+
+// rounds are the requests sent to one server.
+type rounds struct {
+	url   string
+	spent time.Duration
+	mu    sync.Mutex
+	took  []time.Duration
+}
+
+// run sends a round of requests from concurrent callers.
+func (r *rounds) run(b *testing.B, callers int) {
+	const each = 50
 	body := bytes.Repeat([]byte("x"), 1024)
-	caller := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
+	caller := clientOf(callers)
 	defer caller.CloseIdleConnections()
-	// Rounds in turns, so that what else the machine does falls on both.
-	const round = 500
-	for b.Loop() {
-		for i, url := range []string{bare.URL, ours.URL + "/v1/lens/read"} {
-			begun := c.Elapsed()
-			for range round {
-				answer, err := post(b.Context(), caller, url, body)
-				assert.NilError(b, err)
-				assert.Equal(b, len(answer), len(body))
+	var running sync.WaitGroup
+	begun := time.Now()
+	for range callers {
+		running.Go(func() {
+			for range each {
+				sent := time.Now()
+				answer, err := post(b.Context(), caller, r.url, body)
+				took := time.Since(sent)
+				assert.Check(b, err == nil && len(answer) == len(body), "%v", err)
+				r.mu.Lock()
+				r.took = append(r.took, took)
+				r.mu.Unlock()
 			}
-			spent[i] += c.Elapsed() - begun
-		}
+		})
 	}
-	b.ReportMetric(float64(spent[1])/float64(spent[0]), "ratio")
-	b.ReportMetric(float64(spent[0])*1000/float64(b.N)/round, "bare-µs")
-	b.ReportMetric(float64(spent[1])*1000/float64(b.N)/round, "front-µs")
+	running.Wait()
+	r.spent += time.Since(begun)
 }
 
-type quiet struct{}
+func (r *rounds) rate() float64 { return float64(len(r.took)) / r.spent.Seconds() }
 
-func (quiet) Log(croft.Decision) {}
+// median returns microseconds.
+func (r *rounds) median() float64 {
+	slices.Sort(r.took)
+	return float64(r.took[len(r.took)/2].Nanoseconds()) / 1000
+}
 
 // copier is an executor's client without any check.
 type copier struct {
