--- a/conf/reduce.go
+++ b/conf/reduce.go
@@ -8,8 +8,11 @@
 
 // Spans of the reducer, in milliseconds.
 const (
-	pollSpan   = 2 * croft.Second
-	pollJitter = croft.Second / 2
+	// pollSpan is the time between two reads of the platform by an entry that serves; peers tell it sooner.
+	pollSpan = 4 * croft.Second
+	// bootPollSpan is that time for an entry that does not serve yet.
+	bootPollSpan = croft.Second
+	pollJitter   = croft.Second / 2
 	// askSpan is how long an answer of a peer is awaited before another is asked.
 	askSpan = croft.Second / 2
 	// bootSpan is how long a new entry waits for the platform's word before it serves without.
@@ -28,6 +31,8 @@
 type State struct {
 	options Options
 	config  croft.Config
+	// earlier are the versions in force before, the newest last.
+	earlier []croft.Config
 	ready   bool
 	// started is when the first event came, zero before.
 	started croft.Millis
@@ -82,18 +87,24 @@
 	}
 	higher := e.Config.Version > s.config.Version
 	if higher {
+		s = s.withEarlier(s.config)
 		s.config = e.Config
 	}
 	s.ready = s.ready || e.Fresh && s.config.Version > 0
 	if !higher {
 		return s, nil
 	}
-	return s, []croft.Effect{croft.Decision{
+	effects := []croft.Effect{croft.Decision{
 		Action:  "Configure",
 		Subject: fmt.Sprintf("version %d", s.config.Version),
 		Choice:  "in force",
 		Reason:  "the highest version known",
 	}}
+	if e.Accepted {
+		// Only the entry that accepted tells all others; those that learn don't, or messages would grow as the square.
+		effects = append(effects, croft.TellPeers{Scope: croft.ScopeAll})
+	}
+	return s, effects
 }
 
 func hear(s State, e croft.PeerHeard) (State, []croft.Effect) {
@@ -121,7 +132,10 @@
 		return s, nil
 	}
 	s.polled = e.Time
-	s.pause = pollSpan - croft.Millis(e.Seed%uint64(pollJitter))
+	s.pause = bootPollSpan
+	if s.ready {
+		s.pause = pollSpan - croft.Millis(e.Seed%uint64(pollJitter))
+	}
 	return s, []croft.Effect{croft.FetchConfig{Above: s.config.Version}}
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -114,8 +114,12 @@
 	return state.Options{
 		Self:   p.self,
 		Roster: roster.Options{Seeds: p.settings.SeedPeers, ProbeNear: p.settings.Timing.ProbeMs, ProbeFar: 3 * p.settings.Timing.ProbeMs},
-		Fleet:  fleet.Options{Lease: leases, FixedBuffer: p.settings.Policies.Buffer == "Fixed"},
-		Conf:   conf.Options{LastRead: p.settings.Policies.Config == policyLastRead},
+		Fleet: fleet.Options{
+			Lease:       leases,
+			FixedBuffer: p.settings.Policies.Buffer == "Fixed",
+			ListOnly:    p.listOnly(),
+		},
+		Conf: conf.Options{LastRead: p.settings.Policies.Config == policyLastRead},
 	}
 }
 
--- a/event.go
+++ b/event.go
@@ -94,6 +94,8 @@
 	Config Config
 	// Fresh says that the platform confirmed it as the newest.
 	Fresh bool
+	// Accepted says that it was accepted through this entry just now.
+	Accepted bool
 }
 
 // Peer is another entry as it describes itself.
@@ -139,6 +141,8 @@
 type PeerSilent struct {
 	At
 	ID EntryID
+	// Refused says that nothing listens at the entry's address any more.
+	Refused bool
 }
 
 // WorkersReported are lagging reports of workers.
--- a/invoke/client.go
+++ b/invoke/client.go
@@ -22,6 +22,8 @@
 	DefaultMaxBody = 8 << 20
 	// maxHeader bounds an answer's headers, in bytes.
 	maxHeader = 64 << 10
+	// dialTimeout bounds the opening of a connection, in milliseconds.
+	dialTimeout = croft.Second
 	// idleTimeout closes connections that nobody used for so long, in milliseconds.
 	idleTimeout = 90 * croft.Second
 )
@@ -65,7 +67,7 @@
 func New(o Options) *Client {
 	o = o.withDefaults()
 	return &Client{
-		dial:      sent.Wrap(o.Dial),
+		dial:      sent.Wrap(o.Dial, dialTimeout),
 		maxConns:  o.MaxConnsPerEndpoint,
 		maxBody:   o.MaxBody,
 		endpoints: map[string]*lanes{},
@@ -112,26 +114,41 @@
 	if l == nil {
 		return croft.Reply{}, &croft.RefusedError{Reason: "no free connection", Busy: true}
 	}
-	defer all.give(l)
+	reply, keep, err := c.attempt(ctx, l, endpoint, attempt)
+	if keep {
+		all.give(l)
+	} else {
+		all.drop(l)
+	}
+	return reply, err
+}
+
+// attempt makes the attempt on a lane and reports whether the lane's connection is still to be trusted.
+func (c *Client) attempt(
+	ctx context.Context, l *lane, endpoint croft.Endpoint, attempt croft.Attempt,
+) (croft.Reply, bool, error) {
 	ctx, track := sent.NewTrack(ctx)
 	request, err := newRequest(ctx, endpoint, attempt)
 	if err != nil {
-		return croft.Reply{}, &croft.RefusedError{Reason: err.Error()}
+		return croft.Reply{}, true, &croft.RefusedError{Reason: err.Error()}
 	}
 	reply, err := c.exchange(l, request, attempt.ID)
 	if err == nil {
-		return reply, nil
+		return reply, true, nil
+	}
+	var refused *croft.RefusedError
+	if errors.As(err, &refused) && !errors.Is(err, errBody) {
+		return croft.Reply{}, true, refused
 	}
 	// Sealing comes before judging: from here on no byte of the request can leave.
 	written := track.Seal()
-	var refused *croft.RefusedError
-	if errors.As(err, &refused) {
-		return croft.Reply{}, refused
+	if refused != nil {
+		return croft.Reply{}, false, refused
 	}
 	if !written {
-		return croft.Reply{}, &croft.RefusedError{Reason: err.Error()}
+		return croft.Reply{}, false, &croft.RefusedError{Reason: err.Error()}
 	}
-	return croft.Reply{}, &croft.DoubtError{Reason: err.Error()}
+	return croft.Reply{}, false, &croft.DoubtError{Reason: err.Error()}
 }
 
 // bodyReader hides the body's type, since the transport repeats requests whose body it can rewind.
@@ -149,6 +166,9 @@
 	request.Header.Set(HeaderAttempt, attempt.ID)
 	request.Header.Set(HeaderKey, r.Key)
 	request.Header.Set(HeaderDeadline, strconv.FormatInt(int64(r.Deadline), 10))
+	if endpoint.Boot > 0 {
+		request.Header.Set(HeaderBoot, strconv.FormatUint(endpoint.Boot, 10))
+	}
 	if r.ContentType != "" {
 		request.Header.Set("Content-Type", r.ContentType)
 	}
--- a/pools/state.go
+++ b/pools/state.go
@@ -63,6 +63,8 @@
 	// changes counts what a view of the endpoints depends on.
 	changes uint64
 	failed  int
+	// listOnly selects the baseline that believes only the VM list.
+	listOnly bool
 }
 
 // group is the index of one pool.
@@ -78,6 +80,8 @@
 	incoming int
 	// arrived counts the moves that ended here since the start of the entry.
 	arrived int64
+	// counted is the state's count of changes when the pool was last counted.
+	counted uint64
 }
 
 // write is a commit of member rows in flight.
@@ -105,6 +109,12 @@
 // New returns the state of an entry that has read nothing.
 func New() State { return State{} }
 
+// WithListOnly returns the state with the baseline selected that believes only the VM list of leaving VMs.
+func (s State) WithListOnly(selected bool) State {
+	s.listOnly = selected
+	return s
+}
+
 // Member returns the known member row of a VM and whether there is one.
 func (s State) Member(id croft.VMID) (Known, bool) { return s.members.Get(id) }
 
@@ -162,6 +172,12 @@
 	Arrived int64
 }
 
+// PoolChanges returns a count that grows whenever a row, a list line or a mark of one of the pool's VMs changes.
+func (s State) PoolChanges(pool croft.PoolID) uint64 {
+	g, _ := s.index.Get(pool)
+	return g.counted
+}
+
 // Summary returns the counts of one pool.
 func (s State) Summary(pool croft.PoolID) Summary {
 	g, _ := s.index.Get(pool)
@@ -187,6 +203,9 @@
 		return false
 	}
 	m, ok := s.members.Get(id)
+	if ok && s.listOnly {
+		return m.Boot == v.Boot
+	}
 	if !ok || m.Phase != croft.PhaseServing || m.Boot != v.Boot {
 		return false
 	}
