claim: conflicts are counted in a test that always has one

Cause: the racing test asked for at least one conflict, which its schedule does not force; it failed once in a run of go test -race ./claim. Ruled out: the counter; where answers are lost the repeated commit finds its own batch and is no conflict. Change: two writers that read the same log write its next batch, the second has exactly 1 conflict and 2 commits; the racing test still compares granted, held and refused.

--- a/claim/claimer_test.go
+++ b/claim/claimer_test.go
@@ -120,12 +120,12 @@
 		counted["granted"] += c.counters.granted.Value()
 		counted["held"] += c.counters.held.Value()
 		counted["refused"] += c.counters.refused.Value()
-		counted["conflicts"] += c.counters.conflicts.Value()
+		counted["commits"] += c.counters.commits.Value()
 	}
 	assert.Equal(t, counted["granted"], int64(keys))
 	assert.Equal(t, counted["held"], int64(keys*(entries*attempts-1)))
 	assert.Equal(t, counted["refused"], int64(0))
-	assert.Assert(t, counted["conflicts"] > 0)
+	assert.Assert(t, counted["commits"] > 0)
 	assert.Equal(t, len(won), keys)
 	for key, count := range won {
 		assert.Equal(t, count, 1, key)
@@ -189,3 +189,25 @@
 	assert.ErrorContains(t, err, `differs from the one in force, which is {"Shards":4,"Slots":16384,`)
 	assert.Equal(t, other.counters.refused.Value(), int64(1))
 }
+
+// TestWriterBehindCountsOneConflict lets two writers that read the same log write its next batch.
+func TestWriterBehindCountsOneConflict(t *testing.T) {
+	ctx := context.Background()
+	table := newMemTable()
+	now := croft.Millis(1000)
+	writers := make([]*writer, 2)
+	for i := range writers {
+		writers[i] = newWriter(0, smallLayout, table, fixedClock{&now}, func() string { return fmt.Sprint("n", i) })
+		assert.NilError(t, writers[i].step(ctx))
+	}
+	for i, w := range writers {
+		one := newWanted(Record{Hash: fmt.Sprint("h", i), Attempt: "a"})
+		assert.Assert(t, w.enqueue(one))
+		for !w.idle() {
+			assert.NilError(t, w.step(ctx))
+		}
+		assert.Assert(t, (<-one.ended).granted)
+		assert.Equal(t, w.conflicts, i)
+		assert.Equal(t, w.commits, 1+i)
+	}
+}
