scen: onepool, every VM in one pool over racing operators, frozen and killed holders, lost answers and an outage

Cause: that a VM is in exactly one pool was shown by the reducer's properties only, not by processes. The program onepool replays every committed version of the member and plan rows: one row a VM and never none, epochs up by one, legal phases, a pool change only at the end of a move and with a newer boot, and writes of running steps only by the entry that holds the pool's plan at that commit. Why the baseline fails each time: two operators change one VM through two entries from the same row; without the fence the second write is forced over the first, and the epoch stands twice.

--- a/scen/scen_test.go
+++ b/scen/scen_test.go
@@ -47,6 +47,7 @@
 	"curl":     curlMain,
 	"versions": versionsMain,
 	"race":     raceMain,
+	"onepool":  onepoolMain,
 }
 
 // commands are the words of the scenario language besides those of testscript.
