place: a job above its team's whole quota is refused, and no longer waits for ever

Cause: the quota was looked at before the workers, so that a job of 9,000 cores of a team with 100 waited for a quota that no other job's end could give; it was never told that it can't run. Seen by scen/wax.txtar at 20 s, Waiting. Ruled out: a stale scan at the holder (the job before it was placed by the same one), the wait of the scenario. Change: what is above the whole quota is refused with the quota as its reason, before the quota left is asked for.

--- a/place/reduce.go
+++ b/place/reduce.go
@@ -121,19 +121,19 @@
 
 func (b *batch) decide(j croft.Job) (croft.Job, croft.Decision, bool) {
 	size := Size(j)
-	if !b.quota(j.Team, size) {
+	quota := b.quota(j.Team)
+	if !within(quota, size) {
+		return refused(j, fmt.Sprintf("the quota of team %s is below", j.Team), size)
+	}
+	used, _ := b.state.teams.Get(j.Team)
+	if !within(quota, used.Plus(b.teams[j.Team]).Plus(size)) {
 		return j, croft.Decision{}, false
 	}
 	b.tried++
 	vm, fits, ever := b.choose(j, size)
 	d := croft.Decision{Action: "Place", Subject: string(j.ID), Choice: string(vm)}
 	if !ever {
-		j.Status = croft.JobRefused
-		j.Reason = fmt.Sprintf("no VM of pool %s could hold %d milli-cores, %d MB and %d accelerators",
-			j.Pool, size.MilliCores, size.MemoryMB, size.Accelerators)
-		d.Action = "Refuse"
-		d.Reason = j.Reason
-		return j, d, true
+		return refused(j, fmt.Sprintf("no VM of pool %s could hold", j.Pool), size)
 	}
 	if !fits {
 		return j, d, false
@@ -148,20 +148,29 @@
 	return j, d, true
 }
 
-// quota reports whether the team may use that much more; a zero amount of a quota is no limit.
-func (b *batch) quota(id croft.TeamID, size croft.Resources) bool {
-	used, _ := b.state.teams.Get(id)
-	used = used.Plus(b.teams[id]).Plus(size)
+// refused ends a job whose size can never be had.
+func refused(j croft.Job, why string, size croft.Resources) (croft.Job, croft.Decision, bool) {
+	j.Status = croft.JobRefused
+	j.Reason = fmt.Sprintf("%s %d milli-cores, %d MB and %d accelerators",
+		why, size.MilliCores, size.MemoryMB, size.Accelerators)
+	return j, croft.Decision{Action: "Refuse", Subject: string(j.ID), Reason: j.Reason}, true
+}
+
+// quota returns a team's quota, none for a team that is not declared.
+func (b *batch) quota(id croft.TeamID) croft.Resources {
 	for _, t := range b.in.Config.Teams {
-		if t.ID != id {
-			continue
+		if t.ID == id {
+			return t.Quota
 		}
-		q := t.Quota
-		return (q.MilliCores == 0 || used.MilliCores <= q.MilliCores) &&
-			(q.MemoryMB == 0 || used.MemoryMB <= q.MemoryMB) &&
-			(q.Accelerators == 0 || used.Accelerators <= q.Accelerators)
 	}
-	return true
+	return croft.Resources{}
+}
+
+// within reports whether an amount is within a quota, of which a zero amount is no limit.
+func within(quota, used croft.Resources) bool {
+	return (quota.MilliCores == 0 || used.MilliCores <= quota.MilliCores) &&
+		(quota.MemoryMB == 0 || used.MemoryMB <= quota.MemoryMB) &&
+		(quota.Accelerators == 0 || used.Accelerators <= quota.Accelerators)
 }
 
 // choose returns the VM with the most room left, whether there is one now, and whether there could ever be one.
