--- a/scen/scen_test.go
+++ b/scen/scen_test.go
@@ -24,6 +24,12 @@
 	lastNet  = 250
 )
 
+// atOnce is the most scenarios that run at the same time: each has about a dozen processes.
+const atOnce = 4
+
+// running holds a place for each scenario that runs.
+var running = make(chan struct{}, atOnce)
+
 // reserveNet takes a loopback network that no other scenario of this machine uses, by a
 // listener that stands for it until free is called.
 func reserveNet() (network string, free func(), err error) {
@@ -89,6 +95,8 @@
 		RequireUniqueNames:  true,
 		Cmds:                commands,
 		Setup: func(env *testscript.Env) error {
+			running <- struct{}{}
+			env.Defer(func() { <-running })
 			network, free, err := reserveNet()
 			if err != nil {
 				return err
