stand executor: no boot until the platform tells it

Cause: an executor that was started again took attempts for boot 1 until it was registered as its next boot; three such runs were seen in the scenario notrun. Ruled out: refusing all attempts until then, since Croft-Boot tells the ones that are meant for an earlier boot.

--- a/stubs/executor.go
+++ b/stubs/executor.go
@@ -62,7 +62,7 @@
 	defer func() { _ = journal.Close() }()
 	e := fakes.NewExecutor(fakes.ExecutorOptions{
 		VM:        j.args.VM,
-		Boot:      max(1, j.args.Boot),
+		Boot:      j.firstBoot(),
 		Slots:     j.args.Slots,
 		Behaviour: fakes.Behaviour{WorkMs: j.args.WorkMs},
 		Journal:   journal,
@@ -81,6 +81,15 @@
 	return stopped(g.Run())
 }
 
+// firstBoot returns the boot until the VM is registered: none where the platform is to tell it, so that no attempt
+// runs which was meant for an earlier one.
+func (j *executorJob) firstBoot() uint64 {
+	if j.args.Platform != "" {
+		return j.args.Boot
+	}
+	return max(1, j.args.Boot)
+}
+
 // openJournal opens the file of the runs, or what discards them where none was asked for.
 func (j *executorJob) openJournal() (*os.File, error) {
 	name := j.args.Journal
