--- a/scen/scen_test.go
+++ b/scen/scen_test.go
@@ -49,6 +49,7 @@
 	"race":     raceMain,
 	"kept":     keptMain,
 	"wave":     waveMain,
+	"onepool":  onepoolMain,
 }
 
 // commands are the words of the scenario language besides those of testscript.
