--- a/front/pools.go
+++ b/front/pools.go
@@ -120,9 +120,11 @@
 	return wholeShare / max(near, 1)
 }
 
-// slotsOf rounds this entry's part of the pool's slots up, so that no slot of the pool stays unused by all; the
-// executors' own refusals settle who waits.
+// slotsOf returns at least one slot for a pool that has an executor.
 func slotsOf(v *croft.View, id croft.PoolID) int {
-	slots := len(v.Endpoints[id]) * route.SlotsPerEndpoint
-	return (slots*shareOf(v, id) + wholeShare - 1) / wholeShare
+	endpoints := len(v.Endpoints[id])
+	if endpoints == 0 {
+		return 0
+	}
+	return max(endpoints*route.SlotsPerEndpoint*shareOf(v, id)/wholeShare, 1)
 }
