scen: a network is never taken over within a run

Cause: conf failed with EOF from an entry that was the scenario before's, still stopping at an address of the network that conf had been given: the network was freed before the processes ended. Change: a network stays reserved until the test process ends.

--- a/scen/scen_test.go
+++ b/scen/scen_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"sync"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -30,16 +31,26 @@
 // running holds a place for each scenario that runs.
 var running = make(chan struct{}, atOnce)
 
+var (
+	reserving sync.Mutex
+	// reserved keeps the listeners that stand for networks.
+	reserved []net.Listener
+)
+
 // reserveNet takes a loopback network that no other scenario of this machine uses, by a
-// listener that stands for it until free is called.
-func reserveNet() (network string, free func(), err error) {
+// listener that stands for it until this process ends: what a scenario started may outlive
+// it for a moment, so that none takes a network over.
+func reserveNet() (network string, err error) {
+	reserving.Lock()
+	defer reserving.Unlock()
 	for n := firstNet; n <= lastNet; n++ {
 		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.1:7999", n))
 		if err == nil {
-			return fmt.Sprintf("127.%d", n), func() { _ = l.Close() }, nil
+			reserved = append(reserved, l)
+			return fmt.Sprintf("127.%d", n), nil
 		}
 	}
-	return "", nil, errors.New("all loopback networks of scenarios are taken")
+	return "", errors.New("all loopback networks of scenarios are taken")
 }
 
 // programs are what scenarios may start as processes of their own.
@@ -97,11 +108,10 @@
 		Setup: func(env *testscript.Env) error {
 			running <- struct{}{}
 			env.Defer(func() { <-running })
-			network, free, err := reserveNet()
+			network, err := reserveNet()
 			if err != nil {
 				return err
 			}
-			env.Defer(free)
 			env.Setenv("NET", network)
 			// Each process under the race detector sleeps for a second at its end by default.
 			env.Setenv("GORACE", "atexit_sleep_ms=100")
