place: a job above its team's whole quota is refused with the reason

Cause: with the quota looked at before the VMs a job larger than the quota waited for ever; scen wax, which submits one of 9,000 cores, failed at its line 123. Change: such a job is refused at once; the scenario is as it was, and the jobs test submits one of its own. Check: go test ./scen -run 'TestScen/^wax$' passes in 23 s, failed before; go test ./fleet -run 'Jobs|Urgent|Quaran' passes.

--- a/fleet/jobs_test.go
+++ b/fleet/jobs_test.go
@@ -136,7 +136,9 @@
 		j := croft.Job{ID: croft.JobID(fmt.Sprintf("low%04d", i)), Service: "night", Urgency: 5, Declared: cores(8)}
 		ids = append(ids, w.submit(w.entries[i%3], j, croft.Hour, 100))
 	}
+	w.submit(w.entries[0], croft.Job{ID: "beyond", Service: "night", Declared: cores(41)}, croft.Hour, 100)
 	w.run(20 * croft.Second)
+	assert.Equal(t, w.job("beyond").Reason, "larger than the quota of team bounded")
 	assert.Equal(t, w.running(ids), 5, "the quota of 40 cores holds five jobs of 8")
 	for i, n := range w.entries {
 		asked := w.now
--- a/place/reduce.go
+++ b/place/reduce.go
@@ -121,6 +121,11 @@
 
 func (b *batch) decide(j croft.Job) (croft.Job, croft.Decision, bool) {
 	size := Size(j)
+	if !within(b.limit(j.Team), size) {
+		j.Status = croft.JobRefused
+		j.Reason = fmt.Sprintf("larger than the quota of team %s", j.Team)
+		return j, croft.Decision{Action: "Refuse", Subject: string(j.ID), Reason: j.Reason}, true
+	}
 	if !b.quota(j.Team, size) {
 		return j, croft.Decision{}, false
 	}
@@ -148,20 +153,26 @@
 	return j, d, true
 }
 
-// quota reports whether the team may use that much more; a zero amount of a quota is no limit.
+// quota reports whether the team may use that much more.
 func (b *batch) quota(id croft.TeamID, size croft.Resources) bool {
 	used, _ := b.state.teams.Get(id)
-	used = used.Plus(b.teams[id]).Plus(size)
+	return within(b.limit(id), used.Plus(b.teams[id]).Plus(size))
+}
+
+func (b *batch) limit(id croft.TeamID) croft.Resources {
 	for _, t := range b.in.Config.Teams {
-		if t.ID != id {
-			continue
+		if t.ID == id {
+			return t.Quota
 		}
-		q := t.Quota
-		return (q.MilliCores == 0 || used.MilliCores <= q.MilliCores) &&
-			(q.MemoryMB == 0 || used.MemoryMB <= q.MemoryMB) &&
-			(q.Accelerators == 0 || used.Accelerators <= q.Accelerators)
 	}
-	return true
+	return croft.Resources{}
+}
+
+// within reports whether an amount keeps to a quota, of which a zero part is no limit.
+func within(q, used croft.Resources) bool {
+	return (q.MilliCores == 0 || used.MilliCores <= q.MilliCores) &&
+		(q.MemoryMB == 0 || used.MemoryMB <= q.MemoryMB) &&
+		(q.Accelerators == 0 || used.Accelerators <= q.Accelerators)
 }
 
 // choose returns the VM with the most room left, whether there is one now, and whether there could ever be one.
