--- a/place/reduce.go
+++ b/place/reduce.go
@@ -123,7 +123,7 @@
 	size := Size(j)
 	quota := b.quota(j.Team)
 	if !within(quota, size) {
-		return refused(j, fmt.Sprintf("the quota of team %s is below", j.Team), size)
+		return refused(j, fmt.Sprintf("larger than the quota of team %s", j.Team))
 	}
 	used, _ := b.state.teams.Get(j.Team)
 	if !within(quota, used.Plus(b.teams[j.Team]).Plus(size)) {
@@ -133,7 +133,8 @@
 	vm, fits, ever := b.choose(j, size)
 	d := croft.Decision{Action: "Place", Subject: string(j.ID), Choice: string(vm)}
 	if !ever {
-		return refused(j, fmt.Sprintf("no VM of pool %s could hold", j.Pool), size)
+		return refused(j, fmt.Sprintf("no VM of pool %s could hold %d milli-cores, %d MB and %d accelerators",
+			j.Pool, size.MilliCores, size.MemoryMB, size.Accelerators))
 	}
 	if !fits {
 		return j, d, false
@@ -149,11 +150,10 @@
 }
 
 // refused ends a job whose size can never be had.
-func refused(j croft.Job, why string, size croft.Resources) (croft.Job, croft.Decision, bool) {
+func refused(j croft.Job, reason string) (croft.Job, croft.Decision, bool) {
 	j.Status = croft.JobRefused
-	j.Reason = fmt.Sprintf("%s %d milli-cores, %d MB and %d accelerators",
-		why, size.MilliCores, size.MemoryMB, size.Accelerators)
-	return j, croft.Decision{Action: "Refuse", Subject: string(j.ID), Reason: j.Reason}, true
+	j.Reason = reason
+	return j, croft.Decision{Action: "Refuse", Subject: string(j.ID), Reason: reason}, true
 }
 
 // quota returns a team's quota, none for a team that is not declared.
