roster: shares of slots hold back while demand rises, and ignore its chance differences

Cause: in scenario budget at fifty times the mean, with a VM away in both pools, admitted requests of other kinds found no executor free: both entries saw their own demand rise at once and the other's only by the next messages, so that each took more than half of the slots. In idle times 3 requests against 1 already gave one entry 625 thousandths. Ruled out: load of the machine (the scenario failed 3 of 3 times alone); holding back alone (the least of uneven idle shares left slots unused, 4 of 39 requests of one kind were shed). Change: a share is the least of the last four counts, and 32 slots are added to each demand.

--- a/fleet/jobs_test.go
+++ b/fleet/jobs_test.go
@@ -57,35 +57,58 @@
 	return true
 }
 
+// crowded is what a property of jobs starts from.
+type crowded struct {
+	*world
+	good, bad, huge []croft.JobID
+}
+
+// disturbed has jobs of all sorts run through faults, calm ones without takeovers and old reads.
+func disturbed(t *rapid.T, calm bool) crowded {
+	f := drawFaults(t)
+	if calm {
+		f.oldRead = 0
+	}
+	w := newWorld(rapid.Uint64().Draw(t, "seed"), jobsConfig(), makeVMs(14, 7), 3, DefaultOptions())
+	w.employ()
+	w.run(40 * croft.Second)
+	for _, id := range w.order {
+		if _, ok := w.members["a"][id]; ok && len(w.labour.badWorkers) < 2 {
+			w.labour.badWorkers[id] = true
+		}
+	}
+	c := crowded{world: w}
+	c.good, c.bad, c.huge = w.crowd(w.entries[0])
+	w.run(2 * croft.Second)
+	w.faults = f
+	for range 10 {
+		w.run(croft.Millis(w.rnd.IntN(20_000)))
+		if !calm {
+			w.upset(DefaultOptions())
+		}
+	}
+	w.run(croft.Minute)
+	return c
+}
+
+// A team's jobs never use more than its quota, over takeovers and old reads too.
+func TestQuotaHoldsOverTakeovers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if w := disturbed(t, false); len(w.labour.over) > 0 {
+			t.Errorf("quota: %v", w.labour.over)
+		}
+	})
+}
+
 func TestJobsRunOnceAtATimeAndAllEnd(t *testing.T) {
 	resumed := 0
 	checks := flag.Lookup("rapid.checks").Value.String()
 	assert.NilError(t, flag.Set("rapid.checks", "60"))
 	defer func() { assert.NilError(t, flag.Set("rapid.checks", checks)) }()
 	rapid.Check(t, func(t *rapid.T) {
-		f := drawFaults(t)
 		calm := rapid.Bool().Draw(t, "calm")
-		if calm {
-			f.oldRead = 0
-		}
-		w := newWorld(rapid.Uint64().Draw(t, "seed"), jobsConfig(), makeVMs(14, 7), 3, DefaultOptions())
-		w.employ()
-		w.run(40 * croft.Second)
-		for _, id := range w.order {
-			if _, ok := w.members["a"][id]; ok && len(w.labour.badWorkers) < 2 {
-				w.labour.badWorkers[id] = true
-			}
-		}
-		good, bad, huge := w.crowd(w.entries[0])
-		w.run(2 * croft.Second)
-		w.faults = f
-		for range 10 {
-			w.run(croft.Millis(w.rnd.IntN(20_000)))
-			if !calm {
-				w.upset(DefaultOptions())
-			}
-		}
-		w.run(croft.Minute)
+		w := disturbed(t, calm)
+		good, bad, huge := w.good, w.bad, w.huge
 		w.faults = faults{}
 		for _, v := range w.order {
 			w.repair(v)
--- a/roster/reduce.go
+++ b/roster/reduce.go
@@ -174,13 +174,17 @@
 }
 
 func (s State) counted(e croft.TrafficCounted) State {
-	if maps.Equal(s.wanted, e.Wanted) {
-		return s
-	}
+	before := s
 	s.wanted = maps.Clone(e.Wanted)
 	if s.wanted == nil {
 		s.wanted = map[croft.PoolID]int{}
 	}
-	s.serial++
+	s = s.withPast()
+	for p := range s.wanted {
+		if s.Share(p) != before.Share(p) {
+			s.serial++
+			break
+		}
+	}
 	return s
 }
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -72,6 +72,28 @@
 	assert.Equal(t, effects[0], croft.Effect(croft.ProbePeer{Peer: entry(1)}))
 }
 
+// A flood that reaches both entries at once must not give each of them the greater part.
+func TestSharesStayWithinTheWholeWhileDemandRisesEverywhere(t *testing.T) {
+	a := heardWanting(New(entry(0), Options{}), 2, 100, map[croft.PoolID]int{"p": 10})
+	b := heardWanting(New(entry(2), Options{}), 0, 100, map[croft.PoolID]int{"p": 10})
+	count := func(wanted int) {
+		counted := croft.TrafficCounted{Wanted: map[croft.PoolID]int{"p": wanted}}
+		a, _ = Reduce(a, counted)
+		b, _ = Reduce(b, counted)
+		assert.Assert(t, a.Share("p")+b.Share("p") <= wholeShare)
+	}
+	count(10)
+	for range sharesKept - 1 {
+		count(300)
+	}
+	a = heardWanting(a, 2, 200, map[croft.PoolID]int{"p": 300})
+	b = heardWanting(b, 0, 200, map[croft.PoolID]int{"p": 300})
+	for range sharesKept {
+		count(300)
+	}
+	assert.Equal(t, a.Share("p"), wholeShare/2)
+}
+
 // Entries that have heard each other's demand never claim more than all slots together.
 func TestSharesNeverExceedTheWhole(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/roster/share.go
+++ b/roster/share.go
@@ -1,6 +1,10 @@
 package roster
 
-import "waxwing.example/croft"
+import (
+	"slices"
+
+	"waxwing.example/croft"
+)
 
 // wholeShare is all of a pool's slots, in thousandths.
 const wholeShare = 1000
@@ -8,28 +12,52 @@
 // evenPart is the part of a pool's slots that is split evenly, in thousandths; the rest follows demand.
 const evenPart = 500
 
-// Share returns this entry's share of a pool's slots in thousandths: half of them evenly among
-// the entries alive; of the rest a part for each data centre, in proportion to what its
-// entries say they want.
+// evenDemand is added to each entry's demand, so that chance differences of a small one do
+// not decide, in slots.
+const evenDemand = 32
+
+// sharesKept is how many past counts of demand hold a share back.
+const sharesKept = 4
+
+// Share returns this entry's share of a pool's slots in thousandths, the least of the last
+// counts: a demand that rises here may rise elsewhere too, which is heard of only later.
 func (s State) Share(pool croft.PoolID) int {
+	share := s.shareNow(pool)
+	for _, past := range s.past {
+		if before, found := past[pool]; found {
+			share = min(share, before)
+		}
+	}
+	return share
+}
+
+// withPast keeps the shares of this count of demand.
+func (s State) withPast() State {
+	shares := make(map[croft.PoolID]int, len(s.wanted))
+	for p := range s.wanted {
+		shares[p] = s.shareNow(p)
+	}
+	kept := s.past[max(0, len(s.past)-sharesKept+1):]
+	s.past = append(slices.Clone(kept), shares)
+	return s
+}
+
+// shareNow is half of the slots evenly among the entries alive; of the rest a part for each
+// data centre, in proportion to what its entries say they want.
+func (s State) shareNow(pool croft.PoolID) int {
 	entries, centres := s.serving()
 	if entries <= 1 {
 		return wholeShare
 	}
 	total := 0
-	near := 0
 	for _, p := range s.alive {
-		if p.Stopping || p.DataCentre != s.self.DataCentre {
-			continue
+		if !p.Stopping && p.DataCentre == s.self.DataCentre {
+			total += s.wantedBy(p.ID, pool) + evenDemand
 		}
-		near++
-		total += s.wantedBy(p.ID, pool)
 	}
 	byDemand := (wholeShare - evenPart) / centres
-	if total == 0 {
-		return evenPart/entries + byDemand/max(near, 1)
-	}
-	return evenPart/entries + byDemand*s.wantedBy(s.self.ID, pool)/total
+	own := s.wantedBy(s.self.ID, pool) + evenDemand
+	return evenPart/entries + byDemand*own/max(total, own)
 }
 
 // serving counts the entries that take requests and their data centres.
--- a/roster/state.go
+++ b/roster/state.go
@@ -51,6 +51,8 @@
 	self    croft.Peer
 	members *immutable.SortedMap[croft.EntryID, Member]
 	wanted  map[croft.PoolID]int
+	// past are the shares of the last counts of demand.
+	past []map[croft.PoolID]int
 	// unknown are entries whose heartbeats were told by others and of which no more is known.
 	unknown    []croft.EntryID
 	askedUntil croft.Millis
