--- a/daemon/poll.go
+++ b/daemon/poll.go
@@ -8,8 +8,13 @@
 	"waxwing.example/croft/peer"
 )
 
-// reportsEvery is the span between reads of the workers' reports, in milliseconds.
-const reportsEvery = 2 * croft.Second
+// Spans between reads of the workers' reports, in milliseconds.
+const (
+	// reportsEvery is the least span.
+	reportsEvery = 2 * croft.Second
+	// reportSpan is added for each VM that is asked for, which bounds the bytes a second.
+	reportSpan = 160 * croft.Millis(1)
+)
 
 // failuresToCut is how many polls in a row must fail before the platform counts as unreachable.
 const failuresToCut = 2
@@ -75,24 +80,22 @@
 	}
 }
 
-// pollReports reads the workers' lagging reports.
+// pollReports reads the lagging reports of the VMs that run jobs which this entry plans for.
 func (p *parts) pollReports(ctx context.Context) error {
 	since := croft.Millis(0)
 	for {
-		since = p.readReports(ctx, since)
-		if err := p.clock.Sleep(ctx, reportsEvery); err != nil {
+		vms := p.loop.State().Fleet().JobVMs(p.self.ID, p.clock.Now())
+		if len(vms) > 0 {
+			since = p.readReports(ctx, since, vms)
+		}
+		if err := p.clock.Sleep(ctx, max(reportsEvery, reportSpan*croft.Millis(len(vms)))); err != nil {
 			return err
 		}
 	}
 }
 
-// readReports asks for the reports of the VMs that run jobs which this entry plans for, and
-// returns the instant of the newest.
-func (p *parts) readReports(ctx context.Context, since croft.Millis) croft.Millis {
-	vms := p.loop.State().Fleet().JobVMs(p.self.ID, p.clock.Now())
-	if len(vms) == 0 {
-		return since
-	}
+// readReports returns the instant of the newest report read.
+func (p *parts) readReports(ctx context.Context, since croft.Millis, vms []croft.VMID) croft.Millis {
 	reports, err := p.platform.Reports(ctx, since, vms)
 	if err != nil || len(reports) == 0 {
 		return since
