quest: answers are read by the decoder of settings

Cause: quest and setup each had a reader of JSON with comments with lines and field paths, 183 and 215 lines of the same logic. Change: setup.Parse returns the lines of the fields and the faults; quest turns them into its own.

--- a/setup/decode.go
+++ b/setup/decode.go
@@ -6,6 +6,7 @@
 	"regexp"
 	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/tailscale/hujson"
 )
@@ -19,8 +20,7 @@
 // Decode reads JSON with comments over the defaults in a struct and checks it by its validate tags; it
 // returns an *InvalidError that lists every fault, unknown and duplicate fields among them.
 func Decode(name string, body []byte, into any) error {
-	d := &decoder{file: name, body: body, lines: map[string]int{"": 1}, wrong: map[string]bool{}}
-	d.breaks = lineBreaks(body)
+	d := newDecoder(name, body)
 	if !d.parse(reflect.ValueOf(into).Elem()) {
 		return &InvalidError{Problems: d.problems}
 	}
@@ -32,6 +32,37 @@
 	return &InvalidError{Problems: d.problems}
 }
 
+// Parse reads JSON with comments over the values in a struct without a look at its tags, and returns the lines of its fields and every fault.
+func Parse(name string, body []byte, into any) (Lines, []Problem) {
+	d := newDecoder(name, body)
+	d.parse(reflect.ValueOf(into).Elem())
+	return d.lines, d.problems
+}
+
+// Lines tells on which line a file gives each field, by the field's path.
+type Lines map[string]int
+
+// Of returns the line of a field, or of what it belongs to where it is missing.
+func (l Lines) Of(field string) int {
+	for field != "" {
+		if line, found := l[field]; found {
+			return line
+		}
+		field = field[:max(0, strings.LastIndexAny(field, ".["))]
+	}
+	return 1
+}
+
+func newDecoder(name string, body []byte) *decoder {
+	return &decoder{
+		file:   name,
+		body:   body,
+		breaks: lineBreaks(body),
+		lines:  Lines{"": 1},
+		wrong:  map[string]bool{},
+	}
+}
+
 type decoder struct {
 	file     string
 	body     []byte
@@ -39,7 +70,7 @@
 	// breaks holds the offsets of the line breaks.
 	breaks []int
 	// lines holds the line of each field that the file gives.
-	lines map[string]int
+	lines Lines
 	// wrong holds the fields whose value could not be taken.
 	wrong map[string]bool
 }
