admit: what is within its profile is not shed from a standing queue

Cause: in scenario budget beside the other tests, 2 of 39 requests of a kind were shed from its own burst as 'queue is standing', with time left to be served. Ruled out: a lower share of slots (both entries had half); the flood itself (out of profile, it waits in a line of its own). Change: a standing queue is shed only where the class has no profile or the requests are out of it.

--- a/admit/core.go
+++ b/admit/core.go
@@ -270,6 +270,10 @@
 		w := q.pop()
 		out = append(out, Shed{w, refused("waited past its last start", c.wait(s, len(q.waiting)), true)})
 	}
+	// What is within its profile is no flood: it is refused only where it cannot start in time.
+	if s.profile.cost > 0 && q == &s.inside {
+		return out
+	}
 	for _, w := range q.delay.shed(now, &q.line) {
 		out = append(out, Shed{w, refused("queue is standing", c.wait(s, len(q.waiting)), true)})
 	}
