place: a planner that took over waits for the leases that another one renewed

Cause: the property of jobs, with its draws in another order, found two runs of one job at once: an entry that had planned for a pool, lost it and took it again counted the lease from its own last renewal, 61 s ago, though the planner in between had renewed it 20 s before. Ruled out: an order held up on its way (orders now expire with the lease they give, which is right by itself and has a test, but the run stayed); the order to stop (it failed, as it may). Change: what a planner remembers of a task counts only under the takeover it was seen in; orders for tasks carry the instant at which they are void, checked by the worker.

--- a/effect.go
+++ b/effect.go
@@ -67,7 +67,10 @@
 	Verb TaskVerb
 	// Lease is how long the worker may run the task without another order, in milliseconds.
 	Lease Millis
-	Size  Resources
+	// Expires is the instant by the wall clock at which the order is void and the lease it gives
+	// has ended, so that one held up on its way cannot start a run that was given up.
+	Expires Millis
+	Size    Resources
 	// Checkpoint names the object to start from, empty for none.
 	Checkpoint string
 }
--- a/fakes/platform_test.go
+++ b/fakes/platform_test.go
@@ -182,6 +182,24 @@
 	assert.Equal(t, state().State, croft.TaskDone)
 }
 
+// An order held up on its way must not start a run that its planner has given up.
+func TestTaskOrdersExpire(t *testing.T) {
+	ctx := context.Background()
+	vm := croft.VM{ID: "vm1", Boot: 1, Status: croft.VMLive}
+	b := newBench(t, fakes.PlatformOptions{VMs: []croft.VM{vm}})
+	order := croft.OrderTask{
+		VM: "vm1", Job: "j", Run: 1, Verb: croft.TaskStart, Lease: croft.Minute, Expires: b.clock.Now() + 3000,
+	}
+	assert.NilError(t, b.client.OrderTask(ctx, order))
+	b.clock.Advance(3000)
+	reports, err := b.client.Reports(ctx, 0, []croft.VMID{vm.ID})
+	assert.NilError(t, err)
+	assert.Equal(t, reports[0].Tasks[0].State, croft.TaskLapsed)
+	order.Run = 2
+	var rejected *plat.RejectedError
+	assert.Assert(t, asError(b.client.OrderTask(ctx, order), &rejected))
+}
+
 func TestWorkersThatFailEverything(t *testing.T) {
 	ctx := context.Background()
 	vm := croft.VM{ID: "vm1", Boot: 1, Status: croft.VMLive}
--- a/fakes/tasks.go
+++ b/fakes/tasks.go
@@ -94,6 +94,9 @@
 	if !ok || w.vm.Status == croft.VMFailed {
 		return rejected(http.StatusNotFound, "VM: %q runs no tasks", order.VM)
 	}
+	if order.Expires > 0 && p.options.Clock.Now() >= order.Expires {
+		return rejected(http.StatusConflict, "Expires: %d has passed", order.Expires)
+	}
 	known := w.tasks[order.Job]
 	if known != nil && order.Run < known.run {
 		return rejected(http.StatusConflict, "Run: %d is older than %d", order.Run, known.run)
@@ -135,7 +138,7 @@
 		run:        order.Run,
 		size:       order.Size,
 		used:       p.used(order),
-		leaseEnd:   now + order.Lease,
+		leaseEnd:   leaseEnd(now, order),
 		started:    now,
 		runTime:    max(0, croft.Millis(total)-before),
 		before:     before,
@@ -145,6 +148,14 @@
 	return nil
 }
 
+// leaseEnd is when the lease of an order ends, at its expiry at the latest.
+func leaseEnd(now croft.Millis, order croft.OrderTask) croft.Millis {
+	if order.Expires == 0 {
+		return now + order.Lease
+	}
+	return min(now+order.Lease, order.Expires)
+}
+
 func (p *Platform) changeTask(t *task, order croft.OrderTask) error {
 	now := p.options.Clock.Now()
 	if t.ended(now) {
@@ -152,7 +163,7 @@
 	}
 	switch order.Verb {
 	case croft.TaskRenew:
-		t.leaseEnd = now + order.Lease
+		t.leaseEnd = leaseEnd(now, order)
 	case croft.TaskThrottle:
 		t.throttled = true
 		t.size = order.Size
--- a/fakes/vmroutes.go
+++ b/fakes/vmroutes.go
@@ -68,6 +68,7 @@
 		Run:        asked.Run,
 		Verb:       asked.Verb,
 		Lease:      asked.Lease,
+		Expires:    asked.Expires,
 		Size:       asked.Size,
 		Checkpoint: asked.Checkpoint,
 	}
--- a/fleet/labour_test.go
+++ b/fleet/labour_test.go
@@ -98,6 +98,8 @@
 		return "the VM is gone"
 	case r != nil && f.Run < r.run:
 		return "an older run"
+	case w.now >= f.Expires:
+		return "the order has expired"
 	case f.Verb == croft.TaskStart:
 		return w.startTask(f, r)
 	case f.Verb == croft.TaskStop:
@@ -107,7 +109,7 @@
 		return "no such run"
 	}
 	if f.Verb == croft.TaskRenew {
-		r.lease = w.now + f.Lease
+		r.lease = min(w.now+f.Lease, f.Expires)
 	}
 	if f.Verb == croft.TaskCheckpoint && !r.held {
 		r.held = true
@@ -140,7 +142,7 @@
 	declared := w.job(f.Job).Declared
 	ratio := max(1, l.ratios[f.Job])
 	l.runs[f.VM][f.Job] = &taskRun{
-		run: f.Run, boot: w.vms[f.VM].Boot, lease: w.now + f.Lease, begun: w.now,
+		run: f.Run, boot: w.vms[f.VM].Boot, lease: min(w.now+f.Lease, f.Expires), begun: w.now,
 		before: before, left: l.needs[f.Job] - before, checkpoint: f.Checkpoint,
 		size:  croft.Resources{MilliCores: declared.MilliCores * ratio / 100, MemoryMB: declared.MemoryMB * ratio / 100},
 		fails: l.badWorkers[f.VM] || l.badJobs[f.Job],
--- a/place/attend.go
+++ b/place/attend.go
@@ -49,6 +49,8 @@
 
 // look decides the next order or row of one placed job.
 func (s State) look(j croft.Job, t task, now croft.Millis, in Inputs) (State, []croft.Effect, croft.Job, bool) {
+	plan, _ := in.Lease.Holder(j.Pool)
+	t = t.under(plan.Epoch, now)
 	v, listed := in.Pools.VM(j.Worker)
 	if !listed || v.Status == croft.VMFailed {
 		return s.missing(j, t, now)
@@ -72,6 +74,20 @@
 	return s, []croft.Effect{s.task(j, croft.TaskRenew)}, j, false
 }
 
+// under returns the task as a planner sees it that has just taken over: another one may have
+// renewed its lease until now, whatever this entry did when it planned before.
+func (t task) under(epoch uint64, now croft.Millis) task {
+	if t.epoch == epoch {
+		return t
+	}
+	t.epoch = epoch
+	t.renewed = now
+	if t.lost > 0 {
+		t.lost = now
+	}
+	return t
+}
+
 // missing lets the lease of a lost worker's task run out before the job waits again.
 func (s State) missing(j croft.Job, t task, now croft.Millis) (State, []croft.Effect, croft.Job, bool) {
 	if t.lost == 0 {
--- a/place/reduce.go
+++ b/place/reduce.go
@@ -8,6 +8,22 @@
 
 // Reduce returns the state after an event and the effects it asks for.
 func Reduce(s State, e croft.Event, in Inputs) (State, []croft.Effect) {
+	s, effects := s.reduce(e, in)
+	return s, expiring(effects, e.When()+TaskLease)
+}
+
+// expiring gives each order for a task the instant at which it is void.
+func expiring(effects []croft.Effect, instant croft.Millis) []croft.Effect {
+	for i, e := range effects {
+		if order, ok := e.(croft.OrderTask); ok {
+			order.Expires = instant
+			effects[i] = order
+		}
+	}
+	return effects
+}
+
+func (s State) reduce(e croft.Event, in Inputs) (State, []croft.Effect) {
 	switch e := e.(type) {
 	case croft.Tick:
 		return s.tick(e, in)
--- a/place/state.go
+++ b/place/state.go
@@ -85,6 +85,8 @@
 type task struct {
 	run  uint64
 	next croft.Millis
+	// epoch is the takeover of the pool under which this entry last looked at the task.
+	epoch uint64
 	// heard is when a worker last reported the task, or when this entry first saw it placed.
 	heard croft.Millis
 	// lost is when the worker was first seen gone, zero while it is there.
--- a/plat/calls.go
+++ b/plat/calls.go
@@ -141,6 +141,7 @@
 		Run:        order.Run,
 		Verb:       order.Verb,
 		Lease:      order.Lease,
+		Expires:    order.Expires,
 		Size:       order.Size,
 		Checkpoint: order.Checkpoint,
 	}
--- a/plat/wire.go
+++ b/plat/wire.go
@@ -46,6 +46,7 @@
 	Run        uint64
 	Verb       croft.TaskVerb
 	Lease      croft.Millis
+	Expires    croft.Millis
 	Size       croft.Resources
 	Checkpoint string
 }
