pools: an executor's word of leaving is told to all data centres

Ruled out: a lost message (no entry of b was told at all), the stale list. Change: the first word from whatever source is told to all other entries; TellPeers needs no scope any more. A fuzz target for reports of other entries.

--- a/conf/reduce.go
+++ b/conf/reduce.go
@@ -102,7 +102,7 @@
 	}}
 	if e.Accepted {
 		// Only the entry that accepted tells all others; those that learn don't, or messages would grow as the square.
-		effects = append(effects, croft.TellPeers{Scope: croft.ScopeAll})
+		effects = append(effects, croft.TellPeers{})
 	}
 	return s, effects
 }
--- a/conf/reduce_test.go
+++ b/conf/reduce_test.go
@@ -145,7 +145,7 @@
 	_, effects := Reduce(State{}, accepted, in)
 	assert.Equal(t, len(effects), 2)
 	tell, tells := effects[1].(croft.TellPeers)
-	assert.Assert(t, tells && tell.Scope == croft.ScopeAll)
+	assert.Assert(t, tells && len(tell.News) == 0)
 	fetches := 0
 	for range entries - 1 {
 		s, asked := Reduce(State{}, croft.PeerHeard{
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -41,12 +41,12 @@
 	f.heard(answer)
 }
 
-// tell sends news to each entry in scope by a message of its own.
+// tell sends news to each other entry by a message of its own.
 func (f *effects) tell(e croft.TellPeers) {
 	v := f.loop.View()
 	message := peer.Report{From: v.Self, News: e.News}
 	for _, p := range v.Entries {
-		if p.ID == v.Self.ID || (e.Scope == croft.ScopeDataCentre && p.DataCentre != v.Self.DataCentre) {
+		if p.ID == v.Self.ID {
 			continue
 		}
 		f.toPeers(func(ctx context.Context) {
--- a/effect.go
+++ b/effect.go
@@ -75,20 +75,10 @@
 	Checkpoint string
 }
 
-// Scope says which entries are told.
-type Scope string
-
-// The scopes of news.
-const (
-	ScopeDataCentre Scope = "DataCentre"
-	ScopeAll        Scope = "All"
-)
-
-// TellPeers sends news to other entries at once, without a reply.
+// TellPeers sends news to all other entries at once, without a reply.
 type TellPeers struct {
 	effectMark
-	Scope Scope
-	News  []News
+	News []News
 }
 
 // ProbePeer asks one entry whether it is there, answered by PeerHeard or PeerSilent.
--- a/pools/mark.go
+++ b/pools/mark.go
@@ -51,12 +51,9 @@
 	if source == croft.LeavingByPeer {
 		return s, nil
 	}
-	scope := croft.ScopeAll
-	if source == croft.LeavingByExecutor {
-		scope = croft.ScopeDataCentre
-	}
+	// Entries of other data centres use the endpoint too where their own are short.
 	news := croft.News{Leaving: &croft.LeavingNews{VM: id, Boot: boot}}
-	return s, []croft.Effect{croft.TellPeers{Scope: scope, News: []croft.News{news}}}
+	return s, []croft.Effect{croft.TellPeers{News: []croft.News{news}}}
 }
 
 // unmark takes a mark back where a newer order let the VM serve again.
--- a/pools/mark_test.go
+++ b/pools/mark_test.go
@@ -90,3 +90,14 @@
 	s, _ = Reduce(s, croft.Tick{At: croft.At{Time: hintSpan}}, Inputs{})
 	assert.Equal(t, len(s.Endpoints()["horn"]), 1)
 }
+
+// Entries of all data centres may use an endpoint, so whoever hears first tells them all, and once.
+func TestTheFirstWordOfLeavingIsToldOnOnce(t *testing.T) {
+	s, _ := Reduce(New(), listed(1, 1, croft.VMLive), Inputs{})
+	s, effects := Reduce(s, leaving(croft.LeavingByExecutor, 1), Inputs{})
+	assert.Equal(t, len(effects), 1)
+	news := effects[0].(croft.TellPeers).News
+	assert.Equal(t, *news[0].Leaving, croft.LeavingNews{VM: "vm1", Boot: 1})
+	_, effects = Reduce(s, leaving(croft.LeavingByExecutor, 1), Inputs{})
+	assert.Equal(t, len(effects), 0)
+}
--- /dev/null
+++ b/roster/fuzz_test.go
@@ -0,0 +1,33 @@
+package roster
+
+import (
+	"encoding/json"
+	"testing"
+
+	"waxwing.example/croft"
+	"waxwing.example/croft/peer"
+)
+
+// Whatever another entry sends: this one stays in its roster and its share within the whole.
+func FuzzReport(f *testing.F) {
+	f.Add([]byte(`{"From":{"ID":"e2","DataCentre":"d0","Address":"127.1.0.2:1"},"Beats":{"e2":7,"e9":1},"Wanted":{"p":40}}`))
+	f.Add([]byte(`{"From":{"ID":"e0"},"Count":-3}`))
+	f.Add([]byte(`{"From":{"ID":"e3"},"Known":[{"ID":"e4"},{"Address":"x"}],"Wanted":{"p":-900}}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		var r peer.Report
+		if json.Unmarshal(body, &r) != nil {
+			return
+		}
+		s, _ := Reduce(New(entry(0), Options{}), croft.PeerHeard{
+			At: croft.At{Time: 100}, Peer: r.From, Known: r.Known, Beats: r.Beats, Count: r.Count, Wanted: r.Wanted,
+		})
+		s, _ = Reduce(s, croft.TrafficCounted{At: croft.At{Time: 200}, Wanted: map[croft.PoolID]int{"p": 1}})
+		if s.Self().ID != entry(0).ID || len(s.Alive()) == 0 {
+			t.Fatal("an entry lost itself")
+		}
+		if share := s.Share("p"); share < 0 || share > wholeShare {
+			t.Fatalf("share of %d thousandths", share)
+		}
+		s.Message(300, r.From, r.Ask, 1)
+	})
+}
