--- a/roster/state.go
+++ b/roster/state.go
@@ -1,6 +1,8 @@
 package roster
 
 import (
+	"cmp"
+
 	"github.com/benbjohnson/immutable"
 
 	"waxwing.example/croft"
@@ -82,18 +84,10 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.ProbeNear == 0 {
-		o.ProbeNear = DefaultProbeNear
-	}
-	if o.ProbeFar == 0 {
-		o.ProbeFar = DefaultProbeFar
-	}
-	if o.SilentNear == 0 {
-		o.SilentNear = DefaultSilentNear
-	}
-	if o.SilentFar == 0 {
-		o.SilentFar = DefaultSilentFar
-	}
+	o.ProbeNear = cmp.Or(o.ProbeNear, DefaultProbeNear)
+	o.ProbeFar = cmp.Or(o.ProbeFar, DefaultProbeFar)
+	o.SilentNear = cmp.Or(o.SilentNear, DefaultSilentNear)
+	o.SilentFar = cmp.Or(o.SilentFar, DefaultSilentFar)
 	return o
 }
 
