--- /dev/null
+++ b/agent/perform.go
@@ -0,0 +1,177 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"sync"
+
+	"waxwing.example/croft"
+	"waxwing.example/croft/helm"
+	"waxwing.example/croft/jobs"
+	"waxwing.example/croft/sched"
+)
+
+// perform carries out an effect; none of them keeps the control goroutine waiting.
+func (a *Agent) perform(effect sched.Effect) {
+	switch e := effect.(type) {
+	case sched.Log:
+		a.Log.Log(e.Decision)
+		return
+	case sched.StepDown:
+		a.Helm.Drop()
+		return
+	}
+	a.mu.Lock()
+	ctx := a.session
+	a.mu.Unlock()
+	if ctx == nil {
+		return
+	}
+	switch e := effect.(type) {
+	case sched.Hold:
+		go a.hold(ctx, e)
+	case sched.Start:
+		go a.start(ctx, e)
+	case sched.Stop:
+		go func() { a.post(ctx, sched.Stopped{Stop: e, Err: a.Runner.Stop(ctx, e.Order)}) }()
+	case sched.Pace:
+		go a.pace(ctx, e)
+	case sched.Commit:
+		go a.commit(ctx, e)
+	case sched.ListFleet:
+		go a.listFleet(ctx, e)
+	case sched.OrderVM:
+		go func() { a.post(ctx, sched.Ordered{OrderVM: e, Err: a.Fleet.MoveOrMaintain(ctx, e.Order)}) }()
+	case sched.ReportWave:
+		a.waves.put(ctx, e)
+	case sched.Publish:
+		a.loads.put(ctx, e)
+	}
+}
+
+func (a *Agent) hold(ctx context.Context, e sched.Hold) {
+	report, err := a.Runner.Hold(ctx, e.Order)
+	a.post(ctx, sched.Holding{Hold: e, Report: report, Err: err})
+}
+
+func (a *Agent) start(ctx context.Context, e sched.Start) {
+	clock, err := a.Runner.Start(ctx, e.Order)
+	a.post(ctx, sched.Started{Start: e, Clock: clock, Err: err})
+}
+
+func (a *Agent) pace(ctx context.Context, e sched.Pace) {
+	if err := a.Runner.Pace(ctx, e.Order); err != nil {
+		a.Log.Warn("Pace", e.Order.Task.String(), err.Error())
+	}
+}
+
+func (a *Agent) commit(ctx context.Context, e sched.Commit) {
+	version, err := a.Table.Commit(ctx, e.Ops)
+	a.post(ctx, sched.Committed{Commit: e, Version: version, Err: err})
+}
+
+func (a *Agent) listFleet(ctx context.Context, e sched.ListFleet) {
+	vms, err := a.Fleet.ListFleet(ctx)
+	if err != nil {
+		a.Log.Warn("VMs", "list", err.Error())
+		vms = nil
+	}
+	a.post(ctx, sched.FleetRead{Asked: e.Asked, VMs: vms})
+}
+
+// waveTable holds which VMs of each wave have begun their maintenance.
+const waveTable = "wave"
+
+func decodeBegun(key string, raw []byte) (int, []croft.VMID, error) {
+	number, err := strconv.Atoi(key)
+	if err != nil {
+		return 0, nil, err
+	}
+	var vms []croft.VMID
+	err = json.Unmarshal(raw, &vms)
+	return number, vms, err
+}
+
+// waveWriter publishes the newest state of each wave, one write at a time.
+type waveWriter struct {
+	agent  *Agent
+	mu     sync.Mutex
+	newest map[int]sched.ReportWave
+	busy   map[int]bool
+}
+
+func (w *waveWriter) put(ctx context.Context, e sched.ReportWave) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.newest == nil {
+		w.newest, w.busy = map[int]sched.ReportWave{}, map[int]bool{}
+	}
+	w.newest[e.Number] = e
+	if !w.busy[e.Number] {
+		w.busy[e.Number] = true
+		go w.write(ctx, e.Number)
+	}
+}
+
+func (w *waveWriter) write(ctx context.Context, number int) {
+	for {
+		w.mu.Lock()
+		e, ok := w.newest[number]
+		delete(w.newest, number)
+		if !ok || ctx.Err() != nil {
+			w.busy[number] = false
+			w.mu.Unlock()
+			return
+		}
+		w.mu.Unlock()
+		if err := w.writeOne(ctx, e); err != nil {
+			w.agent.Log.Warn("Wave", strconv.Itoa(number), err.Error())
+			w.mu.Lock()
+			if _, newer := w.newest[number]; !newer {
+				w.newest[number] = e
+			}
+			w.mu.Unlock()
+			if w.agent.Clock.Sleep(ctx, againSpan) != nil {
+				continue
+			}
+		}
+	}
+}
+
+func (w *waveWriter) writeOne(ctx context.Context, e sched.ReportWave) error {
+	key := waveTable + "//" + strconv.Itoa(e.Number)
+	ops := []croft.Op{{Kind: croft.OpPut, Key: key, Version: croft.AnyVersion, Value: jobs.Encode(e.Begun)}}
+	if _, err := w.agent.Table.Commit(ctx, ops); err != nil {
+		return err
+	}
+	return w.agent.Fleet.ReportWave(ctx, e.Number, e.Finished)
+}
+
+// loadsKey is the row in which the leader says what each queue can take.
+const loadsKey = helm.Table + "//loads"
+
+// loadWriter publishes the newest loads, one write at a time.
+type loadWriter struct {
+	agent *Agent
+	mu    sync.Mutex
+	busy  bool
+}
+
+func (w *loadWriter) put(ctx context.Context, e sched.Publish) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.busy {
+		return
+	}
+	w.busy = true
+	go func() {
+		ops := []croft.Op{{Kind: croft.OpPut, Key: loadsKey, Version: croft.AnyVersion, Value: jobs.Encode(e.Loads)}}
+		if _, err := w.agent.Table.Commit(ctx, ops); err != nil {
+			w.agent.Log.Warn("Loads", "leader", err.Error())
+		}
+		w.mu.Lock()
+		w.busy = false
+		w.mu.Unlock()
+	}()
+}
--- a/entry/main.go
+++ b/entry/main.go
@@ -5,6 +5,12 @@
 	"os"
 
 	"waxwing.example/croft/daemon"
+	"waxwing.example/croft/platform"
 )
 
-func main() { os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() {
+	if os.Getenv(platform.SettingsVariable) != "" {
+		os.Exit(platform.Main(os.Stdout, os.Stderr))
+	}
+	os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/helm/helm.go
@@ -0,0 +1,247 @@
+package helm
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"waxwing.example/croft"
+)
+
+// Table holds the row of the lead and what the leader publishes.
+const Table = "lead"
+
+// Key is the row of the lead.
+const Key = Table + "//leader"
+
+// Spans of the lead, as shares of the lease.
+const (
+	// renewShare is the part of the lease after which it is renewed, so that two renewals may fail.
+	renewShare = 4
+	// marginShare is the part of the lease that a holder leaves unused, for the way of an order.
+	marginShare = 10
+	// rankWait keeps candidates from racing for a lapsed lead.
+	rankWait = 60 * croft.Millis(1)
+	// retryWait is the pause after a failed renewal.
+	retryWait = 150 * croft.Millis(1)
+	// stepWait is how often the lead is looked at.
+	stepWait = 100 * croft.Millis(1)
+)
+
+// row is the value of the row of the lead.
+type row struct {
+	Holder string
+	// Nonce tells one write of a holder from all others.
+	Nonce string
+	// Term counts the takeovers.
+	Term int
+}
+
+// Lead is one tenure of this entry.
+type Lead struct {
+	// Fence is the fencing token of all orders.
+	Fence uint64
+	Term  int
+}
+
+// Helm follows the row of the lead and takes the lead when it lapses.
+type Helm struct {
+	self  string
+	rank  croft.Millis
+	lease croft.Millis
+	table croft.Table
+	clock croft.Clock
+
+	mu sync.Mutex
+	// seen is the newest row known, and since when it has stood still.
+	seen    croft.Row
+	value   row
+	since   croft.Millis
+	read    croft.Millis
+	known   bool
+	lead    *Lead
+	valid   croft.Millis
+	renewed croft.Millis
+}
+
+// New returns a helm of an entry; its rank spaces the candidates.
+func New(self string, rank int, lease croft.Millis, table croft.Table, clock croft.Clock) *Helm {
+	return &Helm{self: self, rank: rankWait * croft.Millis(rank), lease: lease, table: table, clock: clock}
+}
+
+// ErrNotLeading tells that an order was held back since the lead has lapsed or passed on.
+var ErrNotLeading = errors.New("helm: this entry does not lead")
+
+// Guard returns an error where orders may not be given any more.
+func (h *Helm) Guard() error {
+	now := h.clock.Elapsed()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.lead == nil || now >= h.valid {
+		return ErrNotLeading
+	}
+	return nil
+}
+
+// Lead returns the present tenure, nil where another entry may lead.
+func (h *Helm) Lead() *Lead {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.lead
+}
+
+// Drop ends the tenure at once, since a higher fencing token was seen.
+func (h *Helm) Drop() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lead = nil
+	h.known = false
+}
+
+// Observe takes in an answer of the feed: the row of the lead, or that it did not change.
+func (h *Helm) Observe(changes croft.Changes, whole bool) {
+	now := h.clock.Elapsed()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.read = now
+	if whole && !h.known {
+		h.known, h.since = true, now
+		h.seen, h.value = croft.Row{Key: Key}, row{}
+	}
+	for _, r := range changes.Rows {
+		if r.Key == Key {
+			h.observeRow(r, now)
+		}
+	}
+}
+
+func (h *Helm) observeRow(r croft.Row, now croft.Millis) {
+	if r.Version <= h.seen.Version {
+		return
+	}
+	var value row
+	if err := json.Unmarshal(r.Value, &value); err != nil {
+		// An unreadable row is taken over like a lapsed one.
+		value = row{}
+	}
+	h.seen, h.value, h.since = r, value, now
+	if h.lead != nil && value.Holder != h.self {
+		h.lead = nil
+	}
+}
+
+// Run takes and renews the lead until the context ends; notify is called whenever it changed hands.
+func (h *Helm) Run(ctx context.Context, notify func(*Lead)) error {
+	var told *Lead
+	for ctx.Err() == nil {
+		h.step(ctx)
+		if lead := h.Lead(); lead != told {
+			told = lead
+			notify(lead)
+		}
+		if err := h.clock.Sleep(ctx, stepWait); err != nil {
+			return err
+		}
+	}
+	return ctx.Err()
+}
+
+func (h *Helm) step(ctx context.Context) {
+	now := h.clock.Elapsed()
+	h.mu.Lock()
+	leading := h.lead != nil
+	due := now-h.renewed >= h.lease/renewShare
+	lapsed := h.known && now-h.read < h.lease/2 && (h.value.Holder == "" || now-h.since >= h.lease+h.rank)
+	if h.known && h.value.Holder == "" && now-h.since < h.rank {
+		lapsed = false
+	}
+	h.mu.Unlock()
+	switch {
+	case leading && due:
+		h.write(ctx, false)
+	case !leading && lapsed:
+		h.write(ctx, true)
+	}
+}
+
+// write renews the lead or takes it over.
+func (h *Helm) write(ctx context.Context, takeover bool) {
+	h.mu.Lock()
+	value := row{Holder: h.self, Nonce: uuid.NewString(), Term: h.value.Term}
+	expected := h.seen.Version
+	h.mu.Unlock()
+	if takeover {
+		value.Term++
+	}
+	raw, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	sent := h.clock.Elapsed()
+	version, err := h.table.Commit(ctx, []croft.Op{{Kind: croft.OpPut, Key: Key, Version: expected, Value: raw}})
+	if err != nil {
+		version, err = h.settle(ctx, value, err)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err != nil {
+		h.renewed = sent - h.lease/renewShare + retryWait
+		return
+	}
+	h.seen, h.value, h.since = croft.Row{Key: Key, Version: version, Value: raw}, value, h.clock.Elapsed()
+	h.renewed, h.valid = sent, sent+h.lease-h.lease/marginShare
+	if takeover {
+		h.lead = &Lead{Fence: version, Term: value.Term}
+	}
+}
+
+// settle reads back a write that was refused or not answered.
+func (h *Helm) settle(ctx context.Context, value row, failed error) (uint64, error) {
+	var conflict *croft.ConflictError
+	if !errors.As(failed, &conflict) {
+		var lost *croft.LostAnswerError
+		if !errors.As(failed, &lost) {
+			return 0, failed
+		}
+		got, err := h.table.Get(ctx, Key)
+		if err != nil {
+			return 0, err
+		}
+		conflict = &croft.ConflictError{Rows: []croft.Row{got}}
+	}
+	now := h.clock.Elapsed()
+	for _, r := range conflict.Rows {
+		var current row
+		if json.Unmarshal(r.Value, &current) == nil && current.Nonce == value.Nonce {
+			return r.Version, nil
+		}
+		h.mu.Lock()
+		h.observeRow(r, now)
+		h.mu.Unlock()
+	}
+	return 0, failed
+}
+
+// Release gives the lead back at a planned stop, so that another entry takes it at once.
+func (h *Helm) Release(ctx context.Context) {
+	h.mu.Lock()
+	lead, expected, term := h.lead, h.seen.Version, h.value.Term
+	h.lead = nil
+	h.known = false
+	h.mu.Unlock()
+	if lead == nil {
+		return
+	}
+	raw, err := json.Marshal(row{Nonce: uuid.NewString(), Term: term})
+	if err != nil {
+		panic(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	// Without an answer the lead lapses by itself.
+	_, _ = h.table.Commit(ctx, []croft.Op{{Kind: croft.OpPut, Key: Key, Version: expected, Value: raw}})
+}
--- a/platform.go
+++ b/platform.go
@@ -27,6 +27,9 @@
 	OpDelete OpKind = "Delete"
 )
 
+// AnyVersion as an operation's Version leaves the row's version unchecked; only tables that say so take it.
+const AnyVersion = ^uint64(0)
+
 // Op is one compare-and-set operation of a transaction.
 type Op struct {
 	Kind OpKind
--- /dev/null
+++ b/sched/fleet.go
@@ -0,0 +1,80 @@
+package sched
+
+import (
+	"slices"
+
+	"waxwing.example/croft"
+)
+
+// fleet is what the platform's list of VMs said last.
+type fleet struct {
+	// complete says that a list was read since the takeover.
+	complete bool
+	vms      map[croft.VMID]croft.FleetVM
+	byWorker map[croft.WorkerID]croft.VMID
+	// unregistered are VMs that are up with an executor that is not registered.
+	unregistered []croft.FleetVM
+	asked        croft.Millis
+	asking       bool
+	wanted       bool
+}
+
+// Spans of the list of VMs; each reading is charged, and the platform bounds them to some tens a second.
+const (
+	fleetPause = 400 * croft.Millis(1)
+	// fleetOverdue is when a list without an answer is asked for again.
+	fleetOverdue = 4 * croft.Second
+)
+
+func (p *Planner) askFleet() { p.fleet.wanted = true }
+
+func (p *Planner) pollFleet() {
+	f := &p.fleet
+	if f.asking && p.now.Elapsed-f.asked > fleetOverdue {
+		f.asking = false
+	}
+	if !f.complete || p.waveAway() {
+		f.wanted = true
+	}
+	if !f.wanted || f.asking || (f.asked != 0 && p.now.Elapsed-f.asked < fleetPause) {
+		return
+	}
+	f.wanted, f.asking, f.asked = false, true, p.now.Elapsed
+	p.do(ListFleet{Asked: p.now.Elapsed})
+}
+
+func (p *Planner) takeFleet(e FleetRead) {
+	f := &p.fleet
+	f.asking = false
+	if e.VMs == nil {
+		return
+	}
+	f.complete = true
+	f.vms = make(map[croft.VMID]croft.FleetVM, len(e.VMs))
+	f.byWorker = make(map[croft.WorkerID]croft.VMID, len(e.VMs))
+	f.unregistered = nil
+	for _, vm := range e.VMs {
+		f.vms[vm.ID] = vm
+		if vm.Worker == "" {
+			continue
+		}
+		f.byWorker[vm.Worker] = vm.ID
+		if w, ok := p.workers[vm.Worker]; vm.State == croft.FleetUp && !ok && !p.rule(vm.Pool).Spare {
+			f.unregistered = append(f.unregistered, vm)
+		} else if ok && vm.State != croft.FleetUp && !w.verified {
+			p.lifeOver(w, "its VM is "+string(vm.State))
+		}
+	}
+	for id, w := range p.workers {
+		if _, ok := f.byWorker[id]; !ok && !w.verified {
+			p.lifeOver(w, "no VM has it any more")
+		}
+	}
+	slices.SortFunc(f.unregistered, func(a, b croft.FleetVM) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	p.checkWaves(e)
+}
--- /dev/null
+++ b/sched/hold.go
@@ -0,0 +1,277 @@
+package sched
+
+import (
+	"errors"
+	"fmt"
+
+	"waxwing.example/croft"
+)
+
+// Spans of holds.
+const (
+	// holdWait is how long an executor may keep a hold waiting; the platform takes at most 2 s.
+	holdWait = 2 * croft.Second
+	// settleWait is the pause before a hold whose ends are not stored yet, which would come back at once.
+	settleWait = 150 * croft.Millis(1)
+	// retryWait and retryLongest pace holds of an executor that does not answer.
+	retryWait    = 200 * croft.Millis(1)
+	retryLongest = 1 * croft.Second
+)
+
+// holdIdle sends the holds that are due.
+func (p *Planner) holdIdle() {
+	for id, w := range p.idle {
+		if p.now.Elapsed < w.nextHold || w.Address == "" {
+			continue
+		}
+		if !w.verified && !w.listed && p.now.Elapsed >= w.granted {
+			continue
+		}
+		delete(p.idle, id)
+		w.holding = true
+		p.sendHold(w, false)
+	}
+}
+
+func (p *Planner) sendHold(w *worker, check bool) {
+	order := croft.HoldOrder{Worker: w.ID, Address: w.Address, Fence: p.fence, Until: p.until(w)}
+	if w.verified {
+		order.Seen = w.seen
+		if !check {
+			order.Wait = holdWait
+		}
+	}
+	p.do(Hold{Order: order, Sent: p.now.Elapsed, Check: check})
+}
+
+// check asks a worker for its lists at once, beside the hold that waits.
+func (p *Planner) check(w *worker) {
+	if !w.checking && w.verified {
+		w.checking = true
+		p.sendHold(w, true)
+	}
+}
+
+func (p *Planner) takeHold(e Holding) {
+	w, ok := p.workers[e.Order.Worker]
+	if !ok {
+		return
+	}
+	if e.Check {
+		w.checking = false
+	} else {
+		w.holding = false
+		p.idle[w.ID] = w
+	}
+	if e.Err != nil {
+		p.holdFailed(w, e)
+		return
+	}
+	p.holdAnswered(w, e)
+}
+
+func (p *Planner) holdFailed(w *worker, e Holding) {
+	var refused *croft.RunRefusedError
+	if errors.As(e.Err, &refused) {
+		switch refused.Reason {
+		case croft.RefusedFence:
+			p.stepDown("an executor has seen a higher fencing token")
+			return
+		case croft.RefusedLife:
+			p.lifeOver(w, "another executor answers at its address")
+		}
+	}
+	if w.verified {
+		p.log("Lost", string(w.ID), "", e.Err.Error())
+		p.askFleet()
+	}
+	w.verified = false
+	w.misses++
+	w.nextHold = p.now.Elapsed + min(retryWait*croft.Millis(w.misses), retryLongest)
+}
+
+func (p *Planner) holdAnswered(w *worker, e Holding) {
+	if w.born != 0 && e.Report.Born != w.born {
+		if e.Report.Born < w.born {
+			return
+		}
+		p.lifeOver(w, "it answered with a later start")
+	}
+	w.born = e.Report.Born
+	w.heard, w.misses = p.now.Elapsed, 0
+	w.ahead, w.clockKnown = e.Report.Clock-p.now.Elapsed, true
+	if !w.verified {
+		if e.Order.Seen != 0 || e.Order.Wait != 0 {
+			// The lists of a new life must be asked for without forgetting ends.
+			w.nextHold = p.now.Elapsed
+			return
+		}
+		w.verified = true
+		p.log("Verified", string(w.ID), "", fmt.Sprintf("%d run, %d ended", len(e.Report.Active), len(e.Report.Ended)))
+	}
+	for _, end := range e.Report.Ended {
+		if end.Number > w.noted {
+			p.takeEnd(w, end)
+		}
+	}
+	p.compareRuns(w, e)
+	p.forgetAcked(w)
+	w.nextHold = p.now.Elapsed
+	if len(w.acks) > 0 {
+		w.nextHold += settleWait
+	}
+}
+
+// takeEnd takes in one end.
+func (p *Planner) takeEnd(w *worker, end croft.EndedRun) {
+	w.noted = end.Number
+	entry := ack{number: end.Number}
+	s, index := p.find(end.Task)
+	if r := w.runs[end.Task]; r != nil && r.number == end.Run {
+		p.drop(r)
+	}
+	if s == nil || s.job.ended {
+		w.acks = append(w.acks, entry)
+		return
+	}
+	t := &s.tasks[index]
+	t.number = max(t.number, end.Run)
+	if end.Checkpoint != "" && !t.done {
+		t.checkpoint = end.Checkpoint
+	}
+	switch end.How {
+	case croft.EndDone:
+		w.blamed = 0
+		p.endDone(s, index)
+		entry.job, entry.sequence = s.job, s.job.sequence
+	case croft.EndFailed:
+		p.log("Failed", end.Task.String(), string(w.ID), fmt.Sprintf("run %d", end.Run))
+		p.blame(w)
+		p.taskFailed(s, index, end.Run, w.ID)
+		entry.job, entry.sequence = s.job, s.job.sequence
+	default:
+		p.log("Ended", end.Task.String(), string(w.ID), fmt.Sprintf("run %d %s", end.Run, end.How))
+	}
+	if t.run == nil {
+		p.requeue(s, index)
+	}
+	w.acks = append(w.acks, entry)
+}
+
+// endDone notes a finished task, and those of its gang with it.
+func (p *Planner) endDone(s *stage, index int) {
+	p.taskDone(s, index)
+	if r := s.tasks[index].run; r != nil {
+		p.stopRun(r, "another run finished the task")
+	}
+	if !s.spec.Gang {
+		return
+	}
+	for i := range s.tasks {
+		p.taskDone(s, i)
+	}
+}
+
+// find returns the stage of a task that is not forgotten.
+func (p *Planner) find(id croft.TaskID) (*stage, int) {
+	j, ok := p.jobs[id.Job]
+	if !ok {
+		return nil, 0
+	}
+	s := j.stage(id.Occurrence, id.Step)
+	if s == nil || id.Index >= len(s.tasks) {
+		return nil, 0
+	}
+	return s, id.Index
+}
+
+// compareRuns brings what is known of a worker's runs in line with its list.
+func (p *Planner) compareRuns(w *worker, e Holding) {
+	listed := make(map[croft.TaskID]bool, len(e.Report.Active))
+	for _, a := range e.Report.Active {
+		listed[a.Task] = true
+		p.takeActive(w, a)
+	}
+	for id, r := range w.runs {
+		if listed[id] || r.known == 0 || r.known >= e.Sent {
+			continue
+		}
+		p.log("Vanished", id.String(), string(w.ID), fmt.Sprintf("run %d is in neither list", r.number))
+		p.drop(r)
+		p.requeue(r.stage, r.index)
+	}
+}
+
+func (p *Planner) takeActive(w *worker, a croft.ActiveRun) {
+	s, index := p.find(a.Task)
+	if s == nil {
+		if p.read {
+			p.stopUnknown(w, a)
+		}
+		return
+	}
+	t := &s.tasks[index]
+	t.number = max(t.number, a.Run)
+	r := w.runs[a.Task]
+	if r == nil || r.number < a.Run {
+		r = p.adopt(w, s, index, a)
+	}
+	if r.number != a.Run {
+		return
+	}
+	if r.phase == phaseStarting || r.phase == phaseDoubtful {
+		r.phase, r.known = phaseActive, p.now.Elapsed
+	}
+	r.percent, r.gauge = a.Percent, a.Gauge
+	if a.Checkpoint != "" {
+		t.checkpoint = a.Checkpoint
+	}
+	if a.Percent >= atWork && t.run == r {
+		t.idle, t.taken = p.now.Elapsed, false
+	}
+	if (t.done || s.job.ended) && r.phase != phaseStopping {
+		p.stopRun(r, "its task has ended")
+	}
+}
+
+// atWork is the percentage of an endless task that serves.
+const atWork = 100
+
+// adopt takes over a run that a former leader or a late order started.
+func (p *Planner) adopt(w *worker, s *stage, index int, a croft.ActiveRun) *run {
+	if old := w.runs[a.Task]; old != nil {
+		p.drop(old)
+	}
+	r := &run{stage: s, index: index, number: a.Run, worker: w, phase: phaseActive, began: p.now.Elapsed, known: p.now.Elapsed}
+	p.add(r)
+	t := &s.tasks[index]
+	if t.run != nil && t.run != r {
+		p.stopRun(r, "the task has another run")
+		return r
+	}
+	t.run = r
+	s.waiting = without(s.waiting, index)
+	return r
+}
+
+func without(waiting []int, index int) []int {
+	out := waiting[:0]
+	for _, i := range waiting {
+		if i != index {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// forgetAcked moves the mark up to which the executor may forget ends.
+func (p *Planner) forgetAcked(w *worker) {
+	for len(w.acks) > 0 {
+		a := w.acks[0]
+		if a.job != nil && a.job.stored < a.sequence {
+			return
+		}
+		w.seen = a.number
+		w.acks = w.acks[1:]
+	}
+}
--- /dev/null
+++ b/sched/order.go
@@ -0,0 +1,156 @@
+package sched
+
+import (
+	"errors"
+	"fmt"
+
+	"waxwing.example/croft"
+	"waxwing.example/croft/jobs"
+)
+
+// stopRepeat is the pause before a stop whose end is not listed is sent again.
+const stopRepeat = 700 * croft.Millis(1)
+
+func (p *Planner) runOrder(w *worker, id croft.TaskID, number int) croft.RunOrder {
+	return croft.RunOrder{Worker: w.ID, Address: w.Address, Task: id, Run: number, Fence: p.fence}
+}
+
+// startRun orders the next run of a task.
+func (p *Planner) startRun(s *stage, index int, w *worker, number int) {
+	t := &s.tasks[index]
+	t.number = number
+	r := &run{stage: s, index: index, number: number, worker: w, began: p.now.Elapsed}
+	id := s.id(index)
+	t.run = r
+	p.add(r)
+	order := p.runOrder(w, id, number)
+	order.Payload, order.Checkpoint, order.Until = s.job.record.Spec.Payload, t.checkpoint, p.until(w)
+	p.do(Start{Order: order, Sent: p.now.Elapsed})
+	if !s.job.began {
+		s.job.began = true
+		s.job.progress.Status = jobs.Running
+		p.log("Begin", string(s.job.id), string(w.ID), fmt.Sprintf("first task after %d ms", p.now.Elapsed-s.job.came))
+		p.touch(s.job)
+	}
+}
+
+// stopRun orders the end of a run.
+func (p *Planner) stopRun(r *run, reason string) {
+	if r.phase == phaseStopping {
+		return
+	}
+	p.log("Stop", r.stage.id(r.index).String(), string(r.worker.ID), fmt.Sprintf("run %d: %s", r.number, reason))
+	r.phase = phaseStopping
+	r.known = 0
+	p.sendStop(r)
+}
+
+func (p *Planner) sendStop(r *run) {
+	r.stopped = p.now.Elapsed
+	p.do(Stop{Order: p.runOrder(r.worker, r.stage.id(r.index), r.number), Sent: p.now.Elapsed})
+}
+
+// stopUnknown ends a run whose job has ended.
+func (p *Planner) stopUnknown(w *worker, a croft.ActiveRun) {
+	p.log("Stop", a.Task.String(), string(w.ID), fmt.Sprintf("run %d: its job is not known any more", a.Run))
+	p.do(Stop{Order: p.runOrder(w, a.Task, a.Run), Sent: p.now.Elapsed})
+}
+
+// repeatStops sends stops again whose end was not listed.
+func (p *Planner) repeatStops() {
+	for _, w := range p.workers {
+		for _, r := range w.runs {
+			if r.phase == phaseStopping && r.known == 0 && w.verified && p.now.Elapsed-r.stopped >= stopRepeat {
+				p.sendStop(r)
+			}
+		}
+	}
+}
+
+func (p *Planner) takeStopped(e Stopped) {
+	w, r := p.runOf(e.Order)
+	if r == nil || p.refusedForAll(w, e.Err) || e.Err != nil {
+		return
+	}
+	// From here on the run cannot begin any more; a list asked for after it has stopped tells
+	// whether it is gone.
+	r.known = p.now.Elapsed + p.options.Stop
+}
+
+func (p *Planner) runOf(order croft.RunOrder) (*worker, *run) {
+	w, ok := p.workers[order.Worker]
+	if !ok {
+		return nil, nil
+	}
+	r := w.runs[order.Task]
+	if r == nil || r.number != order.Run {
+		return w, nil
+	}
+	return w, r
+}
+
+// refusedForAll handles refusals that concern more than one run.
+func (p *Planner) refusedForAll(w *worker, err error) bool {
+	var refused *croft.RunRefusedError
+	if !errors.As(err, &refused) {
+		return false
+	}
+	switch refused.Reason {
+	case croft.RefusedFence:
+		p.stepDown("an executor has seen a higher fencing token")
+		return true
+	case croft.RefusedLife:
+		p.lifeOver(w, "another executor answers at its address")
+		return true
+	}
+	return false
+}
+
+func (p *Planner) takeStarted(e Started) {
+	w, r := p.runOf(e.Order)
+	if r == nil || p.refusedForAll(w, e.Err) {
+		return
+	}
+	if e.Err == nil {
+		r.known = p.now.Elapsed
+		if r.phase == phaseStarting {
+			r.phase = phaseActive
+		}
+		w.ahead, w.clockKnown = e.Clock-p.now.Elapsed, true
+		return
+	}
+	p.startFailed(w, r, e.Err)
+}
+
+// Pauses after a refused start.
+const (
+	// roomWait lets an executor without room finish something.
+	roomWait = 200 * croft.Millis(1)
+	// sickWait keeps work from an executor that says that it is unhealthy.
+	sickWait = 1 * croft.Second
+)
+
+func (p *Planner) startFailed(w *worker, r *run, err error) {
+	id := r.stage.id(r.index).String()
+	var refused *croft.RunRefusedError
+	var unavailable *croft.UnavailableError
+	switch {
+	case errors.As(err, &refused):
+		p.log("Refused", id, string(w.ID), fmt.Sprintf("run %d: %s", r.number, refused.Reason))
+		w.resting = max(w.resting, p.now.Elapsed+roomWait)
+		p.drop(r)
+		p.requeue(r.stage, r.index)
+	case errors.As(err, &unavailable):
+		p.log("Unhealthy", id, string(w.ID), fmt.Sprintf("run %d: %v", r.number, err))
+		w.resting = max(w.resting, p.now.Elapsed+sickWait)
+		p.drop(r)
+		p.requeue(r.stage, r.index)
+	default:
+		p.log("Unanswered", id, string(w.ID), fmt.Sprintf("run %d: %v", r.number, err))
+		if r.phase == phaseStopping {
+			return
+		}
+		// The order may be carried out later, unless a stop for the same run gets there.
+		p.stopRun(r, "its start got no answer")
+	}
+}
--- /dev/null
+++ b/sched/place.go
@@ -0,0 +1,337 @@
+package sched
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"waxwing.example/croft"
+)
+
+// rank orders the stages that wait for room; lower ranks go first.
+type rank struct {
+	// tier is 0 for endless tasks, whose absence is never excused, and 1 for others.
+	tier     int
+	priority int
+	// lost is 1 for a job that cannot be on time any more and 2 for one of no more use.
+	lost int
+	due  croft.Millis
+}
+
+func (a rank) compare(b rank) int {
+	return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.priority, b.priority), cmp.Compare(a.lost, b.lost), cmp.Compare(a.due, b.due))
+}
+
+// uselessAfter times the objective is when a job is of no more use to its caller: the platform's
+// pages call it late up to there.
+const uselessAfter = 3
+
+func (p *Planner) rankOf(s *stage) rank {
+	j := s.job
+	r := rank{tier: 1, priority: j.record.Priority, due: j.due}
+	if q, ok := p.queues[j.record.Queue]; ok {
+		r.priority = q.Priority
+	}
+	if s.spec.Endless {
+		r.tier = 0
+		return r
+	}
+	switch left := p.now.Elapsed + j.tail[s.step]; {
+	case left > j.came+uselessAfter*(j.due-j.came):
+		r.lost = 2
+	case left > j.due:
+		r.lost = 1
+	}
+	return r
+}
+
+// candidate is a stage with its rank.
+type candidate struct {
+	stage *stage
+	rank  rank
+}
+
+// place starts what waits and fits.
+func (p *Planner) place() {
+	for _, po := range p.pools {
+		if len(po.jobs) > 0 && len(po.order) > 0 {
+			p.placePool(po)
+		}
+	}
+}
+
+func (p *Planner) placePool(po *pool) {
+	var waiting []candidate
+	hidden := p.mayHideRuns(po)
+	for _, j := range po.jobs {
+		if j.before && (hidden || !p.read) {
+			continue
+		}
+		for _, s := range j.stages {
+			if s.open && len(s.waiting) > 0 {
+				waiting = append(waiting, candidate{stage: s, rank: p.rankOf(s)})
+			}
+		}
+	}
+	slices.SortStableFunc(waiting, func(a, b candidate) int { return a.rank.compare(b.rank) })
+	for _, c := range waiting {
+		if c.stage.spec.Gang {
+			p.placeGang(po, c.stage)
+			continue
+		}
+		p.placeStage(po, c.stage)
+	}
+}
+
+// placeStage starts as many tasks of a stage as fit.
+func (p *Planner) placeStage(po *pool, s *stage) {
+	for _, index := range slices.Clone(s.waiting) {
+		w := p.choose(po, s, index)
+		if w == nil {
+			if s.spec.Endless {
+				p.makeRoom(po, s, index)
+			}
+			return
+		}
+		s.waiting = without(s.waiting, index)
+		p.startRun(s, index, w, s.tasks[index].number+1)
+	}
+}
+
+// placeGang starts all tasks of a gang at once or none.
+func (p *Planner) placeGang(po *pool, s *stage) {
+	if len(s.waiting) < s.left {
+		return
+	}
+	chosen := make([]*worker, 0, len(s.waiting))
+	number := 0
+	needs := (&run{stage: s}).needs()
+	for _, index := range s.waiting {
+		w := p.choose(po, s, index)
+		if w == nil {
+			break
+		}
+		w.used = w.used.Plus(needs)
+		chosen = append(chosen, w)
+		number = max(number, s.tasks[index].number)
+	}
+	for _, w := range chosen {
+		w.used = w.used.Minus(needs)
+	}
+	if len(chosen) < len(s.waiting) {
+		return
+	}
+	checkpoint := p.gangCheckpoint(s)
+	for i, index := range slices.Clone(s.waiting) {
+		s.tasks[index].checkpoint = checkpoint
+		p.startRun(s, index, chosen[i], number+1)
+	}
+	s.waiting = nil
+}
+
+// gangCheckpoint returns one checkpoint for all members: any member's is valid for all.
+func (p *Planner) gangCheckpoint(s *stage) string {
+	for _, t := range s.tasks {
+		if t.checkpoint != "" {
+			return t.checkpoint
+		}
+	}
+	return ""
+}
+
+// choose returns the worker for a task, nil where none has room.
+func (p *Planner) choose(po *pool, s *stage, index int) *worker {
+	needs := (&run{stage: s}).needs()
+	var best *worker
+	var bestScore int64
+	for _, w := range po.order {
+		if !p.usable(w) || !p.admits(w, s, index) || !w.used.Plus(needs).Fits(w.Room) {
+			continue
+		}
+		if score := p.score(w, s, index); best == nil || score < bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// admits reports whether a step's own conditions allow a worker.
+func (p *Planner) admits(w *worker, s *stage, index int) bool {
+	if s.spec.Requires != "" && !slices.Contains(w.Labels, s.spec.Requires) {
+		return false
+	}
+	if r := w.runs[s.id(index)]; r != nil {
+		return false
+	}
+	return s.spec.MostPerWorker == 0 || p.together(w, s) < s.spec.MostPerWorker
+}
+
+// together counts the tasks of a stage on a worker.
+func (p *Planner) together(w *worker, s *stage) int {
+	n := 0
+	for i := range s.tasks {
+		if r := s.tasks[i].run; r != nil && r.worker == w {
+			n++
+		}
+	}
+	for _, r := range w.runs {
+		if r.stage == s && s.tasks[r.index].run != r {
+			n++
+		}
+	}
+	return n
+}
+
+// Weights of a placement, larger than any number of free milli-cores, the most important first.
+const (
+	// remoteScore keeps tasks near their data: elsewhere they take remote_factor times as long.
+	remoteScore = int64(1) << 40
+	// avoidScore keeps a task from the executor on which it failed.
+	avoidScore = int64(1) << 38
+	// togetherScore spreads endless tasks of a step, so that one loss takes one of them.
+	togetherScore = int64(1) << 30
+	// dueScore keeps endless tasks from VMs that will be maintained.
+	dueScore = int64(1) << 34
+	// blameScore keeps tasks from executors on which the last ones failed.
+	blameScore = int64(1) << 28
+)
+
+// score is lower for a better worker: short jobs are packed, endless tasks are spread.
+func (p *Planner) score(w *worker, s *stage, index int) int64 {
+	score := int64(w.blamed) * blameScore
+	if s.spec.DataRack != "" && w.Rack != s.spec.DataRack {
+		score += remoteScore
+	}
+	if s.tasks[index].avoid == w.ID {
+		score += avoidScore
+	}
+	if s.spec.SameRack && p.rackOf(s) != "" && p.rackOf(s) != w.Rack {
+		score += remoteScore
+	}
+	if s.spec.Endless {
+		score += int64(p.together(w, s))*togetherScore + w.used.MilliCores
+		if p.dueForWave(w) {
+			score += dueScore
+		}
+		return score
+	}
+	return score + w.Room.MilliCores - w.used.MilliCores
+}
+
+// rackOf returns the rack on which a stage has begun.
+func (p *Planner) rackOf(s *stage) croft.RackID {
+	for _, t := range s.tasks {
+		if t.run != nil {
+			return t.run.worker.Rack
+		}
+	}
+	return ""
+}
+
+// makeRoom stops short tasks for an endless one that fits nowhere, on the worker that loses least.
+func (p *Planner) makeRoom(po *pool, s *stage, index int) {
+	needs := (&run{stage: s}).needs()
+	var best []*run
+	for _, w := range po.order {
+		if !p.usable(w) || !p.admits(w, s, index) {
+			continue
+		}
+		victims, stopping := p.victims(w, needs)
+		if stopping {
+			return
+		}
+		if victims != nil && (best == nil || len(victims) < len(best)) {
+			best = victims
+		}
+	}
+	for _, r := range best {
+		p.stopRun(r, fmt.Sprintf("%s needs the room", s.id(index)))
+	}
+}
+
+// victims returns the youngest short runs whose end makes room, nil where that is not enough;
+// stopping says that room is being made already.
+func (p *Planner) victims(w *worker, needs croft.Resources) (victims []*run, stopping bool) {
+	var short []*run
+	free := w.Room.Minus(w.used)
+	after := free
+	for _, r := range w.runs {
+		if r.phase == phaseStopping {
+			after = after.Plus(r.needs())
+		} else if !r.stage.spec.Endless {
+			short = append(short, r)
+		}
+	}
+	if needs.Fits(after) {
+		return nil, true
+	}
+	slices.SortFunc(short, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(b.began, a.began), cmp.Compare(a.index, b.index))
+	})
+	for i, r := range short {
+		after = after.Plus(r.needs())
+		if needs.Fits(after) {
+			return short[:i+1], false
+		}
+	}
+	return nil, false
+}
+
+// evacuate moves endless tasks from executors that leave or are to be maintained.
+func (p *Planner) evacuate() {
+	for _, po := range p.pools {
+		for _, w := range po.order {
+			if w.verified && (w.Draining || w.reserved) {
+				p.evacuateWorker(po, w)
+			}
+		}
+	}
+}
+
+func (p *Planner) evacuateWorker(po *pool, w *worker) {
+	for _, r := range sortedRuns(w) {
+		s := r.stage
+		if !s.spec.Endless || r.phase != phaseActive || s.tasks[r.index].run != r {
+			continue
+		}
+		if !w.Draining && !p.mayTake(r) {
+			continue
+		}
+		if p.choose(po, s, r.index) == nil {
+			continue
+		}
+		s.tasks[r.index].taken = true
+		p.stopRun(r, "its executor is to be emptied")
+	}
+}
+
+func sortedRuns(w *worker) []*run {
+	out := make([]*run, 0, len(w.runs))
+	for _, r := range w.runs {
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(a.stage.job.id, b.stage.job.id), cmp.Compare(a.stage.step, b.stage.step), cmp.Compare(a.index, b.index))
+	})
+	return out
+}
+
+// mayTake reports whether an endless task may be taken away now: fewer than MayMiss others of its
+// step may be away, and one that is not known to be at work counts as away.
+func (p *Planner) mayTake(r *run) bool {
+	s := r.stage
+	if s.spec.MayMiss == 0 {
+		return true
+	}
+	away := 0
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if i == r.index || t.done {
+			continue
+		}
+		if t.taken || t.run == nil || t.run.phase != phaseActive || t.run.percent < atWork || !t.run.worker.verified {
+			away++
+		}
+	}
+	return away < s.spec.MayMiss
+}
--- /dev/null
+++ b/sched/planner.go
@@ -0,0 +1,192 @@
+package sched
+
+import (
+	"waxwing.example/croft"
+)
+
+// Options are the bounds that decisions depend on.
+type Options struct {
+	// Holder is this entry's name in orders for VMs.
+	Holder string
+	// Lease is how long an executor may run on without hearing from a planner.
+	Lease croft.Millis
+	// Stop is the longest that a run takes to stop.
+	Stop croft.Millis
+	// Notice is how long a task must be idle to count as away.
+	Notice croft.Millis
+	// Maintain is how long a VM is away for a maintenance.
+	Maintain croft.Millis
+	// Move is how long a VM is away for a move.
+	Move croft.Millis
+	// RemoteFactor is how much longer a task takes away from its data.
+	RemoteFactor float64
+}
+
+// Planner is the state of the leading entry; one goroutine owns it.
+type Planner struct {
+	options Options
+	now     Instant
+	leading bool
+	fence   uint64
+	term    int
+	// took is when the lead began.
+	took croft.Millis
+	// read says that all jobs of before are known.
+	read bool
+
+	config  croft.QueueConfig
+	queues  map[croft.QueueID]croft.Queue
+	pools   map[croft.PoolID]*pool
+	workers map[croft.WorkerID]*worker
+	// idle are the workers without an outstanding hold.
+	idle map[croft.WorkerID]*worker
+	jobs map[croft.JobID]*job
+	// cancelled are jobs whose cancelling was heard of before the job itself.
+	cancelled map[croft.JobID]bool
+	parts     map[string]*part
+	waves     map[int]*wave
+	fleet     fleet
+
+	out []Effect
+}
+
+// New returns a planner that does not lead yet.
+func New(options Options) *Planner {
+	p := &Planner{options: options, waves: map[int]*wave{}}
+	p.forget()
+	return p
+}
+
+// forget drops all that only the leader knows; configuration and waves stay.
+func (p *Planner) forget() {
+	p.leading, p.read = false, false
+	p.pools = map[croft.PoolID]*pool{}
+	p.workers = map[croft.WorkerID]*worker{}
+	p.idle = map[croft.WorkerID]*worker{}
+	p.jobs = map[croft.JobID]*job{}
+	p.cancelled = map[croft.JobID]bool{}
+	p.parts = map[string]*part{}
+	p.fleet = fleet{}
+	for number, w := range p.waves {
+		p.waves[number] = newWave(w.Wave, w.read)
+	}
+}
+
+// Leading reports whether the planner leads.
+func (p *Planner) Leading() bool { return p.leading }
+
+// Reduce takes in events of one instant and returns what is to be done.
+func (p *Planner) Reduce(now Instant, events ...Event) []Effect {
+	p.now, p.out = now, nil
+	for _, e := range events {
+		p.take(e)
+	}
+	if p.leading {
+		p.settle()
+	}
+	return p.out
+}
+
+func (p *Planner) take(e Event) {
+	switch e := e.(type) {
+	case LeadBegan:
+		p.begin(e)
+	case LeadEnded:
+		p.forget()
+	case ConfigRead:
+		p.configure(e.Config)
+	case WavesRead:
+		p.takeWaves(e.Waves)
+	default:
+		if p.leading {
+			p.takeAsLeader(e)
+		}
+	}
+}
+
+func (p *Planner) takeAsLeader(e Event) {
+	switch e := e.(type) {
+	case WorkersRead:
+		p.takeWorkers(e.Changes)
+	case JobsRead:
+		p.takeJobs(e)
+	case JobsCancelled:
+		p.cancelJobs(e.IDs)
+	case WaveRowsRead:
+		p.takeBegun(e.Begun)
+	case FleetRead:
+		p.takeFleet(e)
+	case Holding:
+		p.takeHold(e)
+	case Started:
+		p.takeStarted(e)
+	case Stopped:
+		p.takeStopped(e)
+	case Committed:
+		p.takeCommitted(e)
+	case Ordered:
+		p.takeOrdered(e)
+	}
+}
+
+func (p *Planner) begin(e LeadBegan) {
+	p.forget()
+	p.leading, p.fence, p.term, p.took = true, e.Fence, e.Term, p.now.Elapsed
+	p.askFleet()
+}
+
+func (p *Planner) configure(config croft.QueueConfig) {
+	if config.Version < p.config.Version {
+		return
+	}
+	p.config = config
+	p.queues = make(map[croft.QueueID]croft.Queue, len(config.Queues))
+	for _, q := range config.Queues {
+		p.queues[q.ID] = q
+	}
+}
+
+// settle does what is due after the events of an instant.
+func (p *Planner) settle() {
+	p.openOccurrences()
+	p.expireLeases()
+	p.pollFleet()
+	p.runWaves()
+	p.evacuate()
+	p.place()
+	p.repeatStops()
+	p.holdIdle()
+	p.commitDirty()
+}
+
+func (p *Planner) do(e Effect) { p.out = append(p.out, e) }
+
+func (p *Planner) log(action, subject, choice, reason string) {
+	p.do(Log{Decision: croft.Decision{Action: action, Subject: subject, Choice: choice, Reason: reason}})
+}
+
+// stepDown ends the lead since an executor or a row has seen a higher fencing token.
+func (p *Planner) stepDown(reason string) {
+	p.log("StepDown", "planner", "", reason)
+	p.do(StepDown{})
+	p.forget()
+}
+
+func (p *Planner) pool(id croft.PoolID) *pool {
+	po, ok := p.pools[id]
+	if !ok {
+		po = &pool{id: id, workers: map[croft.WorkerID]*worker{}}
+		p.pools[id] = po
+	}
+	return po
+}
+
+// rule returns what the operator configured for a pool.
+func (p *Planner) rule(id croft.PoolID) croft.PoolRule {
+	for _, r := range p.config.Pools {
+		if r.ID == id {
+			return r
+		}
+	}
+	return croft.PoolRule{ID: id}
+}
--- /dev/null
+++ b/sched/wave.go
@@ -0,0 +1,314 @@
+package sched
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+
+	"waxwing.example/croft"
+)
+
+// wave is a set of VMs that are to be maintained.
+type wave struct {
+	croft.Wave
+	// read says that the VMs that former leaders took are known.
+	read bool
+	// since is when this leader learned of it.
+	since    croft.Millis
+	begun    map[croft.VMID]bool
+	away     map[croft.VMID]croft.Millis
+	ordered  map[croft.VMID]bool
+	prepared map[croft.VMID]croft.Millis
+	reported bool
+	finished bool
+}
+
+func newWave(w croft.Wave, read bool) *wave {
+	return &wave{
+		Wave: w, read: read, begun: map[croft.VMID]bool{}, away: map[croft.VMID]croft.Millis{},
+		ordered: map[croft.VMID]bool{}, prepared: map[croft.VMID]croft.Millis{},
+	}
+}
+
+// Spans of waves.
+const (
+	// prepareAhead is how many times the allowed number of VMs are emptied at once, so that one is
+	// free when the former one is back.
+	prepareAhead = 2
+	// patience is how long running short tasks are waited for before a maintenance ends them;
+	// it covers the longest tasks on record.
+	patience = 3 * croft.Second
+	// orderPause is the pause before a refused or lost order is sent again.
+	orderPause = 300 * croft.Millis(1)
+)
+
+func (p *Planner) takeWaves(waves []croft.Wave) {
+	for _, w := range waves {
+		old, ok := p.waves[w.Number]
+		if ok {
+			old.Wave = w
+			continue
+		}
+		n := newWave(w, false)
+		n.since = p.now.Elapsed
+		p.waves[w.Number] = n
+		p.askFleet()
+	}
+}
+
+// takeBegun takes in what former leaders wrote of waves.
+func (p *Planner) takeBegun(begun map[int][]croft.VMID) {
+	for _, w := range p.waves {
+		w.read = true
+	}
+	for number, vms := range begun {
+		w, ok := p.waves[number]
+		if !ok {
+			continue
+		}
+		for _, id := range vms {
+			if !w.begun[id] {
+				w.begun[id] = true
+				// It may be away still.
+				w.away[id] = p.now.Elapsed
+			}
+		}
+	}
+}
+
+func (p *Planner) waveAway() bool {
+	for _, w := range p.waves {
+		if len(w.away) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// dueForWave reports whether a worker's VM is still to be maintained.
+func (p *Planner) dueForWave(w *worker) bool {
+	vm, ok := p.fleet.byWorker[w.ID]
+	if !ok {
+		return false
+	}
+	for _, wv := range p.waves {
+		if !wv.finished && !wv.begun[vm] && slices.Contains(wv.VMs, vm) {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Planner) runWaves() {
+	for number := range p.waves {
+		w := p.waves[number]
+		if w.finished || !p.fleet.complete || !p.read {
+			continue
+		}
+		if !w.reported {
+			w.reported = true
+			p.do(ReportWave{Number: w.Number, Begun: w.begunVMs()})
+		}
+		p.prepare(w)
+		p.order(w)
+		p.finishWave(w)
+	}
+}
+
+// prepare reserves the VMs that are next.
+func (p *Planner) prepare(w *wave) {
+	for _, id := range p.nextVMs(w) {
+		if len(w.prepared) >= max(w.Most*prepareAhead-len(w.away), 1) {
+			return
+		}
+		w.prepared[id] = p.now.Elapsed
+		if wk := p.workerOn(id); wk != nil {
+			wk.reserved = true
+			p.log("Reserve", string(id), string(wk.ID), fmt.Sprintf("next in wave %d", w.Number))
+		}
+	}
+}
+
+func (p *Planner) workerOn(id croft.VMID) *worker {
+	vm, ok := p.fleet.vms[id]
+	if !ok {
+		return nil
+	}
+	return p.workers[vm.Worker]
+}
+
+// nextVMs returns the VMs that may be prepared, those that run least first.
+func (p *Planner) nextVMs(w *wave) []croft.VMID {
+	var ids []croft.VMID
+	for _, id := range w.VMs {
+		vm, ok := p.fleet.vms[id]
+		_, preparing := w.prepared[id]
+		if !ok || w.begun[id] || preparing || vm.State != croft.FleetUp {
+			continue
+		}
+		if p.poolIsShort(w, vm) {
+			continue
+		}
+		ids = append(ids, id)
+	}
+	slices.SortStableFunc(ids, func(a, b croft.VMID) int { return p.busyOn(a) - p.busyOn(b) })
+	return ids
+}
+
+// poolIsShort reports whether a pool has a VM away or prepared already while others of the wave
+// have none: a wave then passes through the pools side by side.
+func (p *Planner) poolIsShort(w *wave, vm croft.FleetVM) bool {
+	if p.rule(vm.Pool).Spare {
+		return false
+	}
+	n := 0
+	for id := range w.prepared {
+		if p.fleet.vms[id].Pool == vm.Pool {
+			n++
+		}
+	}
+	return n >= max(w.Most/2, 1)
+}
+
+// busyOn returns how much runs on a VM, in runs.
+func (p *Planner) busyOn(id croft.VMID) int {
+	wk := p.workerOn(id)
+	if wk == nil {
+		return 0
+	}
+	return len(wk.runs)
+}
+
+// order begins the maintenance of prepared VMs.
+func (p *Planner) order(w *wave) {
+	ids := make([]croft.VMID, 0, len(w.prepared))
+	for id := range w.prepared {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		if _, counted := w.away[id]; !counted && len(w.away) >= w.Most {
+			continue
+		}
+		if w.ordered[id] || w.prepared[id] > p.now.Elapsed || !p.isEmpty(w, id) {
+			continue
+		}
+		w.ordered[id] = true
+		w.away[id] = p.now.Elapsed
+		p.log("Maintain", string(id), "", fmt.Sprintf("wave %d, %d of %d begun, %d away", w.Number, len(w.begun), len(w.VMs), len(w.away)))
+		p.do(OrderVM{Order: croft.FleetOrder{VM: id, Wave: w.Number, Holder: p.options.Holder, Fence: p.fence}})
+	}
+}
+
+// isEmpty reports whether a VM's maintenance would end nothing that should not be ended.
+func (p *Planner) isEmpty(w *wave, id croft.VMID) bool {
+	wk := p.workerOn(id)
+	if wk == nil {
+		return true
+	}
+	if !wk.verified {
+		return len(wk.runs) == 0
+	}
+	for _, r := range wk.runs {
+		if r.stage.spec.Endless && r.stage.spec.MayMiss > 0 {
+			return false
+		}
+		if p.now.Elapsed-w.prepared[id] < patience {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *Planner) takeOrdered(e Ordered) {
+	w, ok := p.waves[e.Order.Wave]
+	if !ok || e.Order.Wave == 0 {
+		return
+	}
+	id := e.Order.VM
+	delete(w.ordered, id)
+	var refused *croft.FleetRefusedError
+	switch {
+	case e.Err == nil:
+		p.maintained(w, id)
+	case errors.As(e.Err, &refused):
+		p.log("Refused", string(id), "", fmt.Sprintf("maintenance in wave %d: %s", w.Number, refused.Reason))
+		delete(w.away, id)
+		switch refused.Reason {
+		case croft.FleetRefusedFence:
+			p.stepDown("the platform has seen a higher fencing token")
+		case croft.FleetRefusedWave, croft.FleetRefusedForm:
+			// The VM is not, or no longer, part of the wave.
+			w.begun[id] = true
+			p.release(w, id)
+		default:
+			p.release(w, id)
+			p.askFleet()
+		}
+	default:
+		// The order may have been carried out: it counts as away, and is sent again.
+		p.log("Unanswered", string(id), "", fmt.Sprintf("maintenance in wave %d: %v", w.Number, e.Err))
+		var unavailable *croft.UnavailableError
+		if errors.As(e.Err, &unavailable) {
+			delete(w.away, id)
+		}
+		w.prepared[id] = p.now.Elapsed + orderPause
+		p.askFleet()
+	}
+}
+
+// maintained takes note that a VM's maintenance has begun.
+func (p *Planner) maintained(w *wave, id croft.VMID) {
+	if wk := p.workerOn(id); wk != nil {
+		p.lifeOver(wk, "its VM is maintained")
+		wk.reserved, wk.listed = false, false
+	}
+	w.begun[id] = true
+	w.away[id] = p.now.Elapsed
+	delete(w.prepared, id)
+	p.askFleet()
+	p.do(ReportWave{Number: w.Number, Begun: w.begunVMs()})
+}
+
+func (p *Planner) release(w *wave, id croft.VMID) {
+	delete(w.prepared, id)
+	if wk := p.workerOn(id); wk != nil {
+		wk.reserved = false
+	}
+}
+
+// checkWaves takes VMs for back that are up in a list asked for after they went.
+func (p *Planner) checkWaves(e FleetRead) {
+	for _, w := range p.waves {
+		for id, since := range w.away {
+			vm, ok := p.fleet.vms[id]
+			if w.ordered[id] || e.Asked < since {
+				continue
+			}
+			if !ok || (vm.State == croft.FleetUp && e.Asked >= since+p.options.Maintain/2) || vm.State == croft.FleetDown {
+				delete(w.away, id)
+			}
+		}
+	}
+}
+
+func (w *wave) begunVMs() []croft.VMID {
+	out := make([]croft.VMID, 0, len(w.begun))
+	for id := range w.begun {
+		out = append(out, id)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// finishWave reports a wave whose VMs have all begun, or are gone.
+func (p *Planner) finishWave(w *wave) {
+	for _, id := range w.VMs {
+		if _, there := p.fleet.vms[id]; there && !w.begun[id] {
+			return
+		}
+	}
+	w.finished = true
+	p.log("Wave", fmt.Sprint(w.Number), "Finished", fmt.Sprintf("%d VMs", len(w.VMs)))
+	p.do(ReportWave{Number: w.Number, Finished: true, Begun: w.begunVMs()})
+}
--- /dev/null
+++ b/sched/worker.go
@@ -0,0 +1,292 @@
+package sched
+
+import (
+	"slices"
+	"strings"
+
+	"waxwing.example/croft"
+)
+
+// pool is the executors and jobs of one pool.
+type pool struct {
+	id      croft.PoolID
+	workers map[croft.WorkerID]*worker
+	// order has the workers by name, so that decisions repeat.
+	order []*worker
+	jobs  []*job
+}
+
+// worker is one executor, over its lives.
+type worker struct {
+	croft.WorkerEntry
+	// listed says that the executor is registered.
+	listed bool
+	// verified says that the lists of this life are known under our fencing token.
+	verified bool
+	holding  bool
+	checking bool
+	born     int64
+	// ahead is the executor's clock minus ours.
+	ahead      croft.Millis
+	clockKnown bool
+	// granted is when every lease that was ever granted has ended.
+	granted croft.Millis
+	// seen is the last end that may be forgotten, noted the last one that was taken in.
+	seen, noted int64
+	acks        []ack
+	runs        map[croft.TaskID]*run
+	used        croft.Resources
+	// heard is when the executor last answered.
+	heard croft.Millis
+	// nextHold is when the next hold is due.
+	nextHold croft.Millis
+	// misses counts holds in a row without an answer.
+	misses int
+	// blamed counts failures since the last success; resting is until when it gets no work.
+	blamed  int
+	resting croft.Millis
+	// reserved says that the VM is kept free for a maintenance or a move.
+	reserved bool
+}
+
+// ack is an end that may be forgotten once the job's state is stored.
+type ack struct {
+	number   int64
+	job      *job
+	sequence uint64
+}
+
+// phase is what is known of a run.
+type phase int
+
+const (
+	// phaseStarting is ordered and not answered.
+	phaseStarting phase = iota
+	phaseActive
+	// phaseDoubtful is ordered without an answer, so it may begin later.
+	phaseDoubtful
+	phaseStopping
+)
+
+// run is one start of a task on a worker.
+type run struct {
+	stage  *stage
+	index  int
+	number int
+	worker *worker
+	phase  phase
+	began  croft.Millis
+	// known is when the worker answered the last order for the run: a list asked for later tells
+	// whether it is there.
+	known   croft.Millis
+	stopped croft.Millis
+	percent int
+	gauge   int64
+}
+
+// leaseSlack is what is added to a lease for an executor's clock that is 2 % slow, in thousandths,
+// and graceSlack for orders that were on their way.
+const (
+	leaseSlack = 30
+	graceSlack = 150 * croft.Millis(1)
+)
+
+// until returns the end of a lease by the executor's clock.
+func (p *Planner) until(w *worker) croft.Millis {
+	if !w.clockKnown {
+		return 0
+	}
+	w.granted = max(w.granted, p.longestLease())
+	return p.now.Elapsed + w.ahead + p.options.Lease
+}
+
+// longestLease returns when a lease granted now has ended.
+func (p *Planner) longestLease() croft.Millis {
+	return p.now.Elapsed + p.options.Lease*(1000+leaseSlack)/1000 + graceSlack
+}
+
+// takeWorkers takes in news of the registry.
+func (p *Planner) takeWorkers(changes croft.WorkerChanges) {
+	if changes.Whole {
+		there := make(map[croft.WorkerID]bool, len(changes.Entries))
+		for _, e := range changes.Entries {
+			there[e.ID] = true
+		}
+		for id, w := range p.workers {
+			if !there[id] {
+				p.unlist(w)
+			}
+		}
+	}
+	for _, e := range changes.Entries {
+		p.takeWorker(e)
+	}
+	for _, id := range changes.Unusable {
+		if w, ok := p.workers[id]; ok {
+			p.unlist(w)
+		}
+	}
+}
+
+func (p *Planner) unlist(w *worker) {
+	if !w.listed {
+		return
+	}
+	w.listed = false
+	p.log("Unlist", string(w.ID), "", "its registration is gone; what runs there is kept until it answers no more")
+	p.askFleet()
+}
+
+func (p *Planner) takeWorker(e croft.WorkerEntry) {
+	w, ok := p.workers[e.ID]
+	if !ok {
+		// An executor may run what a former leader or a late order started, until its lease ends.
+		w = &worker{runs: map[croft.TaskID]*run{}, granted: p.longestLease()}
+		w.WorkerEntry = e
+		p.workers[e.ID], p.idle[e.ID] = w, w
+	}
+	if e.Born != 0 && w.born != 0 && e.Born > w.born {
+		p.lifeOver(w, "it registered with a later start")
+	}
+	if ok && w.Pool != e.Pool {
+		p.pool(w.Pool).remove(w)
+	}
+	if e.Draining && !w.Draining {
+		p.log("Drain", string(e.ID), "", "the executor reports that it leaves")
+	}
+	w.WorkerEntry = e
+	w.listed = true
+	p.pool(e.Pool).add(w)
+}
+
+func (po *pool) add(w *worker) {
+	if _, ok := po.workers[w.ID]; ok {
+		return
+	}
+	po.workers[w.ID] = w
+	at, _ := slices.BinarySearchFunc(po.order, w, byName)
+	po.order = slices.Insert(po.order, at, w)
+}
+
+func (po *pool) remove(w *worker) {
+	delete(po.workers, w.ID)
+	po.order = slices.DeleteFunc(po.order, func(other *worker) bool { return other == w })
+}
+
+func byName(a, b *worker) int { return strings.Compare(string(a.ID), string(b.ID)) }
+
+// lifeOver takes note that all that ran on a worker has ended.
+func (p *Planner) lifeOver(w *worker, reason string) {
+	if len(w.runs) > 0 || w.verified {
+		p.log("LifeOver", string(w.ID), "", reason)
+	}
+	for _, r := range w.runs {
+		p.drop(r)
+		p.requeue(r.stage, r.index)
+	}
+	w.verified, w.clockKnown = false, false
+	w.seen, w.noted, w.acks = 0, 0, nil
+	w.born = 0
+	w.granted = p.now.Elapsed
+	w.nextHold = p.now.Elapsed
+}
+
+// add counts a run on its worker.
+func (p *Planner) add(r *run) {
+	r.worker.runs[r.stage.id(r.index)] = r
+	r.worker.used = r.worker.used.Plus(r.needs())
+	r.stage.job.runs++
+}
+
+// drop forgets a run and frees its room.
+func (p *Planner) drop(r *run) {
+	w := r.worker
+	delete(w.runs, r.stage.id(r.index))
+	w.used = w.used.Minus(r.needs())
+	t := &r.stage.tasks[r.index]
+	if t.run == r {
+		t.run = nil
+	}
+	r.stage.job.runs--
+	p.forgetJob(r.stage.job)
+}
+
+func (r *run) needs() croft.Resources {
+	needs := r.stage.spec.Needs
+	if r.stage.spec.Filler {
+		needs.MilliCores = 0
+	}
+	return needs
+}
+
+// expireLeases gives up workers that answered nothing until their leases ended.
+func (p *Planner) expireLeases() {
+	for id, w := range p.workers {
+		if w.verified || p.now.Elapsed < w.granted {
+			continue
+		}
+		if len(w.runs) > 0 {
+			p.lifeOver(w, "its leases ended without an answer")
+		}
+		if !w.listed && !w.holding && !w.checking {
+			delete(p.workers, id)
+			delete(p.idle, id)
+			p.pool(w.Pool).remove(w)
+		}
+	}
+}
+
+// mayHideRuns reports whether a worker of the pool may run something that is not known here.
+func (p *Planner) mayHideRuns(po *pool) bool {
+	if p.now.Elapsed >= p.took+p.longestLease()-p.now.Elapsed {
+		return false
+	}
+	if !p.fleet.complete {
+		return true
+	}
+	for _, w := range po.workers {
+		if !w.verified && p.now.Elapsed < w.granted {
+			return true
+		}
+	}
+	return slices.ContainsFunc(p.fleet.unregistered, func(vm croft.FleetVM) bool { return vm.Pool == po.id })
+}
+
+// usable reports whether a worker may be given work.
+func (p *Planner) usable(w *worker) bool {
+	return w.listed && w.verified && !w.Draining && !w.reserved && w.resting <= p.now.Elapsed
+}
+
+// Weights of failures.
+const (
+	// blameLimit is how many tasks in a row may fail on an executor before it rests: a sound one
+	// fails below 3 % of them.
+	blameLimit = 3
+	// restSpan is how long it gets no work, doubled with each further failure.
+	restSpan    = 2 * croft.Second
+	restLongest = 16 * croft.Second
+	// restShare bounds the resting executors of a pool to one in three, since a job that can never
+	// succeed fails everywhere.
+	restShare = 3
+)
+
+func (p *Planner) restingIn(id croft.PoolID) int {
+	n := 0
+	for _, w := range p.pool(id).workers {
+		if w.resting > p.now.Elapsed {
+			n++
+		}
+	}
+	return n
+}
+
+// blame counts a failure of a worker that another one might not have had.
+func (p *Planner) blame(w *worker) {
+	w.blamed++
+	if w.blamed < blameLimit || p.restingIn(w.Pool) >= len(p.pool(w.Pool).workers)/restShare {
+		return
+	}
+	span := min(restSpan<<min(w.blamed-blameLimit, 4), restLongest)
+	w.resting = p.now.Elapsed + span
+	p.log("Rest", string(w.ID), "", "tasks failed there one after another")
+}
