--- /dev/null
+++ b/sched/helpers_test.go
@@ -0,0 +1,126 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+
+	"waxwing.example/croft"
+	"waxwing.example/croft/jobs"
+)
+
+// bench drives a planner by events on a virtual clock.
+type bench struct {
+	t       *testing.T
+	planner *Planner
+	now     croft.Millis
+	effects []Effect
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	return &bench{t: t, now: 1000, planner: New(Options{
+		Holder: "entry-1", Lease: 10 * croft.Second, Stop: 200, Notice: 4500, Maintain: 2000, Move: 1500, RemoteFactor: 2,
+	})}
+}
+
+// event reduces events now and keeps the effects.
+func (b *bench) event(events ...Event) []Effect {
+	b.effects = b.planner.Reduce(Instant{Elapsed: b.now, Wall: 1_000_000 + b.now}, events...)
+	return b.effects
+}
+
+func (b *bench) advance(span croft.Millis) []Effect {
+	b.now += span
+	return b.event(Ticked{})
+}
+
+const testPool = croft.PoolID("pool")
+
+// lead begins a term with workers of 64 cores and an empty store, all lists read.
+func (b *bench) lead(term, workers int, known ...JobRow) {
+	b.event(LeadBegan{Fence: uint64(term * 10), Term: term})
+	b.event(testConfig())
+	b.event(WorkersRead{Changes: croft.WorkerChanges{Version: 1, Whole: true, Entries: testWorkers(workers)}})
+	b.event(FleetRead{VMs: testFleet(workers)})
+	b.event(JobsRead{Whole: true, Jobs: known})
+	for i := range workers {
+		b.held(i)
+	}
+}
+
+func testConfig() ConfigRead {
+	return ConfigRead{Config: croft.QueueConfig{
+		Version: 1,
+		Queues:  []croft.Queue{{ID: "q", Host: "h", Prefix: "/q/", Pool: testPool, MostAttempts: 3, Stretch: 1.6, Latency: 600}},
+		Pools:   []croft.PoolRule{{ID: testPool}},
+	}}
+}
+
+func workerName(i int) croft.WorkerID { return croft.WorkerID(fmt.Sprintf("w%d", i)) }
+
+func vmName(i int) croft.VMID { return croft.VMID(fmt.Sprintf("vm%d", i)) }
+
+func testWorkers(n int) []croft.WorkerEntry {
+	var out []croft.WorkerEntry
+	for i := range n {
+		out = append(out, croft.WorkerEntry{
+			ID: workerName(i), Pool: testPool, Address: fmt.Sprintf("10.0.0.%d:80", i+1),
+			Labels: []string{"a", fmt.Sprintf("r%d", i/4)}, Rack: croft.RackID(fmt.Sprintf("r%d", i/4)),
+			Room: croft.Resources{MilliCores: 64000, MemoryMB: 262144},
+		})
+	}
+	return out
+}
+
+func testFleet(n int) []croft.FleetVM {
+	var out []croft.FleetVM
+	for i := range n {
+		out = append(out, croft.FleetVM{ID: vmName(i), Pool: testPool, State: croft.FleetUp, Worker: workerName(i)})
+	}
+	return out
+}
+
+// held answers the newest hold of a worker with lists.
+func (b *bench) held(i int, rows ...any) []Effect {
+	report := croft.HoldReport{Clock: b.now, Born: 7}
+	for _, row := range rows {
+		switch r := row.(type) {
+		case croft.ActiveRun:
+			report.Active = append(report.Active, r)
+		case croft.EndedRun:
+			report.Ended = append(report.Ended, r)
+		}
+	}
+	w := b.planner.workers[workerName(i)]
+	order := croft.HoldOrder{Worker: workerName(i)}
+	if w != nil && w.verified {
+		order.Seen, order.Wait = w.seen, holdWait
+	}
+	return b.event(Holding{Hold: Hold{Order: order, Sent: b.now}, Report: report})
+}
+
+func testJob(id croft.JobID, steps ...croft.Step) JobRow {
+	return JobRow{
+		ID: id, Part: "q.0", Version: 5,
+		Record:   jobs.Record{Queue: "q", Pool: testPool, MostAttempts: 3, Stretch: 1.6, Latency: 600, Accepted: 1_000_000, Spec: croft.JobSpec{Payload: "p", Steps: steps}},
+		Progress: jobs.Progress{Status: jobs.Pending},
+	}
+}
+
+func step(count int, cores int64) croft.Step {
+	return croft.Step{Count: count, Needs: croft.Resources{MilliCores: cores * 1000, MemoryMB: 1000}, Estimate: 600}
+}
+
+func of[E Effect](effects []Effect) []E {
+	var out []E
+	for _, e := range effects {
+		if got, ok := e.(E); ok {
+			out = append(out, got)
+		}
+	}
+	return out
+}
+
+func active(task croft.TaskID, run int) croft.ActiveRun {
+	return croft.ActiveRun{Task: task, Run: run, Percent: 100}
+}
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -20,6 +20,9 @@
 
 // holdIdle sends the holds that are due.
 func (p *Planner) holdIdle() {
+	if !p.read {
+		return
+	}
 	for id, w := range p.idle {
 		if p.now.Elapsed < w.nextHold || w.Address == "" {
 			continue
