sched: a leader that took over maintains no VM whose runs it does not know

Ruled out: the count of tasks away, which held in all orders of leaders that had asked. Change: a VM whose executor is not verified is empty only once its leases have ended; what former leaders began of a wave is read before anything is ordered.

--- a/sched/planner.go
+++ b/sched/planner.go
@@ -45,7 +45,9 @@
 	cancelled map[croft.JobID]bool
 	parts     map[string]*part
 	waves     map[int]*wave
-	fleet     fleet
+	// begun has what former leaders wrote of waves, nil until it is read.
+	begun map[int][]croft.VMID
+	fleet fleet
 
 	out []Effect
 }
@@ -67,8 +69,9 @@
 	p.cancelled = map[croft.JobID]bool{}
 	p.parts = map[string]*part{}
 	p.fleet = fleet{}
+	p.begun = nil
 	for number, w := range p.waves {
-		p.waves[number] = newWave(w.Wave, w.read)
+		p.waves[number] = newWave(w.Wave)
 	}
 }
 
--- a/sched/wave.go
+++ b/sched/wave.go
@@ -11,10 +11,10 @@
 // wave is a set of VMs that are to be maintained.
 type wave struct {
 	croft.Wave
-	// read says that the VMs that former leaders took are known.
-	read bool
 	// since is when this leader learned of it.
-	since    croft.Millis
+	since croft.Millis
+	// recalled says that what former leaders began is known.
+	recalled bool
 	begun    map[croft.VMID]bool
 	away     map[croft.VMID]croft.Millis
 	ordered  map[croft.VMID]bool
@@ -23,9 +23,9 @@
 	finished bool
 }
 
-func newWave(w croft.Wave, read bool) *wave {
+func newWave(w croft.Wave) *wave {
 	return &wave{
-		Wave: w, read: read, begun: map[croft.VMID]bool{}, away: map[croft.VMID]croft.Millis{},
+		Wave: w, begun: map[croft.VMID]bool{}, away: map[croft.VMID]croft.Millis{},
 		ordered: map[croft.VMID]bool{}, prepared: map[croft.VMID]croft.Millis{},
 	}
 }
@@ -49,7 +49,7 @@
 			old.Wave = w
 			continue
 		}
-		n := newWave(w, false)
+		n := newWave(w)
 		n.since = p.now.Elapsed
 		p.waves[w.Number] = n
 		p.askFleet()
@@ -58,21 +58,22 @@
 
 // takeBegun takes in what former leaders wrote of waves.
 func (p *Planner) takeBegun(begun map[int][]croft.VMID) {
-	for _, w := range p.waves {
-		w.read = true
+	p.begun = begun
+	if p.begun == nil {
+		p.begun = map[int][]croft.VMID{}
 	}
-	for number, vms := range begun {
-		w, ok := p.waves[number]
-		if !ok {
-			continue
-		}
-		for _, id := range vms {
-			if !w.begun[id] {
-				w.begun[id] = true
-				// It may be away still.
-				w.away[id] = p.now.Elapsed
-			}
-		}
+}
+
+// recall adds what former leaders began of a wave.
+func (p *Planner) recall(w *wave) {
+	if w.recalled {
+		return
+	}
+	w.recalled = true
+	for _, id := range p.begun[w.Number] {
+		w.begun[id] = true
+		// It may be away still.
+		w.away[id] = p.now.Elapsed
 	}
 }
 
@@ -102,9 +103,10 @@
 func (p *Planner) runWaves() {
 	for number := range p.waves {
 		w := p.waves[number]
-		if w.finished || !p.fleet.complete || !p.read {
+		if w.finished || !p.fleet.complete || !p.read || p.begun == nil {
 			continue
 		}
+		p.recall(w)
 		if !w.reported {
 			w.reported = true
 			p.do(ReportWave{Number: w.Number, Begun: w.begunVMs()})
@@ -204,10 +206,10 @@
 func (p *Planner) isEmpty(w *wave, id croft.VMID) bool {
 	wk := p.workerOn(id)
 	if wk == nil {
-		return true
+		return p.rule(p.fleet.vms[id].Pool).Spare || p.now.Elapsed >= p.firstLease()
 	}
 	if !wk.verified {
-		return len(wk.runs) == 0
+		return len(wk.runs) == 0 && p.now.Elapsed >= wk.granted
 	}
 	for _, r := range wk.runs {
 		if r.stage.spec.Endless && r.stage.spec.MayMiss > 0 {
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -105,6 +105,9 @@
 	return p.now.Elapsed + p.options.Lease*(1000+leaseSlack)/1000 + graceSlack
 }
 
+// firstLease returns when everything that a former leader started without being adopted has ended.
+func (p *Planner) firstLease() croft.Millis { return p.took + p.longestLease() - p.now.Elapsed }
+
 // takeWorkers takes in news of the registry.
 func (p *Planner) takeWorkers(changes croft.WorkerChanges) {
 	if changes.Whole {
@@ -238,7 +241,7 @@
 
 // mayHideRuns reports whether a worker of the pool may run something that is not known here.
 func (p *Planner) mayHideRuns(po *pool) bool {
-	if p.now.Elapsed >= p.took+p.longestLease()-p.now.Elapsed {
+	if p.now.Elapsed >= p.firstLease() {
 		return false
 	}
 	if !p.fleet.complete {
