--- a/sched/hold.go
+++ b/sched/hold.go
@@ -191,6 +191,7 @@
 // compareRuns brings what is known of a worker's runs in line with its list.
 func (p *Planner) compareRuns(w *worker, e Holding) {
 	listed := make(map[croft.TaskID]bool, len(e.Report.Active))
+	w.strangers = 0
 	for _, a := range e.Report.Active {
 		listed[a.Task] = true
 		p.takeActive(w, a)
@@ -208,9 +209,8 @@
 func (p *Planner) takeActive(w *worker, a croft.ActiveRun) {
 	s, index := p.find(a.Task)
 	if s == nil {
-		if p.read {
-			p.stopUnknown(w, a)
-		}
+		w.strangers++
+		p.stopUnknown(w, a)
 		return
 	}
 	t := &s.tasks[index]
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -45,6 +45,8 @@
 	// blamed counts failures since the last success; resting is until when it gets no work.
 	blamed  int
 	resting croft.Millis
+	// strangers counts runs of ended jobs in the last list; they take room of unknown size.
+	strangers int
 	// reserved says that the VM is kept free for a maintenance or a move.
 	reserved bool
 }
@@ -189,7 +191,7 @@
 	}
 	w.verified, w.clockKnown = false, false
 	w.seen, w.noted, w.acks = 0, 0, nil
-	w.born = 0
+	w.born, w.strangers = 0, 0
 	w.granted = p.now.Elapsed
 	w.nextHold = p.now.Elapsed
 }
@@ -257,7 +259,7 @@
 
 // usable reports whether a worker may be given work.
 func (p *Planner) usable(w *worker) bool {
-	return w.listed && w.verified && !w.Draining && !w.reserved && w.resting <= p.now.Elapsed
+	return w.listed && w.verified && w.strangers == 0 && !w.Draining && !w.reserved && w.resting <= p.now.Elapsed
 }
 
 // Weights of failures.
