sched: VMs follow the work between pools

Weighed: keeping all VMs where they are; giving idle VMs back as soon as they are empty (a turn then begins with too few). Change: a pool that could not clear its work in a second borrows from the spare pool, then from the pool with most to spare, only VMs without endless tasks and once they are empty; what is more than 60 % of the recent peak goes back. Endless tasks gather on few executors. Tests: TestTurnsOfDemandPullVMsFromTheSparePool and two more, without network.

--- a/sched/fleet.go
+++ b/sched/fleet.go
@@ -11,6 +11,8 @@
 	// complete says that a list was read since the takeover.
 	complete bool
 	vms      map[croft.VMID]croft.FleetVM
+	// order has the VMs by name, so that decisions repeat.
+	order    []croft.VMID
 	byWorker map[croft.WorkerID]croft.VMID
 	// unregistered are VMs that are up with an executor that is not registered.
 	unregistered []croft.FleetVM
@@ -33,7 +35,7 @@
 	if f.asking && p.now.Elapsed-f.asked > fleetOverdue {
 		f.asking = false
 	}
-	if !f.complete || p.waveAway() {
+	if !f.complete || p.waveAway() || len(p.moves) > 0 {
 		f.wanted = true
 	}
 	if !f.wanted || f.asking || (f.asked != 0 && p.now.Elapsed-f.asked < fleetPause) {
@@ -76,5 +78,7 @@
 		}
 		return 1
 	})
+	f.order = sortedVMs(f.vms)
 	p.checkWaves(e)
+	p.arrive(e)
 }
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -131,6 +131,9 @@
 	entry := ack{number: end.Number}
 	s, index := p.find(end.Task)
 	if r := w.runs[end.Task]; r != nil && r.number == end.Run {
+		if end.How == croft.EndDone {
+			p.learn(r)
+		}
 		p.drop(r)
 	}
 	if s == nil || s.job.ended {
--- a/sched/place.go
+++ b/sched/place.go
@@ -192,6 +192,8 @@
 	togetherScore = int64(1) << 30
 	// dueScore keeps endless tasks from VMs that will be maintained.
 	dueScore = int64(1) << 34
+	// freshScore gathers endless tasks on few executors, so that the VMs of others can move.
+	freshScore = int64(1) << 27
 	// blameScore keeps tasks from executors on which the last ones failed.
 	blameScore = int64(1) << 28
 )
@@ -210,6 +212,9 @@
 	}
 	if s.spec.Endless {
 		score += int64(p.together(w, s))*togetherScore + w.used.MilliCores
+		if !hasEndless(w) {
+			score += freshScore
+		}
 		if p.dueForWave(w) {
 			score += dueScore
 		}
--- a/sched/planner.go
+++ b/sched/planner.go
@@ -49,6 +49,13 @@
 	begun map[int][]croft.VMID
 	fleet fleet
 
+	moves map[croft.VMID]*move
+	// refusedMoves are ways between pools of different VMs.
+	refusedMoves map[moveWay]bool
+	nextScale    croft.Millis
+	// durations has the mean duration of each queue's tasks, in milliseconds.
+	durations map[croft.QueueID]float64
+
 	out []Effect
 }
 
@@ -70,6 +77,10 @@
 	p.parts = map[string]*part{}
 	p.fleet = fleet{}
 	p.begun = nil
+	p.moves = map[croft.VMID]*move{}
+	p.refusedMoves = map[moveWay]bool{}
+	p.nextScale = 0
+	p.durations = map[croft.QueueID]float64{}
 	for number, w := range p.waves {
 		p.waves[number] = newWave(w.Wave)
 	}
@@ -155,6 +166,7 @@
 	p.expireLeases()
 	p.pollFleet()
 	p.runWaves()
+	p.scale()
 	p.evacuate()
 	p.place()
 	p.repeatStops()
--- /dev/null
+++ b/sched/scale_test.go
@@ -0,0 +1,70 @@
+package sched
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"waxwing.example/croft"
+)
+
+const sparePool = croft.PoolID("spare")
+
+// withSpare adds VMs of a spare pool to the fleet.
+func (b *bench) withSpare(workers, spares int) {
+	config := testConfig()
+	config.Config.Version = 2
+	config.Config.Pools = append(config.Config.Pools, croft.PoolRule{ID: sparePool, Spare: true})
+	b.event(config)
+	vms := testFleet(workers)
+	for i := range spares {
+		vms = append(vms, croft.FleetVM{ID: vmName(100 + i), Pool: sparePool, State: croft.FleetUp})
+	}
+	b.event(FleetRead{Asked: b.now, VMs: vms})
+}
+
+// A queue whose turn comes asks for several times what its pool holds: VMs of the spare pool are
+// moved in as soon as the work at hand exceeds what the pool does in a second.
+func TestTurnsOfDemandPullVMsFromTheSparePool(t *testing.T) {
+	b := newBench(t)
+	b.lead(1, 2)
+	b.withSpare(2, 3)
+	effects := b.event(JobsRead{Jobs: []JobRow{testJob("j1", step(40, 8))}})
+	effects = append(effects, b.advance(200)...)
+	orders := of[OrderVM](effects)
+	assert.Equal(t, len(orders), 2)
+	for _, o := range orders {
+		assert.Equal(t, o.Order.Pool, testPool)
+	}
+}
+
+// Once the turn is over, VMs beyond what the pool needs go back one after another.
+func TestVMsGoBackAfterATurn(t *testing.T) {
+	b := newBench(t)
+	b.lead(1, 4)
+	b.withSpare(4, 0)
+	returned := 0
+	for range 200 {
+		for _, o := range of[OrderVM](b.advance(50)) {
+			assert.Equal(t, o.Order.Pool, sparePool)
+			returned++
+			b.event(Ordered{OrderVM: o})
+		}
+	}
+	assert.Equal(t, returned, 2)
+}
+
+// A VM with a task that lasts is not taken for another pool.
+func TestVMsWithEndlessTasksAreNotLent(t *testing.T) {
+	b := newBench(t)
+	endless := step(4, 5)
+	endless.Endless, endless.MostPerWorker = true, 1
+	b.lead(1, 4)
+	b.withSpare(4, 0)
+	for _, s := range of[Start](b.event(JobsRead{Jobs: []JobRow{testJob("j1", endless)}})) {
+		b.event(Started{Start: s, Clock: b.now})
+	}
+	for range 200 {
+		assert.Equal(t, len(of[OrderVM](b.advance(50))), 0)
+	}
+}
--- a/sched/wave.go
+++ b/sched/wave.go
@@ -145,7 +145,8 @@
 	for _, id := range w.VMs {
 		vm, ok := p.fleet.vms[id]
 		_, preparing := w.prepared[id]
-		if !ok || w.begun[id] || preparing || vm.State != croft.FleetUp {
+		_, moving := p.moves[id]
+		if !ok || w.begun[id] || preparing || moving || vm.State != croft.FleetUp {
 			continue
 		}
 		if p.poolIsShort(w, vm) {
@@ -223,8 +224,12 @@
 }
 
 func (p *Planner) takeOrdered(e Ordered) {
+	if e.Order.Pool != "" {
+		p.takeMoved(e)
+		return
+	}
 	w, ok := p.waves[e.Order.Wave]
-	if !ok || e.Order.Wave == 0 {
+	if !ok {
 		return
 	}
 	id := e.Order.VM
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -12,8 +12,9 @@
 	id      croft.PoolID
 	workers map[croft.WorkerID]*worker
 	// order has the workers by name, so that decisions repeat.
-	order []*worker
-	jobs  []*job
+	order  []*worker
+	jobs   []*job
+	demand demand
 }
 
 // worker is one executor, over its lives.
