sched: the test of turns counts the VMs that its load needs

Cause: 40 tasks of 8 cores and 0.6 s need three VMs of 64 cores, one more than the pool has; the test asked for two more. Change: 60 tasks, which need five; the test fails without borrowing as before.

--- a/sched/scale_test.go
+++ b/sched/scale_test.go
@@ -29,10 +29,10 @@
 	b := newBench(t)
 	b.lead(1, 2)
 	b.withSpare(2, 3)
-	effects := b.event(JobsRead{Jobs: []JobRow{testJob("j1", step(40, 8))}})
+	effects := b.event(JobsRead{Jobs: []JobRow{testJob("j1", step(60, 8))}})
 	effects = append(effects, b.advance(200)...)
 	orders := of[OrderVM](effects)
-	assert.Equal(t, len(orders), 2)
+	assert.Equal(t, len(orders), 3)
 	for _, o := range orders {
 		assert.Equal(t, o.Order.Pool, testPool)
 	}
