sched: an order for a VM that the platform took ends its executor's life only once a list says so

Ruled out: lists that overtake answers (the runs were in none of them by then). Change: the executor stays reserved until a list that is asked for after the answer shows its VM gone, or up as before. Test: TestOrderCarriedOutBeforeEndsNothing, failing first.

--- a/sched/fleet.go
+++ b/sched/fleet.go
@@ -19,6 +19,14 @@
 	asked        croft.Millis
 	asking       bool
 	wanted       bool
+	// leaving are executors whose VM was ordered away, by when the platform took the order.
+	leaving map[croft.WorkerID]departure
+}
+
+// departure is an order for a VM that the platform took.
+type departure struct {
+	vm croft.VMID
+	at croft.Millis
 }
 
 // Spans of the list of VMs; each reading is charged, and the platform bounds them to some tens a second.
@@ -35,7 +43,7 @@
 	if f.asking && p.now.Elapsed-f.asked > fleetOverdue {
 		f.asking = false
 	}
-	if !f.complete || p.waveAway() || len(p.moves) > 0 {
+	if !f.complete || p.waveAway() || len(p.moves)+len(f.leaving) > 0 {
 		f.wanted = true
 	}
 	if !f.wanted || f.asking || (f.asked != 0 && p.now.Elapsed-f.asked < fleetPause) {
@@ -45,6 +53,41 @@
 	p.do(ListFleet{Asked: p.now.Elapsed})
 }
 
+// leave notes that the platform took an order that ends a VM's executor. It takes one that was
+// carried out before in the same way, and then the executor is a new one that goes on: only a list
+// that is asked for from here on tells which.
+func (p *Planner) leave(id croft.VMID) {
+	if w := p.workerOn(id); w != nil {
+		if p.fleet.leaving == nil {
+			p.fleet.leaving = map[croft.WorkerID]departure{}
+		}
+		p.fleet.leaving[w.ID] = departure{vm: id, at: p.now.Elapsed}
+	}
+	p.askFleet()
+}
+
+// depart settles the orders that a list tells about.
+func (p *Planner) depart(e FleetRead) {
+	for id, d := range p.fleet.leaving {
+		if e.Asked < d.at {
+			continue
+		}
+		delete(p.fleet.leaving, id)
+		w, ok := p.workers[id]
+		if !ok {
+			continue
+		}
+		w.reserved = false
+		vm, there := p.fleet.vms[d.vm]
+		if there && vm.State == croft.FleetUp && vm.Worker == id {
+			p.log("Stays", string(id), string(d.vm), "the order had been carried out before")
+			continue
+		}
+		p.lifeOver(w, "its VM left by our order")
+		w.listed = false
+	}
+}
+
 func (p *Planner) takeFleet(e FleetRead) {
 	f := &p.fleet
 	f.asking = false
@@ -79,6 +122,7 @@
 		return 1
 	})
 	f.order = sortedVMs(f.vms)
+	p.depart(e)
 	p.checkWaves(e)
 	p.arrive(e)
 }
--- a/sched/scale.go
+++ b/sched/scale.go
@@ -336,11 +336,7 @@
 	switch {
 	case e.Err == nil:
 		m.ordered = p.now.Elapsed
-		if w := p.workerOn(id); w != nil {
-			p.lifeOver(w, "its VM moves to "+string(m.to))
-			w.reserved, w.listed = false, false
-		}
-		p.askFleet()
+		p.leave(id)
 	case errors.As(e.Err, &refused):
 		if refused.Reason == croft.FleetRefusedFence {
 			p.stepDown("the platform has seen a higher fencing token")
--- a/sched/wave.go
+++ b/sched/wave.go
@@ -266,10 +266,7 @@
 
 // maintained takes note that a VM's maintenance has begun.
 func (p *Planner) maintained(w *wave, id croft.VMID) {
-	if wk := p.workerOn(id); wk != nil {
-		p.lifeOver(wk, "its VM is maintained")
-		wk.reserved, wk.listed = false, false
-	}
+	p.leave(id)
 	w.begun[id] = true
 	w.away[id] = p.now.Elapsed
 	delete(w.prepared, id)
--- a/sched/wave_test.go
+++ b/sched/wave_test.go
@@ -26,3 +26,30 @@
 	assert.Equal(t, len(of[OrderVM](b.advance(100))), 0)
 	assert.Equal(t, len(of[OrderVM](b.held(0))), 1)
 }
+
+// The platform answers an order that a former leader gave as if it were done now. The executor is
+// then a new one whose runs go on, and they were started again elsewhere.
+func TestOrderCarriedOutBeforeEndsNothing(t *testing.T) {
+	b := newBench(t)
+	b.lead(1, 2)
+	b.event(WaveRowsRead{})
+	for _, s := range of[Start](b.event(JobsRead{Jobs: []JobRow{testJob("j1", step(1, 60))}})) {
+		b.event(Started{Start: s, Clock: b.now})
+	}
+	busy := 0
+	if len(b.planner.workers[workerName(0)].runs) == 0 {
+		busy = 1
+	}
+	b.event(testWave(vmName(busy)))
+	var orders []OrderVM
+	for range 100 {
+		orders = append(orders, of[OrderVM](b.advance(50))...)
+	}
+	assert.Equal(t, len(orders), 1)
+	effects := b.event(Ordered{OrderVM: orders[0]})
+	assert.Equal(t, len(of[Start](effects)), 0)
+	b.advance(500)
+	effects = b.event(FleetRead{Asked: b.now, VMs: testFleet(2)})
+	assert.Equal(t, len(of[Start](effects)), 0)
+	assert.Equal(t, len(b.planner.workers[workerName(busy)].runs), 1)
+}
