sched: VMs that may still be sent away count against the wave's bound

A leader that took over did not count VMs whose sending away its predecessor had not written down either. Ruled out: the time that a maintenance takes (lists are compared by when they were asked for). Change: such a VM counts until its order is answered; VMs of the wave under maintenance in the list count as begun. Tests: TestOrderWithoutAnswerCountsUntilItIsSettled, TestVMsSentAwayByAFormerLeaderCount, both failing first.

--- a/sched/wave.go
+++ b/sched/wave.go
@@ -18,6 +18,8 @@
 	begun    map[croft.VMID]bool
 	away     map[croft.VMID]croft.Millis
 	ordered  map[croft.VMID]bool
+	// unsure are VMs whose order got no answer and may be carried out later.
+	unsure   map[croft.VMID]bool
 	prepared map[croft.VMID]croft.Millis
 	reported bool
 	finished bool
@@ -26,7 +28,7 @@
 func newWave(w croft.Wave) *wave {
 	return &wave{
 		Wave: w, begun: map[croft.VMID]bool{}, away: map[croft.VMID]croft.Millis{},
-		ordered: map[croft.VMID]bool{}, prepared: map[croft.VMID]croft.Millis{},
+		ordered: map[croft.VMID]bool{}, unsure: map[croft.VMID]bool{}, prepared: map[croft.VMID]croft.Millis{},
 	}
 }
 
@@ -234,6 +236,7 @@
 	}
 	id := e.Order.VM
 	delete(w.ordered, id)
+	delete(w.unsure, id)
 	var refused *croft.FleetRefusedError
 	switch {
 	case e.Err == nil:
@@ -258,6 +261,8 @@
 		var unavailable *croft.UnavailableError
 		if errors.As(e.Err, &unavailable) {
 			delete(w.away, id)
+		} else {
+			w.unsure[id] = true
 		}
 		w.prepared[id] = p.now.Elapsed + orderPause
 		p.askFleet()
@@ -284,9 +289,10 @@
 // checkWaves takes VMs for back that are up in a list asked for after they went.
 func (p *Planner) checkWaves(e FleetRead) {
 	for _, w := range p.waves {
+		p.recallAway(w, e)
 		for id, since := range w.away {
 			vm, ok := p.fleet.vms[id]
-			if w.ordered[id] || e.Asked < since {
+			if w.ordered[id] || w.unsure[id] || e.Asked < since {
 				continue
 			}
 			if !ok || (vm.State == croft.FleetUp && e.Asked >= since+p.options.Maintain/2) || vm.State == croft.FleetDown {
@@ -296,6 +302,17 @@
 	}
 }
 
+// recallAway counts VMs that a former leader sent away without having written it down.
+func (p *Planner) recallAway(w *wave, e FleetRead) {
+	for _, id := range w.VMs {
+		if p.fleet.vms[id].State == croft.FleetMaintenance && !w.begun[id] && !w.ordered[id] {
+			w.begun[id] = true
+			w.away[id] = e.Asked
+			delete(w.prepared, id)
+		}
+	}
+}
+
 func (w *wave) begunVMs() []croft.VMID {
 	out := make([]croft.VMID, 0, len(w.begun))
 	for id := range w.begun {
--- a/sched/wave_test.go
+++ b/sched/wave_test.go
@@ -53,3 +53,37 @@
 	assert.Equal(t, len(of[Start](effects)), 0)
 	assert.Equal(t, len(b.planner.workers[workerName(busy)].runs), 1)
 }
+
+// A leader that took over did not count the VMs that its predecessor had sent away a moment before
+// it was lost, and so more were away than the wave allows.
+func TestVMsSentAwayByAFormerLeaderCount(t *testing.T) {
+	b := newBench(t)
+	b.lead(2, 6)
+	b.event(WaveRowsRead{})
+	vms := testFleet(6)
+	vms[0].State, vms[1].State = croft.FleetMaintenance, croft.FleetMaintenance
+	vms[0].Worker, vms[1].Worker = "", ""
+	b.event(testWave(vmName(0), vmName(1), vmName(2), vmName(3)))
+	b.event(FleetRead{Asked: b.now, VMs: vms})
+	for range 20 {
+		assert.Equal(t, len(of[OrderVM](b.advance(50))), 0)
+	}
+	assert.Equal(t, len(of[OrderVM](b.event(FleetRead{Asked: b.now, VMs: testFleet(6)}))), 1)
+}
+
+// An order without an answer was no longer counted once a list showed its VM up, and it was carried
+// out after others had been sent away in its place.
+func TestOrderWithoutAnswerCountsUntilItIsSettled(t *testing.T) {
+	b := newBench(t)
+	b.lead(1, 4)
+	b.event(WaveRowsRead{})
+	first := of[OrderVM](b.event(WavesRead{Waves: []croft.Wave{{Number: 1, VMs: []croft.VMID{vmName(0), vmName(1)}, Duration: 20 * croft.Second, Most: 1}}}))
+	assert.Equal(t, len(first), 1)
+	b.event(Ordered{OrderVM: first[0], Err: &croft.LostAnswerError{Reason: "test"}})
+	for range 60 {
+		effects := b.event(FleetRead{Asked: b.now, VMs: testFleet(4)})
+		for _, o := range of[OrderVM](append(effects, b.advance(50)...)) {
+			assert.Equal(t, o.Order.VM, first[0].Order.VM)
+		}
+	}
+}
