sched: VMs are shared by need, and a wave empties one pool's VMs a few at a time

Change: VMs go from the pool whose need is met best to the one whose need is met least, while the first stays better off.

--- a/sched/scale.go
+++ b/sched/scale.go
@@ -34,15 +34,21 @@
 const (
 	// scaleSpan is how often the pools are compared; a move takes over a second.
 	scaleSpan = 150 * croft.Millis(1)
-	// clearSpan is the time in which a pool should be able to do all the work it has: about the
-	// part of a job's objective that is not its own work.
-	clearSpan = 1000 * croft.Millis(1)
+	// clearSpan is the time in which a pool should be able to do all the work it has; at a steady
+	// load, a pool that just keeps up has work for about as long as its tasks take.
+	clearSpan = 600 * croft.Millis(1)
 	// emptySpan is how long a VM that is to move may take to become empty.
-	emptySpan = 2 * croft.Second
+	emptySpan = 3 * croft.Second
 	// arriveSpan is when a moved VM that has not come is no longer counted on.
 	arriveSpan = 6 * croft.Second
-	// lendMargin is how many VMs beyond its need a pool keeps when it lends.
-	lendMargin = 1
+	// lendMargin is by how much, in percent, the lender must be better off than the borrower after
+	// a move, so that VMs do not go to and fro.
+	lendMargin = 15
+	// reserveShare of an equal share of all VMs stays with a pool that lends, in percent: its own
+	// turn will come, and a VM takes over a second to return.
+	reserveShare = 50
+	// keepMargin is how many VMs beyond its need a pool keeps when it gives back.
+	keepMargin = 1
 	// peakShare of the recent peak is kept in the pool, in percent: a VM that is given back takes
 	// longer to return than most jobs have.
 	peakShare = 60
@@ -190,20 +196,22 @@
 	return n
 }
 
-// borrow begins to move one VM to a pool: from the spare pool, or from one with more than it needs.
+// borrow begins to move one VM to a pool: from the spare pool, or from the pool whose need is met best.
 func (p *Planner) borrow(po *pool, pools []*pool) bool {
 	if id, ok := p.spareVM(po); ok {
 		p.beginMove(id, po.id)
 		return true
 	}
 	var from *pool
-	most := lendMargin
+	reserve := len(p.fleet.vms) * reserveShare / 100 / max(len(pools), 1)
+	best := po.supply(p.have(po)+1) * (100 + lendMargin) / 100
 	for _, other := range pools {
-		if p.refusedMoves[moveWay{other.id, po.id}] {
+		have := p.have(other) - 1
+		if other == po || have < reserve || p.refusedMoves[moveWay{other.id, po.id}] {
 			continue
 		}
-		if surplus := p.have(other) - other.demand.now; other != po && surplus > most {
-			from, most = other, surplus
+		if supply := other.supply(have); supply > best {
+			from, best = other, supply
 		}
 	}
 	if from == nil {
@@ -217,6 +225,9 @@
 	return true
 }
 
+// supply is how much of its need a pool has with some VMs.
+func (po *pool) supply(vms int) float64 { return float64(vms) / float64(max(po.demand.now, 1)) }
+
 // spareVM returns a VM of a spare pool that can move.
 func (p *Planner) spareVM(po *pool) (croft.VMID, bool) {
 	for _, id := range p.fleet.order {
@@ -377,7 +388,7 @@
 // giveBack returns one VM to the spare pool once the pool has had more than enough for a while.
 func (p *Planner) giveBack(po *pool) {
 	d := &po.demand
-	keep := max(d.now+lendMargin, int(d.peak*peakShare/100))
+	keep := max(d.now+keepMargin, int(d.peak*peakShare/100))
 	if p.have(po) <= keep || p.now.Elapsed-d.idle < idleSpan {
 		return
 	}
--- a/sched/wave.go
+++ b/sched/wave.go
@@ -77,6 +77,7 @@
 		// It may be away still.
 		w.away[id] = p.now.Elapsed
 	}
+	p.recallAway(w)
 }
 
 func (p *Planner) waveAway() bool {
@@ -125,6 +126,9 @@
 		if len(w.prepared) >= max(w.Most*prepareAhead-len(w.away), 1) {
 			return
 		}
+		if p.poolIsShort(w, p.fleet.vms[id]) {
+			continue
+		}
 		w.prepared[id] = p.now.Elapsed
 		if wk := p.workerOn(id); wk != nil {
 			wk.reserved = true
@@ -151,9 +155,6 @@
 		if !ok || w.begun[id] || preparing || moving || vm.State != croft.FleetUp {
 			continue
 		}
-		if p.poolIsShort(w, vm) {
-			continue
-		}
 		ids = append(ids, id)
 	}
 	slices.SortStableFunc(ids, func(a, b croft.VMID) int { return p.busyOn(a) - p.busyOn(b) })
@@ -289,7 +290,7 @@
 // checkWaves takes VMs for back that are up in a list asked for after they went.
 func (p *Planner) checkWaves(e FleetRead) {
 	for _, w := range p.waves {
-		p.recallAway(w, e)
+		p.recallAway(w)
 		for id, since := range w.away {
 			vm, ok := p.fleet.vms[id]
 			if w.ordered[id] || w.unsure[id] || e.Asked < since {
@@ -303,11 +304,11 @@
 }
 
 // recallAway counts VMs that a former leader sent away without having written it down.
-func (p *Planner) recallAway(w *wave, e FleetRead) {
+func (p *Planner) recallAway(w *wave) {
 	for _, id := range w.VMs {
 		if p.fleet.vms[id].State == croft.FleetMaintenance && !w.begun[id] && !w.ordered[id] {
 			w.begun[id] = true
-			w.away[id] = e.Asked
+			w.away[id] = p.fleet.asked
 			delete(w.prepared, id)
 		}
 	}
--- a/sched/wave_test.go
+++ b/sched/wave_test.go
@@ -63,7 +63,8 @@
 	vms := testFleet(6)
 	vms[0].State, vms[1].State = croft.FleetMaintenance, croft.FleetMaintenance
 	vms[0].Worker, vms[1].Worker = "", ""
-	b.event(testWave(vmName(0), vmName(1), vmName(2), vmName(3)))
+	b.event(FleetRead{Asked: b.now, VMs: vms})
+	assert.Equal(t, len(of[OrderVM](b.event(testWave(vmName(0), vmName(1), vmName(2), vmName(3))))), 0)
 	b.event(FleetRead{Asked: b.now, VMs: vms})
 	for range 20 {
 		assert.Equal(t, len(of[OrderVM](b.advance(50))), 0)
