sched: only pools in which something changed are gone through, and what cannot fit is tried once

Change: pools are marked when room, work or executors change; a need that fits nowhere covers all that are no smaller; tasks of a step on an executor are counted, not searched.

--- a/sched/hold.go
+++ b/sched/hold.go
@@ -110,6 +110,7 @@
 			return
 		}
 		w.verified = true
+		p.pool(w.Pool).changed = true
 		p.log("Verified", string(w.ID), "", fmt.Sprintf("%d run, %d ended", len(e.Report.Active), len(e.Report.Ended)))
 	}
 	for _, end := range e.Report.Ended {
@@ -194,11 +195,15 @@
 // compareRuns brings what is known of a worker's runs in line with its list.
 func (p *Planner) compareRuns(w *worker, e Holding) {
 	listed := make(map[croft.TaskID]bool, len(e.Report.Active))
+	strangers := w.strangers
 	w.strangers = 0
 	for _, a := range e.Report.Active {
 		listed[a.Task] = true
 		p.takeActive(w, a)
 	}
+	if w.strangers < strangers {
+		p.pool(w.Pool).changed = true
+	}
 	for id, r := range w.runs {
 		if listed[id] || r.known == 0 || r.known >= e.Sent {
 			continue
--- a/sched/job.go
+++ b/sched/job.go
@@ -58,6 +58,8 @@
 	left    int
 	// opened is when the stage's turn came.
 	opened croft.Millis
+	// on counts the stage's runs on each worker.
+	on map[croft.WorkerID]int
 }
 
 // task is one task of a stage.
@@ -217,6 +219,7 @@
 			t.idle = p.now.Elapsed
 			if !t.done && t.run == nil {
 				s.waiting = append(s.waiting, index)
+				p.pool(j.record.Pool).changed = true
 			}
 		}
 	}
@@ -335,4 +338,5 @@
 		return
 	}
 	s.waiting = append(s.waiting, index)
+	p.pool(s.job.record.Pool).changed = true
 }
--- a/sched/place.go
+++ b/sched/place.go
@@ -51,12 +51,17 @@
 	rank  rank
 }
 
-// place starts what waits and fits.
+// placeSpan is how long a pool in which nothing changed is left alone; ranks change with time.
+const placeSpan = 200 * croft.Millis(1)
+
+// place starts what waits and fits, in pools in which something changed.
 func (p *Planner) place() {
 	for _, po := range p.pools {
-		if len(po.jobs) > 0 && len(po.order) > 0 {
-			p.placePool(po)
+		if len(po.jobs) == 0 || len(po.order) == 0 || (!po.changed && p.now.Elapsed-po.placed < placeSpan) {
+			continue
 		}
+		po.changed, po.placed = false, p.now.Elapsed
+		p.placePool(po)
 	}
 }
 
@@ -74,15 +79,48 @@
 		}
 	}
 	slices.SortStableFunc(waiting, func(a, b candidate) int { return a.rank.compare(b.rank) })
+	full := fullness{}
 	for _, c := range waiting {
-		if c.stage.spec.Gang {
+		switch {
+		case full.covers(c.stage):
+		case c.stage.spec.Gang:
 			p.placeGang(po, c.stage)
-			continue
+		default:
+			p.placeStage(po, c.stage)
+			if len(c.stage.waiting) > 0 {
+				full = full.with(c.stage)
+			}
 		}
-		p.placeStage(po, c.stage)
 	}
 }
 
+// fullness is what did not fit anywhere in one pass over a pool, so that what needs no less is not
+// tried on every worker again.
+type fullness []croft.Resources
+
+// mostFull bounds the comparisons for one stage.
+const mostFull = 16
+
+func (f fullness) with(s *stage) fullness {
+	if s.spec.Requires != "" || s.spec.MostPerWorker > 0 || len(f) >= mostFull {
+		return f
+	}
+	return append(f, s.needs())
+}
+
+func (f fullness) covers(s *stage) bool {
+	if s.spec.Endless {
+		return false
+	}
+	needs := s.needs()
+	for _, other := range f {
+		if other.Fits(needs) {
+			return true
+		}
+	}
+	return false
+}
+
 // placeStage starts as many tasks of a stage as fit.
 func (p *Planner) placeStage(po *pool, s *stage) {
 	for _, index := range slices.Clone(s.waiting) {
@@ -105,7 +143,7 @@
 	}
 	chosen := make([]*worker, 0, len(s.waiting))
 	number := 0
-	needs := (&run{stage: s}).needs()
+	needs := s.needs()
 	for _, index := range s.waiting {
 		w := p.choose(po, s, index)
 		if w == nil {
@@ -141,7 +179,7 @@
 
 // choose returns the worker for a task, nil where none has room.
 func (p *Planner) choose(po *pool, s *stage, index int) *worker {
-	needs := (&run{stage: s}).needs()
+	needs := s.needs()
 	var best *worker
 	var bestScore int64
 	for _, w := range po.order {
@@ -167,20 +205,7 @@
 }
 
 // together counts the tasks of a stage on a worker.
-func (p *Planner) together(w *worker, s *stage) int {
-	n := 0
-	for i := range s.tasks {
-		if r := s.tasks[i].run; r != nil && r.worker == w {
-			n++
-		}
-	}
-	for _, r := range w.runs {
-		if r.stage == s && s.tasks[r.index].run != r {
-			n++
-		}
-	}
-	return n
-}
+func (p *Planner) together(w *worker, s *stage) int { return s.on[w.ID] }
 
 // Weights of a placement, larger than any number of free milli-cores, the most important first.
 const (
@@ -207,8 +232,10 @@
 	if s.tasks[index].avoid == w.ID {
 		score += avoidScore
 	}
-	if s.spec.SameRack && p.rackOf(s) != "" && p.rackOf(s) != w.Rack {
-		score += remoteScore
+	if s.spec.SameRack {
+		if rack := p.rackOf(s); rack != "" && rack != w.Rack {
+			score += remoteScore
+		}
 	}
 	if s.spec.Endless {
 		score += int64(p.together(w, s))*togetherScore + w.used.MilliCores
@@ -235,7 +262,7 @@
 
 // makeRoom stops short tasks for an endless one that fits nowhere, on the worker that loses least.
 func (p *Planner) makeRoom(po *pool, s *stage, index int) {
-	needs := (&run{stage: s}).needs()
+	needs := s.needs()
 	var best []*run
 	for _, w := range po.order {
 		if !p.usable(w) || !p.admits(w, s, index) {
--- a/sched/scale.go
+++ b/sched/scale.go
@@ -125,7 +125,7 @@
 			continue
 		}
 		for _, s := range j.stages {
-			needs := (&run{stage: s}).needs()
+			needs := s.needs()
 			if s.spec.Endless {
 				endless = endless.Plus(times(needs, int64(s.left), 1))
 				continue
@@ -271,14 +271,7 @@
 	return best, fewest >= 0
 }
 
-func hasEndless(w *worker) bool {
-	for _, r := range w.runs {
-		if r.stage.spec.Endless {
-			return true
-		}
-	}
-	return false
-}
+func hasEndless(w *worker) bool { return w.endless > 0 }
 
 func (p *Planner) beginMove(id croft.VMID, to croft.PoolID) {
 	vm := p.fleet.vms[id]
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -15,6 +15,9 @@
 	order  []*worker
 	jobs   []*job
 	demand demand
+	// changed says that something may fit now that did not, and placed when that was last tried.
+	changed bool
+	placed  croft.Millis
 }
 
 // worker is one executor, over its lives.
@@ -37,6 +40,8 @@
 	acks        []ack
 	runs        map[croft.TaskID]*run
 	used        croft.Resources
+	// endless counts the endless tasks among the runs.
+	endless int
 	// heard is when the executor last answered.
 	heard croft.Millis
 	// nextHold is when the next hold is due.
@@ -163,6 +168,7 @@
 	w.WorkerEntry = e
 	w.listed = true
 	p.pool(e.Pool).add(w)
+	p.pool(e.Pool).changed = true
 }
 
 func (po *pool) add(w *worker) {
@@ -201,6 +207,13 @@
 func (p *Planner) add(r *run) {
 	r.worker.runs[r.stage.id(r.index)] = r
 	r.worker.used = r.worker.used.Plus(r.needs())
+	if r.stage.spec.Endless {
+		r.worker.endless++
+	}
+	if r.stage.on == nil {
+		r.stage.on = map[croft.WorkerID]int{}
+	}
+	r.stage.on[r.worker.ID]++
 	r.stage.job.runs++
 }
 
@@ -209,6 +222,11 @@
 	w := r.worker
 	delete(w.runs, r.stage.id(r.index))
 	w.used = w.used.Minus(r.needs())
+	if r.stage.spec.Endless {
+		w.endless--
+	}
+	r.stage.on[w.ID]--
+	p.pool(w.Pool).changed = true
 	t := &r.stage.tasks[r.index]
 	if t.run == r {
 		t.run = nil
@@ -217,9 +235,12 @@
 	p.forgetJob(r.stage.job)
 }
 
-func (r *run) needs() croft.Resources {
-	needs := r.stage.spec.Needs
-	if r.stage.spec.Filler {
+func (r *run) needs() croft.Resources { return r.stage.needs() }
+
+// needs returns what a task of the stage takes of an executor's room.
+func (s *stage) needs() croft.Resources {
+	needs := s.spec.Needs
+	if s.spec.Filler {
 		needs.MilliCores = 0
 	}
 	return needs
