--- a/agent/agent.go
+++ b/agent/agent.go
@@ -23,6 +23,7 @@
 	Directory croft.Directory
 	Runner    croft.Runner
 	Fleet     croft.Fleet
+	Advice    croft.Advice
 	Clock     croft.Clock
 	Log       *logs.Logger
 	Planner   sched.Options
--- a/agent/perform.go
+++ b/agent/perform.go
@@ -39,6 +39,8 @@
 		go a.pace(ctx, e)
 	case sched.Commit:
 		go a.commit(ctx, e)
+	case sched.Advise:
+		go a.advise(ctx, e)
 	case sched.ListFleet:
 		go a.listFleet(ctx, e)
 	case sched.OrderVM:
@@ -80,6 +82,11 @@
 	a.post(ctx, sched.FleetRead{Asked: e.Asked, VMs: vms})
 }
 
+func (a *Agent) advise(ctx context.Context, e sched.Advise) {
+	tickets, valid, err := a.Advice.Advise(ctx, e.Stage, e.Workers)
+	a.post(ctx, sched.Advised{Advise: e, Tickets: tickets, Valid: valid, Err: err})
+}
+
 // waveTable holds which VMs of each wave have begun their maintenance.
 const waveTable = "wave"
 
--- a/queue.go
+++ b/queue.go
@@ -107,6 +107,13 @@
 	ReadTable(ctx context.Context, table string) (Changes, error)
 }
 
+// Advice is the service that knows on which executors a step may run.
+type Advice interface {
+	// Advise returns a ticket for each of the executors that may run the step of a task, and how
+	// long the tickets hold.
+	Advise(ctx context.Context, step TaskID, workers []WorkerID) (tickets map[WorkerID]string, valid Millis, err error)
+}
+
 // ErrHistoryGone tells that a feed must be begun anew with a whole read.
 const ErrHistoryGone PlatformError = "platform: history is no longer kept"
 
--- /dev/null
+++ b/sched/advice.go
@@ -0,0 +1,107 @@
+package sched
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"waxwing.example/croft"
+)
+
+// permit lets the tasks of a stage start on one worker.
+type permit struct {
+	ticket  string
+	born    int64
+	expires croft.Millis
+}
+
+// advice is what the advice service has said of a stage.
+type advice struct {
+	permits map[croft.WorkerID]permit
+	// refused are workers on which the stage may not run; that does not change.
+	refused map[croft.WorkerID]bool
+	asking  bool
+	next    croft.Millis
+}
+
+// Limits of questions to the advice service.
+const (
+	// adviceWorkers is how many executors are asked about at once: each takes the service time, and
+	// the objective of a job counts one question about so many.
+	adviceWorkers = 30
+	// adviceCalls keeps this entry's questions below the 32 that the service lets wait.
+	adviceCalls = 8
+	// adviceWait is the pause after a question without an answer.
+	adviceWait = 300 * croft.Millis(1)
+	// permitMargin is kept of a permit's time for the way of the start.
+	permitMargin = 200 * croft.Millis(1)
+)
+
+// needsAdvice reports whether a stage may start only with permits.
+func (p *Planner) needsAdvice(s *stage) bool { return p.queues[s.job.record.Queue].NeedsAdvice }
+
+// permitFor returns the permit of a stage for a worker.
+func (p *Planner) permitFor(s *stage, w *worker) (permit, bool) {
+	if s.advice == nil {
+		return permit{}, false
+	}
+	got, ok := s.advice.permits[w.ID]
+	return got, ok && got.born == w.born && p.now.Elapsed+permitMargin < got.expires
+}
+
+// seekAdvice asks about the workers that would suit a stage best.
+func (p *Planner) seekAdvice(po *pool, s *stage) {
+	if s.advice == nil {
+		s.advice = &advice{permits: map[croft.WorkerID]permit{}, refused: map[croft.WorkerID]bool{}}
+	}
+	a := s.advice
+	if a.asking || p.now.Elapsed < a.next || p.advising >= adviceCalls {
+		return
+	}
+	var suited []*worker
+	for _, w := range po.order {
+		_, known := p.permitFor(s, w)
+		if !known && !a.refused[w.ID] && p.usable(w) && p.suits(w, s) && s.needs().Fits(w.Room.Minus(w.used)) {
+			suited = append(suited, w)
+		}
+	}
+	if len(suited) == 0 {
+		return
+	}
+	slices.SortStableFunc(suited, func(x, y *worker) int {
+		return cmp.Compare(p.score(x, s, s.waiting[0]), p.score(y, s, s.waiting[0]))
+	})
+	ask := Advise{Stage: s.id(0), Sent: p.now.Elapsed}
+	for _, w := range suited[:min(len(suited), adviceWorkers)] {
+		ask.Workers = append(ask.Workers, w.ID)
+		ask.Born = append(ask.Born, w.born)
+	}
+	a.asking = true
+	p.advising++
+	p.do(ask)
+}
+
+func (p *Planner) takeAdvised(e Advised) {
+	p.advising = max(p.advising-1, 0)
+	s, _ := p.find(e.Stage)
+	if s == nil || s.advice == nil {
+		return
+	}
+	a := s.advice
+	a.asking = false
+	if e.Err != nil {
+		a.next = p.now.Elapsed + adviceWait
+		p.log("Advice", string(s.job.id), "NoAnswer", e.Err.Error())
+		return
+	}
+	p.log("Advice", string(s.job.id), fmt.Sprintf("%d of %d", len(e.Tickets), len(e.Workers)), "executors that may run step "+fmt.Sprint(s.step))
+	for i, id := range e.Workers {
+		ticket, ok := e.Tickets[id]
+		if !ok {
+			a.refused[id] = true
+			continue
+		}
+		a.permits[id] = permit{ticket: ticket, born: e.Born[i], expires: e.Sent + e.Valid}
+	}
+	p.pool(s.job.record.Pool).changed = true
+}
--- a/sched/events.go
+++ b/sched/events.go
@@ -131,6 +131,17 @@
 	Err error
 }
 
+// Advised is the outcome of an Advise.
+type Advised struct {
+	eventMark
+	Advise
+	// Tickets has a ticket for each worker that may run the stage.
+	Tickets map[croft.WorkerID]string
+	// Valid is how long the tickets hold.
+	Valid croft.Millis
+	Err   error
+}
+
 // Effect is something that the planner wants done; its outcome comes back as an event.
 type Effect interface{ effect() }
 
@@ -144,8 +155,6 @@
 	Order croft.HoldOrder
 	// Sent is when the planner decided on it.
 	Sent croft.Millis
-	// Check says that it runs beside the long hold of the executor.
-	Check bool
 }
 
 // Start begins a run, answered by Started.
@@ -168,6 +177,17 @@
 	Order croft.RunOrder
 }
 
+// Advise asks on which workers a stage may run, answered by Advised.
+type Advise struct {
+	effectMark
+	// Stage is the first task of the stage.
+	Stage   croft.TaskID
+	Workers []croft.WorkerID
+	// Born has the lives of the workers that are meant.
+	Born []int64
+	Sent croft.Millis
+}
+
 // Commit writes rows of one part, answered by Committed.
 type Commit struct {
 	effectMark
--- /dev/null
+++ b/sched/gang_test.go
@@ -0,0 +1,49 @@
+package sched
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"waxwing.example/croft"
+)
+
+func gang(count int, cores int64) croft.Step {
+	s := step(count, cores)
+	s.Gang = true
+	return s
+}
+
+func TestGangStartsWholeOrNotAtAll(t *testing.T) {
+	b := newBench(t)
+	b.lead(1, 1)
+	assert.Equal(t, len(of[Start](b.event(JobsRead{Jobs: []JobRow{testJob("g", gang(3, 30))}}))), 0)
+	entries := testWorkers(2)
+	b.event(WorkersRead{Changes: croft.WorkerChanges{Entries: entries[1:]}})
+	starts := of[Start](b.held(1))
+	assert.Equal(t, len(starts), 3)
+	for _, s := range starts {
+		assert.Equal(t, s.Order.Run, 1)
+	}
+}
+
+// The end of one member ends the others, and all start again with one number and one checkpoint.
+func TestBrokenGangStartsAgainWithOneNumber(t *testing.T) {
+	b := newBench(t)
+	b.lead(1, 2)
+	for _, s := range of[Start](b.event(JobsRead{Jobs: []JobRow{testJob("g", gang(2, 40))}})) {
+		b.event(Started{Start: s, Clock: b.now})
+	}
+	b.advance(100)
+	first := b.held(0, croft.EndedRun{Number: 1, Task: croft.TaskID{Job: "g"}, Run: 1, How: croft.EndFailed, Checkpoint: "c"},
+		croft.EndedRun{Number: 1, Task: croft.TaskID{Job: "g", Index: 1}, Run: 1, How: croft.EndFailed, Checkpoint: "c"})
+	assert.Equal(t, len(of[Start](first)), 0)
+	other := b.held(1, croft.EndedRun{Number: 1, Task: croft.TaskID{Job: "g", Index: 1}, Run: 1, How: croft.EndBroken},
+		croft.EndedRun{Number: 2, Task: croft.TaskID{Job: "g"}, Run: 1, How: croft.EndBroken})
+	starts := of[Start](other)
+	assert.Equal(t, len(starts), 2)
+	for _, s := range starts {
+		assert.Equal(t, s.Order.Run, 2)
+		assert.Equal(t, s.Order.Checkpoint, "c")
+	}
+}
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -32,27 +32,16 @@
 		}
 		delete(p.idle, id)
 		w.holding = true
-		p.sendHold(w, false)
+		p.sendHold(w)
 	}
 }
 
-func (p *Planner) sendHold(w *worker, check bool) {
+func (p *Planner) sendHold(w *worker) {
 	order := croft.HoldOrder{Worker: w.ID, Address: w.Address, Fence: p.fence, Until: p.until(w)}
 	if w.verified {
-		order.Seen = w.seen
-		if !check {
-			order.Wait = holdWait
-		}
-	}
-	p.do(Hold{Order: order, Sent: p.now.Elapsed, Check: check})
-}
-
-// check asks a worker for its lists at once, beside the hold that waits.
-func (p *Planner) check(w *worker) {
-	if !w.checking && w.verified {
-		w.checking = true
-		p.sendHold(w, true)
+		order.Seen, order.Wait = w.seen, w.holdWaitOf()
 	}
+	p.do(Hold{Order: order, Sent: p.now.Elapsed})
 }
 
 func (p *Planner) takeHold(e Holding) {
@@ -60,12 +49,8 @@
 	if !ok {
 		return
 	}
-	if e.Check {
-		w.checking = false
-	} else {
-		w.holding = false
-		p.idle[w.ID] = w
-	}
+	w.holding = false
+	p.idle[w.ID] = w
 	if e.Err != nil {
 		p.holdFailed(w, e)
 		return
@@ -119,6 +104,8 @@
 		}
 	}
 	p.compareRuns(w, e)
+	p.paceFillers(w)
+	p.stopStuck(w)
 	p.forgetAcked(w)
 	w.nextHold = p.now.Elapsed
 	if len(w.acks) > 0 {
@@ -233,6 +220,9 @@
 	if r.phase == phaseStarting || r.phase == phaseDoubtful {
 		r.phase, r.known = phaseActive, p.now.Elapsed
 	}
+	if r.percent != a.Percent {
+		r.moved = p.now.Elapsed
+	}
 	r.percent, r.gauge = a.Percent, a.Gauge
 	if a.Checkpoint != "" {
 		t.checkpoint = a.Checkpoint
@@ -253,7 +243,7 @@
 	if old := w.runs[a.Task]; old != nil {
 		p.drop(old)
 	}
-	r := &run{stage: s, index: index, number: a.Run, worker: w, phase: phaseActive, began: p.now.Elapsed, known: p.now.Elapsed}
+	r := &run{stage: s, index: index, number: a.Run, worker: w, phase: phaseActive, began: p.now.Elapsed, known: p.now.Elapsed, moved: p.now.Elapsed, pace: fullPace}
 	p.add(r)
 	t := &s.tasks[index]
 	if t.run != nil && t.run != r {
--- a/sched/job.go
+++ b/sched/job.go
@@ -59,7 +59,8 @@
 	// opened is when the stage's turn came.
 	opened croft.Millis
 	// on counts the stage's runs on each worker.
-	on map[croft.WorkerID]int
+	on     map[croft.WorkerID]int
+	advice *advice
 }
 
 // task is one task of a stage.
--- a/sched/order.go
+++ b/sched/order.go
@@ -19,12 +19,15 @@
 func (p *Planner) startRun(s *stage, index int, w *worker, number int) {
 	t := &s.tasks[index]
 	t.number = number
-	r := &run{stage: s, index: index, number: number, worker: w, began: p.now.Elapsed}
+	r := &run{stage: s, index: index, number: number, worker: w, began: p.now.Elapsed, moved: p.now.Elapsed, pace: fullPace}
 	id := s.id(index)
 	t.run = r
 	p.add(r)
 	order := p.runOrder(w, id, number)
 	order.Payload, order.Checkpoint, order.Until = s.job.record.Spec.Payload, t.checkpoint, p.until(w)
+	if got, ok := p.permitFor(s, w); ok {
+		order.Ticket = got.ticket
+	}
 	p.do(Start{Order: order, Sent: p.now.Elapsed})
 	if !s.job.began {
 		s.job.began = true
@@ -67,6 +70,32 @@
 	}
 }
 
+// Spans after which a run that makes no progress is given up.
+const (
+	// stuckFactor times the mean duration of its queue's tasks, and at least stuckSpan, is how long
+	// the percentage of a task may stand still.
+	stuckFactor = 4
+	stuckSpan   = 4 * croft.Second
+)
+
+// stopStuck ends runs that stand still, so that they run elsewhere.
+func (p *Planner) stopStuck(w *worker) {
+	for _, r := range w.runs {
+		if r.phase != phaseActive || r.stage.job.ended || (r.stage.spec.Endless && r.percent >= atWork) {
+			continue
+		}
+		if p.now.Elapsed-r.moved < max(stuckSpan, stuckFactor*p.duration(r.stage)) {
+			continue
+		}
+		if r.stage.spec.Gang || r.stage.spec.Filler {
+			continue
+		}
+		p.blame(w)
+		r.stage.tasks[r.index].avoid = w.ID
+		p.stopRun(r, fmt.Sprintf("it stands at %d %% since %d ms", r.percent, p.now.Elapsed-r.moved))
+	}
+}
+
 func (p *Planner) takeStopped(e Stopped) {
 	w, r := p.runOf(e.Order)
 	if r == nil || p.refusedForAll(w, e.Err) || e.Err != nil {
@@ -137,7 +166,11 @@
 	switch {
 	case errors.As(err, &refused):
 		p.log("Refused", id, string(w.ID), fmt.Sprintf("run %d: %s", r.number, refused.Reason))
-		w.resting = max(w.resting, p.now.Elapsed+roomWait)
+		if refused.Reason == croft.RefusedTicket && r.stage.advice != nil {
+			delete(r.stage.advice.permits, w.ID)
+		} else {
+			w.resting = max(w.resting, p.now.Elapsed+roomWait)
+		}
 		p.drop(r)
 		p.requeue(r.stage, r.index)
 	case errors.As(err, &unavailable):
--- a/sched/place.go
+++ b/sched/place.go
@@ -102,7 +102,7 @@
 const mostFull = 16
 
 func (f fullness) with(s *stage) fullness {
-	if s.spec.Requires != "" || s.spec.MostPerWorker > 0 || len(f) >= mostFull {
+	if s.spec.Requires != "" || s.spec.MostPerWorker > 0 || s.advice != nil || len(f) >= mostFull {
 		return f
 	}
 	return append(f, s.needs())
@@ -126,6 +126,9 @@
 	for _, index := range slices.Clone(s.waiting) {
 		w := p.choose(po, s, index)
 		if w == nil {
+			if p.needsAdvice(s) {
+				p.seekAdvice(po, s)
+			}
 			if s.spec.Endless {
 				p.makeRoom(po, s, index)
 			}
@@ -157,6 +160,9 @@
 		w.used = w.used.Minus(needs)
 	}
 	if len(chosen) < len(s.waiting) {
+		if p.needsAdvice(s) {
+			p.seekAdvice(po, s)
+		}
 		return
 	}
 	checkpoint := p.gangCheckpoint(s)
@@ -193,15 +199,24 @@
 	return best
 }
 
-// admits reports whether a step's own conditions allow a worker.
-func (p *Planner) admits(w *worker, s *stage, index int) bool {
+// suits reports whether a step's own conditions allow a worker.
+func (p *Planner) suits(w *worker, s *stage) bool {
 	if s.spec.Requires != "" && !slices.Contains(w.Labels, s.spec.Requires) {
 		return false
 	}
-	if r := w.runs[s.id(index)]; r != nil {
+	return s.spec.MostPerWorker == 0 || p.together(w, s) < s.spec.MostPerWorker
+}
+
+// admits reports whether a task may start on a worker, room apart.
+func (p *Planner) admits(w *worker, s *stage, index int) bool {
+	if !p.suits(w, s) || w.runs[s.id(index)] != nil {
 		return false
 	}
-	return s.spec.MostPerWorker == 0 || p.together(w, s) < s.spec.MostPerWorker
+	if p.needsAdvice(s) {
+		_, ok := p.permitFor(s, w)
+		return ok
+	}
+	return true
 }
 
 // together counts the tasks of a stage on a worker.
@@ -237,6 +252,9 @@
 			score += remoteScore
 		}
 	}
+	if s.spec.Filler {
+		return score + w.used.MilliCores
+	}
 	if s.spec.Endless {
 		score += int64(p.together(w, s))*togetherScore + w.used.MilliCores
 		if !hasEndless(w) {
--- a/sched/planner.go
+++ b/sched/planner.go
@@ -49,7 +49,9 @@
 	begun map[int][]croft.VMID
 	fleet fleet
 
-	moves map[croft.VMID]*move
+	// advising counts the questions to the advice service that are not answered.
+	advising int
+	moves    map[croft.VMID]*move
 	// refusedMoves are ways between pools of different VMs.
 	refusedMoves map[moveWay]bool
 	nextScale    croft.Millis
@@ -79,7 +81,7 @@
 	p.begun = nil
 	p.moves = map[croft.VMID]*move{}
 	p.refusedMoves = map[moveWay]bool{}
-	p.nextScale = 0
+	p.nextScale, p.advising = 0, 0
 	p.durations = map[croft.QueueID]float64{}
 	for number, w := range p.waves {
 		p.waves[number] = newWave(w.Wave)
@@ -140,6 +142,8 @@
 		p.takeCommitted(e)
 	case Ordered:
 		p.takeOrdered(e)
+	case Advised:
+		p.takeAdvised(e)
 	}
 }
 
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -28,7 +28,6 @@
 	// verified says that the lists of this life are known under our fencing token.
 	verified bool
 	holding  bool
-	checking bool
 	born     int64
 	// ahead is the executor's clock minus ours.
 	ahead      croft.Millis
@@ -53,6 +52,8 @@
 	resting croft.Millis
 	// strangers counts runs of ended jobs in the last list; they take room of unknown size.
 	strangers int
+	// pace is the processor share of the fillers, in percent.
+	pace int
 	// reserved says that the VM is kept free for a maintenance or a move.
 	reserved bool
 }
@@ -90,6 +91,10 @@
 	stopped croft.Millis
 	percent int
 	gauge   int64
+	// moved is when the percentage last changed.
+	moved croft.Millis
+	// pace is the processor share of a filler, in percent.
+	pace int
 }
 
 // leaseSlack is what is added to a lease for an executor's clock that is 2 % slow, in thousandths,
@@ -152,7 +157,7 @@
 	w, ok := p.workers[e.ID]
 	if !ok {
 		// An executor may run what a former leader or a late order started, until its lease ends.
-		w = &worker{runs: map[croft.TaskID]*run{}, granted: p.longestLease()}
+		w = &worker{runs: map[croft.TaskID]*run{}, granted: p.longestLease(), pace: fullPace}
 		w.WorkerEntry = e
 		p.workers[e.ID], p.idle[e.ID] = w, w
 	}
@@ -255,7 +260,7 @@
 		if len(w.runs) > 0 {
 			p.lifeOver(w, "its leases ended without an answer")
 		}
-		if !w.listed && !w.holding && !w.checking {
+		if !w.listed && !w.holding {
 			delete(p.workers, id)
 			delete(p.idle, id)
 			p.pool(w.Pool).remove(w)
