--- a/sched/commit.go
+++ b/sched/commit.go
@@ -204,6 +204,12 @@
 	}
 	j.version = row.Version
 	if progress.Status == jobs.Canceled {
+		if j.ended {
+			// The cancelling was stored before the end that this entry was about to store.
+			j.progress.Status = jobs.Canceled
+			p.clearCancelled(j)
+			return
+		}
 		p.endJob(j, jobs.Canceled, "the caller cancelled it")
 		return
 	}
@@ -230,8 +236,8 @@
 
 // ackWorkers lets executors forget ends that are stored now.
 func (p *Planner) ackWorkers() {
-	for _, w := range p.idle {
-		if len(w.acks) == 0 {
+	for _, w := range p.workerOrder {
+		if w.holding || len(w.acks) == 0 {
 			continue
 		}
 		p.forgetAcked(w)
--- /dev/null
+++ b/sched/commit_test.go
@@ -0,0 +1,34 @@
+package sched
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"waxwing.example/croft"
+	"waxwing.example/croft/jobs"
+)
+
+// A job that ended while its caller cancelled it was shown as done after it had been acknowledged as
+// cancelled: the end was written again over the cancelling.
+func TestEndIsNotWrittenOverACancelling(t *testing.T) {
+	b := newBench(t)
+	b.lead(1, 1)
+	for _, s := range of[Start](b.event(JobsRead{Jobs: []JobRow{testJob("j1", step(1, 1))}})) {
+		b.event(Started{Start: s, Clock: b.now})
+	}
+	begin := of[Commit](b.advance(50))
+	assert.Equal(t, len(begin), 1)
+	b.event(Committed{Commit: begin[0], Version: 6})
+	b.advance(50)
+	end := of[Commit](b.held(0, croft.EndedRun{Number: 1, Task: croft.TaskID{Job: "j1"}, Run: 1, How: croft.EndDone}))
+	assert.Equal(t, len(end), 1)
+	cancelled := croft.Row{Key: "state/q.0/j1", Version: 9, Value: jobs.Encode(jobs.Progress{Status: jobs.Canceled})}
+	b.event(Committed{Commit: end[0], Err: &croft.ConflictError{Rows: []croft.Row{cancelled}}})
+	for range 20 {
+		for _, c := range of[Commit](b.advance(50)) {
+			assert.Equal(t, len(c.Writes), 0)
+			b.event(Committed{Commit: c, Version: 10})
+		}
+	}
+}
--- /dev/null
+++ b/sched/describe.go
@@ -0,0 +1,27 @@
+package sched
+
+import (
+	"fmt"
+	"strings"
+
+	"waxwing.example/croft"
+)
+
+// Describe returns what the planner knows of a job, for people.
+func (p *Planner) Describe(id croft.JobID) string {
+	j, ok := p.jobs[id]
+	if !ok {
+		return fmt.Sprintf("job %s: not known", id)
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "job %s: %s, queue %s, change %d of %d stored, ended %v, late after %d ms", id, j.progress.Status, j.record.Queue, j.stored, j.sequence, j.ended, j.due-p.now.Elapsed)
+	for _, s := range j.stages {
+		fmt.Fprintf(&b, "\n  step %d.%d: open %v, %d of %d left, waiting %v", s.occurrence, s.step, s.open, s.left, len(s.tasks), s.waiting)
+		for i, t := range s.tasks {
+			if t.run != nil {
+				fmt.Fprintf(&b, "\n    task %d: run %d on %s, phase %d, %d %%", i, t.run.number, t.run.worker.ID, t.run.phase, t.run.percent)
+			}
+		}
+	}
+	return b.String()
+}
--- a/sched/fleet.go
+++ b/sched/fleet.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"maps"
 	"slices"
 
 	"waxwing.example/croft"
@@ -68,7 +69,8 @@
 
 // depart settles the orders that a list tells about.
 func (p *Planner) depart(e FleetRead) {
-	for id, d := range p.fleet.leaving {
+	for _, id := range slices.Sorted(maps.Keys(p.fleet.leaving)) {
+		d := p.fleet.leaving[id]
 		if e.Asked < d.at {
 			continue
 		}
@@ -110,8 +112,8 @@
 			p.lifeOver(w, "its VM is "+string(vm.State))
 		}
 	}
-	for id, w := range p.workers {
-		if _, ok := f.byWorker[id]; !ok && !w.verified {
+	for _, w := range p.workerOrder {
+		if _, ok := f.byWorker[w.ID]; !ok && !w.verified {
 			p.lifeOver(w, "no VM has it any more")
 		}
 	}
--- a/sched/gang_test.go
+++ b/sched/gang_test.go
@@ -47,3 +47,15 @@
 		assert.Equal(t, s.Order.Checkpoint, "c")
 	}
 }
+
+// When one member of a gang cannot start, the others do not wait for it until they give up.
+func TestGangWithAMemberRefusedIsStopped(t *testing.T) {
+	b := newBench(t)
+	b.lead(1, 2)
+	starts := of[Start](b.event(JobsRead{Jobs: []JobRow{testJob("g", gang(2, 40))}}))
+	b.event(Started{Start: starts[0], Clock: b.now})
+	effects := b.event(Started{Start: starts[1], Clock: b.now, Err: &croft.RunRefusedError{Reason: croft.RefusedRoom}})
+	stops := of[Stop](effects)
+	assert.Equal(t, len(stops), 1)
+	assert.Equal(t, stops[0].Order.Task, starts[0].Order.Task)
+}
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -23,14 +23,13 @@
 	if !p.read {
 		return
 	}
-	for id, w := range p.idle {
-		if p.now.Elapsed < w.nextHold || w.Address == "" {
+	for _, w := range p.workerOrder {
+		if w.holding || p.now.Elapsed < w.nextHold || w.Address == "" {
 			continue
 		}
 		if !w.verified && !w.listed && p.now.Elapsed >= w.granted {
 			continue
 		}
-		delete(p.idle, id)
 		w.holding = true
 		p.sendHold(w)
 	}
@@ -50,7 +49,6 @@
 		return
 	}
 	w.holding = false
-	p.idle[w.ID] = w
 	if e.Err != nil {
 		p.holdFailed(w, e)
 		return
@@ -191,7 +189,8 @@
 	if w.strangers < strangers {
 		p.pool(w.Pool).changed = true
 	}
-	for id, r := range w.runs {
+	for _, r := range sortedRuns(w) {
+		id := r.stage.id(r.index)
 		if listed[id] || r.known == 0 || r.known >= e.Sent {
 			continue
 		}
--- a/sched/job.go
+++ b/sched/job.go
@@ -153,7 +153,7 @@
 
 // openOccurrences begins the occurrences whose time has come.
 func (p *Planner) openOccurrences() {
-	for _, po := range p.pools {
+	for _, po := range p.poolOrder {
 		for _, j := range po.jobs {
 			if j.opened < j.occurrences() {
 				p.openJob(j)
@@ -340,4 +340,17 @@
 	}
 	s.waiting = append(s.waiting, index)
 	p.pool(s.job.record.Pool).changed = true
+	if s.spec.Gang {
+		p.stopGang(s)
+	}
+}
+
+// stopGang ends the other members of a gang that has lost one: they cannot finish, and would wait
+// for it until they give up.
+func (p *Planner) stopGang(s *stage) {
+	for i := range s.tasks {
+		if r := s.tasks[i].run; r != nil {
+			p.stopRun(r, "its gang has lost a member")
+		}
+	}
 }
--- a/sched/order.go
+++ b/sched/order.go
@@ -44,6 +44,7 @@
 	}
 	p.log("Stop", r.stage.id(r.index).String(), string(r.worker.ID), fmt.Sprintf("run %d: %s", r.number, reason))
 	r.phase = phaseStopping
+	r.worker.stopping++
 	r.known = 0
 	p.sendStop(r)
 }
@@ -61,9 +62,12 @@
 
 // repeatStops sends stops again whose end was not listed.
 func (p *Planner) repeatStops() {
-	for _, w := range p.workers {
-		for _, r := range w.runs {
-			if r.phase == phaseStopping && r.known == 0 && w.verified && p.now.Elapsed-r.stopped >= stopRepeat {
+	for _, w := range p.workerOrder {
+		if w.stopping == 0 || !w.verified {
+			continue
+		}
+		for _, r := range sortedRuns(w) {
+			if r.phase == phaseStopping && r.known == 0 && p.now.Elapsed-r.stopped >= stopRepeat {
 				p.sendStop(r)
 			}
 		}
@@ -80,7 +84,7 @@
 
 // stopStuck ends runs that stand still, so that they run elsewhere.
 func (p *Planner) stopStuck(w *worker) {
-	for _, r := range w.runs {
+	for _, r := range sortedRuns(w) {
 		if r.phase != phaseActive || r.stage.job.ended || (r.stage.spec.Endless && r.percent >= atWork) {
 			continue
 		}
--- a/sched/pace.go
+++ b/sched/pace.go
@@ -55,7 +55,7 @@
 func (w *worker) tails() (int64, []*run) {
 	worst := int64(-1)
 	var fillers []*run
-	for _, r := range w.runs {
+	for _, r := range sortedRuns(w) {
 		switch {
 		case r.stage.spec.Filler:
 			fillers = append(fillers, r)
--- a/sched/place.go
+++ b/sched/place.go
@@ -56,7 +56,7 @@
 
 // place starts what waits and fits, in pools in which something changed.
 func (p *Planner) place() {
-	for _, po := range p.pools {
+	for _, po := range p.poolOrder {
 		if len(po.jobs) == 0 || len(po.order) == 0 || (!po.changed && p.now.Elapsed-po.placed < placeSpan) {
 			continue
 		}
@@ -305,7 +305,7 @@
 	var short []*run
 	free := w.Room.Minus(w.used)
 	after := free
-	for _, r := range w.runs {
+	for _, r := range sortedRuns(w) {
 		if r.phase == phaseStopping {
 			after = after.Plus(r.needs())
 		} else if !r.stage.spec.Endless {
@@ -315,9 +315,7 @@
 	if needs.Fits(after) {
 		return nil, true
 	}
-	slices.SortFunc(short, func(a, b *run) int {
-		return cmp.Or(cmp.Compare(b.began, a.began), cmp.Compare(a.index, b.index))
-	})
+	slices.SortStableFunc(short, func(a, b *run) int { return cmp.Compare(b.began, a.began) })
 	for i, r := range short {
 		after = after.Plus(r.needs())
 		if needs.Fits(after) {
@@ -329,7 +327,7 @@
 
 // evacuate moves endless tasks from executors that leave or are to be maintained.
 func (p *Planner) evacuate() {
-	for _, po := range p.pools {
+	for _, po := range p.poolOrder {
 		for _, w := range po.order {
 			if w.verified && (w.Draining || w.reserved) {
 				p.evacuateWorker(po, w)
@@ -347,7 +345,9 @@
 		if !w.Draining && !p.mayTake(r) {
 			continue
 		}
-		if p.choose(po, s, r.index) == nil {
+		if p.choose(po, s, r.index) == nil && (w.Draining || p.now.Elapsed-w.reservedAt < patience) {
+			// There may be room elsewhere soon. Where there is none for good, such as for a step as
+			// wide as its pool, the task is away while its VM is.
 			continue
 		}
 		s.tasks[r.index].taken = true
@@ -361,7 +361,7 @@
 		out = append(out, r)
 	}
 	slices.SortFunc(out, func(a, b *run) int {
-		return cmp.Or(cmp.Compare(a.stage.job.id, b.stage.job.id), cmp.Compare(a.stage.step, b.stage.step), cmp.Compare(a.index, b.index))
+		return cmp.Or(cmp.Compare(a.stage.job.id, b.stage.job.id), cmp.Compare(a.stage.occurrence, b.stage.occurrence), cmp.Compare(a.stage.step, b.stage.step), cmp.Compare(a.index, b.index))
 	})
 	return out
 }
--- a/sched/planner.go
+++ b/sched/planner.go
@@ -1,6 +1,9 @@
 package sched
 
 import (
+	"cmp"
+	"slices"
+
 	"waxwing.example/croft"
 )
 
@@ -34,13 +37,14 @@
 	// read says that all jobs of before are known.
 	read bool
 
-	config  croft.QueueConfig
-	queues  map[croft.QueueID]croft.Queue
-	pools   map[croft.PoolID]*pool
-	workers map[croft.WorkerID]*worker
-	// idle are the workers without an outstanding hold.
-	idle map[croft.WorkerID]*worker
-	jobs map[croft.JobID]*job
+	config croft.QueueConfig
+	queues map[croft.QueueID]croft.Queue
+	pools  map[croft.PoolID]*pool
+	// poolOrder and workerOrder have both by name, so that decisions repeat.
+	poolOrder   []*pool
+	workerOrder []*worker
+	workers     map[croft.WorkerID]*worker
+	jobs        map[croft.JobID]*job
 	// cancelled are jobs whose cancelling was heard of before the job itself.
 	cancelled map[croft.JobID]bool
 	parts     map[string]*part
@@ -73,7 +77,7 @@
 	p.leading, p.read = false, false
 	p.pools = map[croft.PoolID]*pool{}
 	p.workers = map[croft.WorkerID]*worker{}
-	p.idle = map[croft.WorkerID]*worker{}
+	p.poolOrder, p.workerOrder = nil, nil
 	p.jobs = map[croft.JobID]*job{}
 	p.cancelled = map[croft.JobID]bool{}
 	p.parts = map[string]*part{}
@@ -196,6 +200,8 @@
 	if !ok {
 		po = &pool{id: id, workers: map[croft.WorkerID]*worker{}}
 		p.pools[id] = po
+		at, _ := slices.BinarySearchFunc(p.poolOrder, po, func(a, b *pool) int { return cmp.Compare(a.id, b.id) })
+		p.poolOrder = slices.Insert(p.poolOrder, at, po)
 	}
 	return po
 }
--- a/sched/scale.go
+++ b/sched/scale.go
@@ -95,7 +95,7 @@
 	}
 	p.nextScale = p.now.Elapsed + scaleSpan
 	var pools []*pool
-	for _, po := range p.pools {
+	for _, po := range p.poolOrder {
 		if !p.rule(po.id).Spare {
 			p.assess(po)
 			pools = append(pools, po)
@@ -120,12 +120,15 @@
 // assess works out how many VMs a pool needs.
 func (p *Planner) assess(po *pool) {
 	var work, endless croft.Resources
+	room := p.meanRoom(po)
+	least := 1
 	for _, j := range po.jobs {
 		if p.now.Elapsed > j.came+uselessAfter*(j.due-j.came) && !j.endless() {
 			continue
 		}
 		for _, s := range j.stages {
 			needs := s.needs()
+			least = max(least, s.leastVMs(room))
 			if s.spec.Endless {
 				endless = endless.Plus(times(needs, int64(s.left), 1))
 				continue
@@ -133,15 +136,26 @@
 			work = work.Plus(times(needs, int64(s.left)*int64(p.duration(s)), int64(clearSpan)))
 		}
 	}
-	room := p.meanRoom(po)
 	d := &po.demand
-	d.now = max(vmsFor(endless.Plus(work), room), 1)
+	d.now = max(vmsFor(endless.Plus(work), room), least)
 	d.peak = max(d.peak*peakFade, float64(d.now))
 	if p.have(po) <= d.now {
 		d.idle = p.now.Elapsed
 	}
 }
 
+// leastVMs returns how many VMs a stage needs at once, whatever its work.
+func (s *stage) leastVMs(room croft.Resources) int {
+	n := 0
+	if s.spec.MostPerWorker > 0 && s.spec.Endless {
+		n = (s.left + s.spec.MostPerWorker - 1) / s.spec.MostPerWorker
+	}
+	if s.spec.Gang && s.open {
+		n = max(n, vmsFor(times(s.needs(), int64(s.left), 1), room))
+	}
+	return n
+}
+
 func (j *job) endless() bool {
 	return slices.ContainsFunc(j.record.Spec.Steps, func(s croft.Step) bool { return s.Endless })
 }
@@ -277,7 +291,7 @@
 	vm := p.fleet.vms[id]
 	p.moves[id] = &move{from: vm.Pool, to: to, since: p.now.Elapsed}
 	if w := p.workerOn(id); w != nil {
-		w.reserved = true
+		p.reserve(w)
 	}
 	p.log("Move", string(id), string(to), fmt.Sprintf("from %s: needs %d, has %d", vm.Pool, p.pool(to).demand.now, p.have(p.pool(to))-1))
 }
--- a/sched/wave.go
+++ b/sched/wave.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 
 	"waxwing.example/croft"
@@ -104,7 +105,7 @@
 }
 
 func (p *Planner) runWaves() {
-	for number := range p.waves {
+	for _, number := range slices.Sorted(maps.Keys(p.waves)) {
 		w := p.waves[number]
 		if w.finished || !p.fleet.complete || !p.read || p.begun == nil {
 			continue
@@ -131,7 +132,7 @@
 		}
 		w.prepared[id] = p.now.Elapsed
 		if wk := p.workerOn(id); wk != nil {
-			wk.reserved = true
+			p.reserve(wk)
 			p.log("Reserve", string(id), string(wk.ID), fmt.Sprintf("next in wave %d", w.Number))
 		}
 	}
@@ -187,12 +188,7 @@
 
 // order begins the maintenance of prepared VMs.
 func (p *Planner) order(w *wave) {
-	ids := make([]croft.VMID, 0, len(w.prepared))
-	for id := range w.prepared {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	for _, id := range ids {
+	for _, id := range sortedVMs(w.prepared) {
 		if _, counted := w.away[id]; !counted && len(w.away) >= w.Most {
 			continue
 		}
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -41,6 +41,8 @@
 	used        croft.Resources
 	// endless counts the endless tasks among the runs.
 	endless int
+	// stopping counts the runs that are being stopped.
+	stopping int
 	// heard is when the executor last answered.
 	heard croft.Millis
 	// nextHold is when the next hold is due.
@@ -56,6 +58,8 @@
 	pace int
 	// reserved says that the VM is kept free for a maintenance or a move.
 	reserved bool
+	// reservedAt is when that began.
+	reservedAt croft.Millis
 }
 
 // ack is an end that may be forgotten once the job's state is stored.
@@ -128,8 +132,8 @@
 		for _, e := range changes.Entries {
 			there[e.ID] = true
 		}
-		for id, w := range p.workers {
-			if !there[id] {
+		for _, w := range p.workerOrder {
+			if !there[w.ID] {
 				p.unlist(w)
 			}
 		}
@@ -159,7 +163,9 @@
 		// An executor may run what a former leader or a late order started, until its lease ends.
 		w = &worker{runs: map[croft.TaskID]*run{}, granted: p.longestLease(), pace: fullPace}
 		w.WorkerEntry = e
-		p.workers[e.ID], p.idle[e.ID] = w, w
+		p.workers[e.ID] = w
+		at, _ := slices.BinarySearchFunc(p.workerOrder, w, byName)
+		p.workerOrder = slices.Insert(p.workerOrder, at, w)
 	}
 	if e.Born != 0 && w.born != 0 && e.Born > w.born {
 		p.lifeOver(w, "it registered with a later start")
@@ -197,7 +203,7 @@
 	if len(w.runs) > 0 || w.verified {
 		p.log("LifeOver", string(w.ID), "", reason)
 	}
-	for _, r := range w.runs {
+	for _, r := range sortedRuns(w) {
 		p.drop(r)
 		p.requeue(r.stage, r.index)
 	}
@@ -230,6 +236,9 @@
 	if r.stage.spec.Endless {
 		w.endless--
 	}
+	if r.phase == phaseStopping {
+		w.stopping--
+	}
 	r.stage.on[w.ID]--
 	p.pool(w.Pool).changed = true
 	t := &r.stage.tasks[r.index]
@@ -253,7 +262,8 @@
 
 // expireLeases gives up workers that answered nothing until their leases ended.
 func (p *Planner) expireLeases() {
-	for id, w := range p.workers {
+	for _, w := range slices.Clone(p.workerOrder) {
+		id := w.ID
 		if w.verified || p.now.Elapsed < w.granted {
 			continue
 		}
@@ -262,7 +272,7 @@
 		}
 		if !w.listed && !w.holding {
 			delete(p.workers, id)
-			delete(p.idle, id)
+			p.workerOrder = slices.DeleteFunc(p.workerOrder, func(other *worker) bool { return other == w })
 			p.pool(w.Pool).remove(w)
 		}
 	}
@@ -284,6 +294,9 @@
 	return slices.ContainsFunc(p.fleet.unregistered, func(vm croft.FleetVM) bool { return vm.Pool == po.id })
 }
 
+// reserve keeps new work from a worker whose VM is to leave.
+func (p *Planner) reserve(w *worker) { w.reserved, w.reservedAt = true, p.now.Elapsed }
+
 // usable reports whether a worker may be given work.
 func (p *Planner) usable(w *worker) bool {
 	return w.listed && w.verified && w.strangers == 0 && !w.Draining && !w.reserved && w.resting <= p.now.Elapsed
