--- a/agent/agent.go
+++ b/agent/agent.go
@@ -42,8 +42,9 @@
 	end context.CancelFunc
 	// session is the context of the present lead.
 	session context.Context
-	// storeHeard is when the store last answered.
-	storeHeard croft.Millis
+	// storeHeard is when the store last answered, and storeMisses counts failures since.
+	storeHeard  croft.Millis
+	storeMisses int
 }
 
 // Limits of the control goroutine.
@@ -81,20 +82,35 @@
 	if a.Desk.Index() == nil {
 		return false
 	}
+	return a.StoreAnswers()
+}
+
+// Limits within which the store counts as answering.
+const (
+	// storeSpan outlasts a feed that waits and the time after which it is given up.
+	storeSpan = 2 * croft.Second
+	// storeMostMisses is how many failures in a row of the two feeds tell an outage from a burst of
+	// refusals.
+	storeMostMisses = 4
+)
+
+// StoreAnswers reports whether the store has answered this entry lately.
+func (a *Agent) StoreAnswers() bool {
+	now := a.Clock.Elapsed()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.Clock.Elapsed()-a.storeHeard < readySpan
+	return now-a.storeHeard < storeSpan && a.storeMisses < storeMostMisses
 }
 
-// readySpan is how long an entry without an answer of the store goes on taking new connections;
-// it outlasts two feeds that wait.
-const readySpan = 3 * croft.Second
-
-func (a *Agent) heardStore() {
+func (a *Agent) heardStore(answered bool) {
 	now := a.Clock.Elapsed()
 	a.mu.Lock()
-	a.storeHeard = now
-	a.mu.Unlock()
+	defer a.mu.Unlock()
+	if !answered {
+		a.storeMisses++
+		return
+	}
+	a.storeHeard, a.storeMisses = now, 0
 }
 
 func (a *Agent) post(ctx context.Context, e sched.Event) {
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -27,16 +27,19 @@
 				lost = false
 				a.Log.Log(croft.Decision{Action: "Feed", Subject: name, Choice: "Regained"})
 			}
-			a.heardStore()
+			a.heardStore(true)
 			after = next
 			continue
 		case errors.Is(err, croft.ErrHistoryGone):
 			a.Log.Warn("Feed", name, "the store has dropped the history; reading it whole")
 			after = 0
 			continue
-		case ctx.Err() == nil && !lost:
-			lost = true
-			a.Log.Warn("Feed", name, err.Error())
+		case ctx.Err() == nil:
+			a.heardStore(false)
+			if !lost {
+				lost = true
+				a.Log.Warn("Feed", name, err.Error())
+			}
 		}
 		if a.Clock.Sleep(ctx, againSpan) != nil {
 			return
--- a/desk/desk.go
+++ b/desk/desk.go
@@ -33,12 +33,17 @@
 	ErrNoJob = errors.New("desk: no such job")
 	// ErrStore tells that the store did not answer in time.
 	ErrStore = errors.New("desk: the store gave no answer")
+	// ErrCancelUnknown tells that a cancelling may be stored.
+	ErrCancelUnknown = errors.New("desk: the cancelling may be stored")
 )
 
 // Spans of a desk.
 const (
 	// retryWait is the pause after a call that the store did not take.
 	retryWait = 60 * croft.Millis(1)
+	// refusedSpan is how long a write that the store refuses is tried again; its bursts of refusals
+	// are shorter, its outages longer.
+	refusedSpan = 400 * croft.Millis(1)
 	// loadSpan is how long the leader's word on a queue holds.
 	loadSpan = 2 * croft.Second
 )
@@ -48,6 +53,7 @@
 	table croft.Table
 	clock croft.Clock
 	log   croft.DecisionLog
+	reach func() bool
 	index atomic.Pointer[Index]
 	loads atomic.Pointer[loads]
 }
@@ -57,9 +63,9 @@
 	heard  croft.Millis
 }
 
-// New returns a desk without a configuration.
-func New(table croft.Table, clock croft.Clock, log croft.DecisionLog) *Desk {
-	return &Desk{table: table, clock: clock, log: log}
+// New returns a desk without a configuration; reach says whether the store has answered lately.
+func New(table croft.Table, clock croft.Clock, log croft.DecisionLog, reach func() bool) *Desk {
+	return &Desk{table: table, clock: clock, log: log, reach: reach}
 }
 
 // Configure takes a configuration into use, unless a newer one is.
@@ -99,6 +105,10 @@
 		d.decide("Submit", id, string(Rejected), fmt.Sprintf("queue %s: a new job would begin after %d ms", q.ID, load.Wait))
 		return Rejected, load.Wait
 	}
+	if !d.reach() {
+		d.decide("Submit", id, string(Unavailable), fmt.Sprintf("queue %s: the store does not answer this entry", q.ID))
+		return Unavailable, retryAfter
+	}
 	outcome, reason := d.store(ctx, d.submission(q, id, spec))
 	d.decide("Submit", id, string(outcome), fmt.Sprintf("queue %s: %s", q.ID, reason))
 	return outcome, retryAfter
@@ -124,9 +134,10 @@
 	}
 }
 
-// store commits a submission until its outcome is known or the caller's time is over.
+// store commits a submission until its outcome is known or the caller's time is over; one that the
+// store refuses for a while is given up, so that the caller can go to another entry.
 func (d *Desk) store(ctx context.Context, ops []croft.Op) (Outcome, string) {
-	maybe := false
+	maybe, began := false, d.clock.Elapsed()
 	for {
 		_, err := d.table.Commit(ctx, ops)
 		var conflict *croft.ConflictError
@@ -141,6 +152,9 @@
 			// It may be done yet; sending it again is safe, since the row must not be there.
 			maybe = true
 		}
+		if !maybe && d.clock.Elapsed()-began > refusedSpan {
+			return Unavailable, err.Error()
+		}
 		if d.clock.Sleep(ctx, retryWait) != nil || ctx.Err() != nil {
 			if maybe {
 				return Unknown, err.Error()
@@ -163,6 +177,10 @@
 // read returns a job's state and the version of its row.
 func (d *Desk) read(ctx context.Context, q croft.Queue, id croft.JobID) (jobs.Progress, uint64, error) {
 	key := jobs.Key(jobs.StateTable, jobs.Part(q.ID, id), id)
+	if !d.reach() {
+		d.decide("Read", id, "NoAnswer", "the store does not answer this entry")
+		return jobs.Progress{}, 0, ErrStore
+	}
 	for {
 		row, err := d.table.Get(ctx, key)
 		if err == nil {
@@ -210,7 +228,7 @@
 		}
 		if d.clock.Sleep(ctx, retryWait) != nil || ctx.Err() != nil {
 			d.decide("Cancel", id, "NoAnswer", err.Error())
-			return ErrStore
+			return ErrCancelUnknown
 		}
 	}
 }
--- a/helm/helm.go
+++ b/helm/helm.go
@@ -94,12 +94,13 @@
 	return h.lead
 }
 
-// Drop ends the tenure at once, since a higher fencing token was seen.
+// Drop ends the tenure at once, since a higher fencing token was seen; the row must then stand still
+// for a whole lease before this entry takes it again.
 func (h *Helm) Drop() {
+	now := h.clock.Elapsed()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.lead = nil
-	h.known = false
+	h.lead, h.since = nil, now
 }
 
 // Observe takes in an answer of the feed: the row of the lead, or that it did not change.
--- /dev/null
+++ b/helm/helm_test.go
@@ -0,0 +1,124 @@
+package helm
+
+import (
+	"context"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"waxwing.example/croft"
+	"waxwing.example/croft/clock"
+)
+
+// table holds the one row; its next commit can be made to fail.
+type table struct {
+	row   croft.Row
+	fault error
+	// done says that the failing commit is carried out all the same.
+	done bool
+}
+
+func (s *table) Get(context.Context, string) (croft.Row, error) { return s.row, nil }
+
+func (s *table) Scan(context.Context, croft.Range) ([]croft.Row, error) { return nil, nil }
+
+func (s *table) Commit(_ context.Context, ops []croft.Op) (uint64, error) {
+	fault := s.fault
+	s.fault = nil
+	if fault != nil && !s.done {
+		return 0, fault
+	}
+	if ops[0].Version != s.row.Version {
+		return 0, &croft.ConflictError{Rows: []croft.Row{s.row}}
+	}
+	s.row = croft.Row{Key: Key, Version: s.row.Version + 1, Value: ops[0].Value}
+	return s.row.Version, fault
+}
+
+func (s *table) changes() croft.Changes { return croft.Changes{Version: s.row.Version, Rows: []croft.Row{s.row}} }
+
+const lease = 3 * croft.Second
+
+type candidate struct {
+	*Helm
+	store *table
+}
+
+func newCandidates() (*table, *clock.Manual, candidate, candidate) {
+	s, c := &table{}, clock.NewManual(0)
+	one := candidate{New("one", 0, lease, s, c), s}
+	two := candidate{New("two", 1, lease, s, c), s}
+	one.Observe(croft.Changes{}, true)
+	two.Observe(croft.Changes{}, true)
+	return s, c, one, two
+}
+
+// pass lets time go by with both candidates watching the row.
+func pass(c *clock.Manual, span croft.Millis, candidates ...candidate) {
+	for end := c.Elapsed() + span; c.Elapsed() < end; {
+		c.Advance(100)
+		for _, h := range candidates {
+			h.Observe(h.store.changes(), false)
+			h.step(context.Background())
+		}
+	}
+}
+
+func TestOneCandidateLeadsAndRenews(t *testing.T) {
+	_, c, one, two := newCandidates()
+	pass(c, 20*croft.Second, one, two)
+	assert.Assert(t, one.Lead() != nil)
+	assert.Assert(t, two.Lead() == nil)
+	assert.Equal(t, one.Lead().Term, 1)
+	assert.NilError(t, one.Guard())
+}
+
+func TestLeadPassesOnOnlyAfterTheWholeLease(t *testing.T) {
+	_, c, one, two := newCandidates()
+	pass(c, croft.Second, one, two)
+	pass(c, lease-200, two)
+	assert.Assert(t, two.Lead() == nil)
+	assert.ErrorIs(t, one.Guard(), ErrNotLeading)
+	pass(c, 500, two)
+	assert.Equal(t, two.Lead().Term, 2)
+	assert.Assert(t, two.Lead().Fence > one.Lead().Fence)
+	one.Observe(one.store.changes(), false)
+	assert.Assert(t, one.Lead() == nil)
+}
+
+// A candidate that does not see the store does not know whether the lead was renewed.
+func TestCandidateWithoutNewsDoesNotTakeOver(t *testing.T) {
+	_, c, one, two := newCandidates()
+	pass(c, croft.Second, one, two)
+	pass(c, 5*croft.Second, one)
+	two.step(context.Background())
+	assert.Assert(t, two.Lead() == nil)
+}
+
+func TestRenewalWithoutAnswerIsReadBack(t *testing.T) {
+	s, c, one, _ := newCandidates()
+	pass(c, croft.Second, one)
+	s.fault, s.done = &croft.LostAnswerError{}, true
+	pass(c, 10*croft.Second, one)
+	assert.NilError(t, one.Guard())
+	assert.Equal(t, one.Lead().Term, 1)
+}
+
+func TestReleasedLeadIsTakenAtOnce(t *testing.T) {
+	_, c, one, two := newCandidates()
+	pass(c, croft.Second, one, two)
+	one.Release(context.Background())
+	assert.ErrorIs(t, one.Guard(), ErrNotLeading)
+	pass(c, 300, two)
+	assert.Equal(t, two.Lead().Term, 2)
+}
+
+func TestDroppedLeadIsNotTakenBackAtOnce(t *testing.T) {
+	_, c, one, _ := newCandidates()
+	pass(c, croft.Second, one)
+	one.Drop()
+	pass(c, croft.Second, one)
+	assert.Assert(t, one.Lead() == nil)
+	pass(c, lease, one)
+	assert.Equal(t, one.Lead().Term, 2)
+}
