sched: a row that was read before a job's end makes no new job of it

Ruled out: stale answers of the store (the row was true when it was read). Change: ended jobs are remembered for 30 s. Test: TestRowReadBeforeTheEndMakesNoNewJob, failing first.

--- a/sched/commit.go
+++ b/sched/commit.go
@@ -73,6 +73,7 @@
 		return
 	}
 	delete(p.jobs, j.id)
+	p.over[j.id] = p.now.Elapsed
 }
 
 // commitDirty sends the commits that are due.
--- a/sched/commit_test.go
+++ b/sched/commit_test.go
@@ -32,3 +32,21 @@
 		}
 	}
 }
+
+// While the store was read whole again, a job ended; its row, read before, made it a new job whose
+// tasks were started again.
+func TestRowReadBeforeTheEndMakesNoNewJob(t *testing.T) {
+	b := newBench(t)
+	b.lead(1, 1)
+	row := testJob("j1", step(1, 1))
+	for _, s := range of[Start](b.event(JobsRead{Jobs: []JobRow{row}})) {
+		b.event(Started{Start: s, Clock: b.now})
+	}
+	b.advance(50)
+	b.event(Committed{Commit: Commit{Part: "q.0", Writes: []Write{{ID: "j1", Sequence: 1}}}, Version: 6})
+	b.held(0, croft.EndedRun{Number: 1, Task: croft.TaskID{Job: "j1"}, Run: 1, How: croft.EndDone})
+	b.advance(50)
+	b.event(Committed{Commit: Commit{Part: "q.0", Writes: []Write{{ID: "j1", Sequence: 9}}}, Version: 7})
+	assert.Equal(t, len(b.planner.jobs), 0)
+	assert.Equal(t, len(of[Start](b.event(JobsRead{Jobs: []JobRow{row}}))), 0)
+}
--- a/sched/job.go
+++ b/sched/job.go
@@ -88,7 +88,10 @@
 // takeJobs adds jobs that are new here.
 func (p *Planner) takeJobs(e JobsRead) {
 	for _, row := range e.Jobs {
-		if _, ok := p.jobs[row.ID]; ok || row.Progress.Status.Final() || p.cancelled[row.ID] {
+		if _, ok := p.jobs[row.ID]; ok || row.Progress.Status.Final() {
+			continue
+		}
+		if _, over := p.over[row.ID]; over {
 			continue
 		}
 		p.addJob(row, e.Whole)
@@ -283,7 +286,7 @@
 			p.endJob(j, jobs.Canceled, "the caller cancelled it")
 			continue
 		}
-		p.cancelled[id] = true
+		p.over[id] = p.now.Elapsed
 	}
 }
 
@@ -331,6 +334,18 @@
 	}
 }
 
+// overSpan is how long an ended job is remembered; no read of the store takes so long.
+const overSpan = 30 * croft.Second
+
+// sweepOver forgets jobs that ended long ago.
+func (p *Planner) sweepOver() {
+	for id, at := range p.over {
+		if p.now.Elapsed-at > overSpan {
+			delete(p.over, id)
+		}
+	}
+}
+
 // requeue lets a task wait for another run.
 func (p *Planner) requeue(s *stage, index int) {
 	t := &s.tasks[index]
--- a/sched/planner.go
+++ b/sched/planner.go
@@ -45,10 +45,11 @@
 	workerOrder []*worker
 	workers     map[croft.WorkerID]*worker
 	jobs        map[croft.JobID]*job
-	// cancelled are jobs whose cancelling was heard of before the job itself.
-	cancelled map[croft.JobID]bool
-	parts     map[string]*part
-	waves     map[int]*wave
+	// over are jobs that have ended or whose cancelling was heard of before the job itself, by when
+	// that was: a row that was read before may still come.
+	over  map[croft.JobID]croft.Millis
+	parts map[string]*part
+	waves map[int]*wave
 	// begun has what former leaders wrote of waves, nil until it is read.
 	begun map[int][]croft.VMID
 	fleet fleet
@@ -79,7 +80,7 @@
 	p.workers = map[croft.WorkerID]*worker{}
 	p.poolOrder, p.workerOrder = nil, nil
 	p.jobs = map[croft.JobID]*job{}
-	p.cancelled = map[croft.JobID]bool{}
+	p.over = map[croft.JobID]croft.Millis{}
 	p.parts = map[string]*part{}
 	p.fleet = fleet{}
 	p.begun = nil
--- a/sched/scale.go
+++ b/sched/scale.go
@@ -94,6 +94,7 @@
 		return
 	}
 	p.nextScale = p.now.Elapsed + scaleSpan
+	p.sweepOver()
 	var pools []*pool
 	for _, po := range p.poolOrder {
 		if !p.rule(po.id).Spare {
