stats: counters and latency histograms as Prometheus text on the metrics port

Cause: on-call engineers have logs and metrics only. Change: decisions by action, calls by outcome with their times, answers to callers, ages of feeds, orders in flight, lead, configuration, processor time and memory; queues are told apart up to 64.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -11,6 +11,7 @@
 	"waxwing.example/croft/helm"
 	"waxwing.example/croft/logs"
 	"waxwing.example/croft/sched"
+	"waxwing.example/croft/stats"
 )
 
 // Options are what an entry is made of.
@@ -26,6 +27,7 @@
 	Advice    croft.Advice
 	Clock     croft.Clock
 	Log       *logs.Logger
+	Stats     *stats.Stats
 	Planner   sched.Options
 }
 
@@ -176,6 +178,7 @@
 		a.session = session
 	}
 	a.mu.Unlock()
+	a.Stats.Leading(lead != nil)
 	a.post(ctx, sched.LeadEnded{})
 	if lead == nil {
 		a.Log.Warn("Lead", a.Self, "the lead has passed on")
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -28,6 +28,7 @@
 				a.Log.Log(croft.Decision{Action: "Feed", Subject: name, Choice: "Regained"})
 			}
 			a.heardStore(true)
+			a.Stats.Feed(name)
 			after = next
 			continue
 		case errors.Is(err, croft.ErrHistoryGone):
@@ -58,6 +59,7 @@
 		}
 		if got.Config != nil {
 			a.Desk.Configure(*got.Config)
+			a.Stats.Config(a.Desk.Index().Version)
 			a.post(ctx, sched.ConfigRead{Config: *got.Config})
 		}
 		if len(got.Waves) > 0 {
--- a/agent/perform.go
+++ b/agent/perform.go
@@ -16,6 +16,7 @@
 func (a *Agent) perform(effect sched.Effect) {
 	switch e := effect.(type) {
 	case sched.Log:
+		a.Stats.Decision(e.Decision)
 		a.Log.Log(e.Decision)
 		return
 	case sched.StepDown:
--- a/sched/events.go
+++ b/sched/events.go
@@ -234,8 +234,11 @@
 	Loads map[croft.QueueID]Load
 }
 
-// Load is what a queue can take.
+// Load is what a queue has and can take.
 type Load struct {
+	// Waiting counts the jobs that have not begun, and Oldest is the age of the first of them.
+	Waiting int          `json:",omitempty"`
+	Oldest  croft.Millis `json:",omitempty"`
 	// Wait is the expected time until a new job of the queue begins.
 	Wait croft.Millis
 	// Refuse says that a new job would end too late to be of use.
--- /dev/null
+++ b/stats/doc.go
@@ -0,0 +1,2 @@
+// Package stats counts what an entry does and serves the figures as text in the Prometheus format.
+package stats
