--- a/agent/perform.go
+++ b/agent/perform.go
@@ -49,7 +49,12 @@
 	case sched.ReportWave:
 		a.waves.put(ctx, e)
 	case sched.Publish:
-		a.loads.put(ctx, e)
+		for id, load := range e.Loads {
+			a.Stats.Queue(id, load.Waiting, load.Oldest)
+		}
+		if e.Shared {
+			a.loads.put(ctx, e)
+		}
 	}
 }
 
--- a/sched/events.go
+++ b/sched/events.go
@@ -234,6 +234,8 @@
 type Publish struct {
 	effectMark
 	Loads map[croft.QueueID]Load
+	// Shared says that the other entries need to know.
+	Shared bool
 }
 
 // Load is what a queue has and can take.
--- a/sched/gang_test.go
+++ b/sched/gang_test.go
@@ -59,3 +59,23 @@
 	assert.Equal(t, len(stops), 1)
 	assert.Equal(t, stops[0].Order.Task, starts[0].Order.Task)
 }
+
+// One member's end ends the gang; the ends of the others were forgotten before the job's end was
+// stored, and a successor started the gang again.
+func TestEndsOfAGangAreKeptUntilTheJobIsStored(t *testing.T) {
+	b := newBench(t)
+	b.lead(1, 2)
+	for _, s := range of[Start](b.event(JobsRead{Jobs: []JobRow{testJob("g", gang(2, 40))}})) {
+		b.event(Started{Start: s, Clock: b.now})
+	}
+	b.advance(100)
+	for i := range 2 {
+		w := b.planner.workers[workerName(i)]
+		for task := range w.runs {
+			b.held(i, croft.EndedRun{Number: 1, Task: task, Run: 1, How: croft.EndDone})
+		}
+	}
+	for i := range 2 {
+		assert.Equal(t, b.planner.workers[workerName(i)].seen, int64(0))
+	}
+}
--- a/sched/helpers_test.go
+++ b/sched/helpers_test.go
@@ -91,7 +91,7 @@
 func testFleet(n int) []croft.FleetVM {
 	var out []croft.FleetVM
 	for i := range n {
-		out = append(out, croft.FleetVM{ID: vmName(i), Pool: testPool, State: croft.FleetUp, Worker: workerName(i)})
+		out = append(out, croft.FleetVM{ID: vmName(i), Pool: testPool, State: croft.FleetUp, Worker: workerName(i), Room: croft.Resources{MilliCores: 64000, MemoryMB: 262144}})
 	}
 	return out
 }
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -122,6 +122,11 @@
 		}
 		p.drop(r)
 	}
+	if s != nil {
+		// Whatever the end changes, it may be forgotten only once the job's state is stored: another
+		// member of a gang may have ended the job before.
+		entry.job, entry.sequence = s.job, s.job.sequence
+	}
 	if s == nil || s.job.ended {
 		w.acks = append(w.acks, entry)
 		return
--- a/sched/planner.go
+++ b/sched/planner.go
@@ -60,6 +60,9 @@
 	// refusedMoves are ways between pools of different VMs.
 	refusedMoves map[moveWay]bool
 	nextScale    croft.Millis
+	nextLoads    croft.Millis
+	// refusing says that a queue takes no new jobs at present.
+	refusing bool
 	// durations has the mean duration of each queue's tasks, in milliseconds.
 	durations map[croft.QueueID]float64
 
@@ -86,7 +89,7 @@
 	p.begun = nil
 	p.moves = map[croft.VMID]*move{}
 	p.refusedMoves = map[moveWay]bool{}
-	p.nextScale, p.advising = 0, 0
+	p.nextScale, p.nextLoads, p.advising, p.refusing = 0, 0, 0, false
 	p.durations = map[croft.QueueID]float64{}
 	for number, w := range p.waves {
 		p.waves[number] = newWave(w.Wave)
@@ -181,6 +184,7 @@
 	p.repeatStops()
 	p.holdIdle()
 	p.commitDirty()
+	p.tellLoads()
 }
 
 func (p *Planner) do(e Effect) { p.out = append(p.out, e) }
