--- a/agent/perform.go
+++ b/agent/perform.go
@@ -26,9 +26,12 @@
 	a.mu.Lock()
 	ctx := a.session
 	a.mu.Unlock()
-	if ctx == nil {
-		return
+	if ctx != nil {
+		a.performAsLeader(ctx, effect)
 	}
+}
+
+func (a *Agent) performAsLeader(ctx context.Context, effect sched.Effect) {
 	switch e := effect.(type) {
 	case sched.Hold:
 		go a.hold(ctx, e)
--- a/helm/helm_test.go
+++ b/helm/helm_test.go
@@ -35,7 +35,9 @@
 	return s.row.Version, fault
 }
 
-func (s *table) changes() croft.Changes { return croft.Changes{Version: s.row.Version, Rows: []croft.Row{s.row}} }
+func (s *table) changes() croft.Changes {
+	return croft.Changes{Version: s.row.Version, Rows: []croft.Row{s.row}}
+}
 
 const lease = 3 * croft.Second
 
--- a/scen/docs_test.go
+++ b/scen/docs_test.go
@@ -51,7 +51,7 @@
 func docsScript(t *testing.T) string {
 	t.Helper()
 	script := preamble
-	files := ""
+	files := recordedLogs(t)
 	for _, page := range pages {
 		script += "\n# " + page + "\n"
 		list := fences(t, page)
@@ -72,6 +72,20 @@
 	return script + files
 }
 
+// recordedLogs are the logs that OPERATIONS.md tells the stories of.
+func recordedLogs(t *testing.T) string {
+	t.Helper()
+	names, err := filepath.Glob("../verbs/testdata/why/*.log")
+	assert.NilError(t, err)
+	files := ""
+	for _, name := range names {
+		body, err := os.ReadFile(name)
+		assert.NilError(t, err)
+		files += "-- " + strings.TrimPrefix(name, "../") + " --\n" + string(body)
+	}
+	return files
+}
+
 // fence is one fenced block of a page.
 type fence struct{ language, body string }
 
--- a/sched/events.go
+++ b/sched/events.go
@@ -155,6 +155,8 @@
 	Order croft.HoldOrder
 	// Sent is when the planner decided on it.
 	Sent croft.Millis
+	// Check says that it runs beside the long hold of the executor, to settle a stop.
+	Check bool
 }
 
 // Start begins a run, answered by Started.
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -43,11 +43,32 @@
 	p.do(Hold{Order: order, Sent: p.now.Elapsed})
 }
 
+// check asks a worker for its lists at once, beside the hold that waits.
+func (p *Planner) check(w *worker) {
+	w.checking = true
+	p.do(Hold{Order: croft.HoldOrder{Worker: w.ID, Address: w.Address, Fence: p.fence, Seen: w.seen}, Sent: p.now.Elapsed, Check: true})
+}
+
+// takeCheck compares the lists of a check; whatever else it could say, the long hold says too.
+func (p *Planner) takeCheck(w *worker, e Holding) {
+	w.checking = false
+	if e.Err != nil || !w.verified || e.Report.Born != w.born {
+		return
+	}
+	p.takeEnds(w, e.Report.Ended)
+	p.compareRuns(w, e)
+	p.forgetAcked(w)
+}
+
 func (p *Planner) takeHold(e Holding) {
 	w, ok := p.workers[e.Order.Worker]
 	if !ok {
 		return
 	}
+	if e.Check {
+		p.takeCheck(w, e)
+		return
+	}
 	w.holding = false
 	if e.Err != nil {
 		p.holdFailed(w, e)
@@ -96,11 +117,7 @@
 		p.pool(w.Pool).changed = true
 		p.log("Verified", string(w.ID), "", fmt.Sprintf("%d run, %d ended", len(e.Report.Active), len(e.Report.Ended)))
 	}
-	for _, end := range e.Report.Ended {
-		if end.Number > w.noted {
-			p.takeEnd(w, end)
-		}
-	}
+	p.takeEnds(w, e.Report.Ended)
 	p.compareRuns(w, e)
 	p.paceFillers(w)
 	p.stopStuck(w)
@@ -111,6 +128,15 @@
 	}
 }
 
+// takeEnds takes in the ends that are new.
+func (p *Planner) takeEnds(w *worker, ends []croft.EndedRun) {
+	for _, end := range ends {
+		if end.Number > w.noted {
+			p.takeEnd(w, end)
+		}
+	}
+}
+
 // takeEnd takes in one end.
 func (p *Planner) takeEnd(w *worker, end croft.EndedRun) {
 	w.noted = end.Number
--- a/sched/job.go
+++ b/sched/job.go
@@ -65,6 +65,8 @@
 	// on counts the stage's runs on each worker.
 	on     map[croft.WorkerID]int
 	advice *advice
+	// shown says that the log has the stage's first start.
+	shown bool
 }
 
 // task is one task of a stage.
--- a/sched/order.go
+++ b/sched/order.go
@@ -60,13 +60,16 @@
 	p.do(Stop{Order: p.runOrder(w, a.Task, a.Run), Sent: p.now.Elapsed})
 }
 
-// repeatStops sends stops again whose end was not listed.
+// repeatStops sends stops again that got no answer, and looks for runs that should have stopped.
 func (p *Planner) repeatStops() {
 	for _, w := range p.workerOrder {
 		if w.stopping == 0 || !w.verified {
 			continue
 		}
 		for _, r := range sortedRuns(w) {
+			if r.phase == phaseStopping && r.known != 0 && p.now.Elapsed > r.known && !w.checking {
+				p.check(w)
+			}
 			if r.phase == phaseStopping && r.known == 0 && p.now.Elapsed-r.stopped >= stopRepeat {
 				p.sendStop(r)
 			}
--- a/sched/place.go
+++ b/sched/place.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 
 	"waxwing.example/croft"
 )
@@ -127,6 +128,8 @@
 
 // placeStage starts as many tasks of a stage as fit.
 func (p *Planner) placeStage(po *pool, s *stage) {
+	placed := placement{waiting: len(s.waiting)}
+	defer func() { p.logPlacement(s, placed) }()
 	for _, index := range slices.Clone(s.waiting) {
 		w := p.choose(po, s, index)
 		if w == nil {
@@ -147,9 +150,39 @@
 		}
 		s.waiting = without(s.waiting, index)
 		p.startRun(s, index, w, s.tasks[index].number+1)
+		placed.add(w)
 	}
 }
 
+// placement is what one pass started of a stage.
+type placement struct {
+	waiting, started int
+	workers          []string
+}
+
+// mostNamed bounds the executors that one line names.
+const mostNamed = 6
+
+func (pl *placement) add(w *worker) {
+	pl.started++
+	if name := string(w.ID); len(pl.workers) < mostNamed && !slices.Contains(pl.workers, name) {
+		pl.workers = append(pl.workers, name)
+	}
+}
+
+// logPlacement writes one line when the first tasks of a stage start, and one when its last do: where
+// room is short, tasks start one by one.
+func (p *Planner) logPlacement(s *stage, pl placement) {
+	if pl.started == 0 || (s.shown && len(s.waiting) > 0) {
+		return
+	}
+	s.shown = true
+	first := s.id(0)
+	p.log("Place", fmt.Sprintf("%s.%d.%d", first.Job, first.Occurrence, first.Step), strings.Join(pl.workers, ","),
+		fmt.Sprintf("%d of %d tasks that waited, %d ms after their turn came, %d ms before the job is late",
+			pl.started, pl.waiting, p.now.Elapsed-s.opened, s.job.due-p.now.Elapsed))
+}
+
 // announce stores that tasks of a job may be started.
 func (p *Planner) announce(j *job) {
 	if !j.announced {
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -30,6 +30,7 @@
 	// verified says that the lists of this life are known under our fencing token.
 	verified bool
 	holding  bool
+	checking bool
 	born     int64
 	// ahead is the executor's clock minus ours.
 	ahead      croft.Millis
--- a/stats/stats.go
+++ b/stats/stats.go
@@ -74,7 +74,9 @@
 }
 
 // Handler serves the figures.
-func (s *Stats) Handler() http.Handler { return promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{}) }
+func (s *Stats) Handler() http.Handler {
+	return promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{})
+}
 
 // Decision counts a decision.
 func (s *Stats) Decision(d croft.Decision) { s.decisions.WithLabelValues(d.Action).Inc() }
