sched: a job counts as waiting until an executor has begun one of its tasks

Ruled out: reads of the queue (rows were gone from the store). Change: a job begins with the first answer, list or end that shows it. Test: TestJobWaitsUntilAnExecutorHasBegunIt.

--- a/sched/commit_test.go
+++ b/sched/commit_test.go
@@ -83,3 +83,17 @@
 	}
 	assert.Equal(t, stored, 200)
 }
+
+// A job whose first start got no answer was no longer counted among those that wait.
+func TestJobWaitsUntilAnExecutorHasBegunIt(t *testing.T) {
+	b := newBench(t)
+	b.lead(1, 1)
+	starts := of[Start](b.event(JobsRead{Jobs: []JobRow{testJob("j1", step(1, 1))}}))
+	b.event(Started{Start: starts[0], Err: &croft.LostAnswerError{Reason: "test"}})
+	for range 4 {
+		assert.Equal(t, len(of[Commit](b.advance(50))), 0)
+	}
+	commits := of[Commit](append(b.held(0, active(starts[0].Order.Task, 1)), b.advance(50)...))
+	assert.Equal(t, len(commits), 1)
+	assert.Assert(t, commits[0].Writes[0].Began)
+}
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -157,6 +157,7 @@
 		w.acks = append(w.acks, entry)
 		return
 	}
+	p.jobBegan(s.job, w)
 	t := &s.tasks[index]
 	t.number = max(t.number, end.Run)
 	if end.Checkpoint != "" && !t.done {
@@ -238,6 +239,7 @@
 		p.stopUnknown(w, a)
 		return
 	}
+	p.jobBegan(s.job, w)
 	t := &s.tasks[index]
 	t.number = max(t.number, a.Run)
 	r := w.runs[a.Task]
--- a/sched/order.go
+++ b/sched/order.go
@@ -29,12 +29,17 @@
 		order.Ticket = got.ticket
 	}
 	p.do(Start{Order: order, Sent: p.now.Elapsed})
-	if !s.job.began {
-		s.job.began = true
-		s.job.progress.Status = jobs.Running
-		p.log("Begin", string(s.job.id), string(w.ID), fmt.Sprintf("first task after %d ms", p.now.Elapsed-s.job.came))
-		p.touch(s.job)
+}
+
+// jobBegan notes that an executor has begun a task of a job; until then the job counts as waiting.
+func (p *Planner) jobBegan(j *job, w *worker) {
+	if j.began || j.ended {
+		return
 	}
+	j.began = true
+	j.progress.Status = jobs.Running
+	p.log("Begin", string(j.id), string(w.ID), fmt.Sprintf("first task after %d ms", p.now.Elapsed-j.came))
+	p.touch(j)
 }
 
 // stopRun orders the end of a run.
@@ -148,6 +153,7 @@
 		return
 	}
 	if e.Err == nil {
+		p.jobBegan(r.stage.job, w)
 		r.known = p.now.Elapsed
 		if r.phase == phaseStarting {
 			r.phase = phaseActive
