--- a/verbs/table.go
+++ b/verbs/table.go
@@ -58,6 +58,7 @@
 		{"drain", drainUsage, func(Programs) Runner { return NewDrain() }},
 		{"maintain", maintainUsage, func(Programs) Runner { return NewMaintain() }},
 		{"jobs", jobsUsage, func(Programs) Runner { return NewJobs() }},
+		{"load", loadUsage, func(Programs) Runner { return NewLoad() }},
 		{"why", whyUsage, func(Programs) Runner { return NewWhy() }},
 		{"check", checkUsage, func(p Programs) Runner { return NewCheck(p) }},
 		{"help", helpUsage, func(p Programs) Runner { return NewHelp(p) }},
