Clean-up after reading the change: unused settings, fields and a merge are gone, traces of seeds stay as a test

Cause: a newcomer would look for what the unused fields decide; seeds were traced by a file that was not kept.

--- a/jobs/rows.go
+++ b/jobs/rows.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/json"
-	"maps"
-	"slices"
 	"strconv"
 	"strings"
 
@@ -114,48 +112,6 @@
 	return StageName(occurrence, step) + "." + strconv.Itoa(index)
 }
 
-// Merge returns the progress that includes what either says.
-func (p Progress) Merge(other Progress) Progress {
-	if other.Status.Final() || p.Status == Pending {
-		p.Status = other.Status
-	}
-	p.Announced = p.Announced || other.Announced
-	p.Done, p.Failed = cloned(p.Done), cloned(p.Failed)
-	for name, bits := range other.Done {
-		p.Done[name] = union(p.Done[name], bits)
-	}
-	for name, runs := range other.Failed {
-		p.Failed[name] = unionRuns(p.Failed[name], runs)
-	}
-	return p
-}
-
-func cloned[V any](m map[string]V) map[string]V {
-	if m == nil {
-		return map[string]V{}
-	}
-	return maps.Clone(m)
-}
-
-func union(a, b []byte) []byte {
-	out := make([]byte, max(len(a), len(b)))
-	copy(out, a)
-	for i, bits := range b {
-		out[i] |= bits
-	}
-	return out
-}
-
-func unionRuns(a, b []int) []int {
-	out := append([]int(nil), a...)
-	for _, run := range b {
-		if !slices.Contains(out, run) {
-			out = append(out, run)
-		}
-	}
-	return out
-}
-
 // HasBit reports whether a task is among the finished ones.
 func HasBit(bits []byte, index int) bool {
 	return index/8 < len(bits) && bits[index/8]&(1<<(index%8)) != 0
--- a/logs/logger.go
+++ b/logs/logger.go
@@ -115,11 +115,18 @@
 		TimeFunction:    func(time.Time) time.Time { return time.UnixMilli(int64(w.at)).UTC() },
 		Formatter:       formatter(format),
 	})
+	told := int64(0)
 	for entry := range l.queue {
 		w.line(entry)
-		if len(l.queue) == 0 {
-			w.flush()
+		if len(l.queue) > 0 {
+			continue
 		}
+		if dropped := l.dropped.Value(); dropped > told {
+			w.formatted.Log(log.WarnLevel, "Log", "Subject", "queue", "Choice", "Dropped", "Reason",
+				strconv.FormatInt(dropped-told, 10)+" lines were left out since the queue was full")
+			told = dropped
+		}
+		w.flush()
 	}
 	w.flush()
 }
--- a/model/executor.go
+++ b/model/executor.go
@@ -87,7 +87,7 @@
 	}
 	v.worker, v.state = x, croft.FleetUp
 	w.executors[x.id] = x
-	w.later(registerSpan, func() { w.tell(sched1(w.registration(x))) })
+	w.later(registerSpan, func() { w.tell(registered(w.registration(x))) })
 }
 
 // end ends a life: all that runs there is gone with it.
--- a/model/load.go
+++ b/model/load.go
@@ -269,7 +269,7 @@
 		return
 	}
 	x.draining = true
-	w.later(registerSpan, func() { w.tell(sched1(w.registration(x))) })
+	w.later(registerSpan, func() { w.tell(registered(w.registration(x))) })
 	w.after(w.between(2000, 5000), func() {
 		if x.vm.worker == x {
 			x.vm.state = croft.FleetDown
--- a/model/model_test.go
+++ b/model/model_test.go
@@ -49,6 +49,9 @@
 	}
 }
 
+// firstFaulty is the first seed of a day with faults.
+const firstFaulty = 1_000_000
+
 func TestLawsHoldOnCalmDays(t *testing.T) {
 	play(t, 0, func(seed uint64) Options {
 		options := small(seed)
@@ -58,7 +61,7 @@
 }
 
 func TestLawsHoldUnderFaults(t *testing.T) {
-	play(t, 1_000_000, func(seed uint64) Options {
+	play(t, firstFaulty, func(seed uint64) Options {
 		options := small(seed)
 		options.Faults, options.Wave = true, seed%2 == 0
 		return options
--- a/model/perform.go
+++ b/model/perform.go
@@ -11,7 +11,7 @@
 	"waxwing.example/croft/sched"
 )
 
-func sched1(e croft.WorkerEntry) sched.Event {
+func registered(e croft.WorkerEntry) sched.Event {
 	return sched.WorkersRead{Changes: croft.WorkerChanges{Entries: []croft.WorkerEntry{e}}}
 }
 
--- /dev/null
+++ b/model/trace_test.go
@@ -0,0 +1,41 @@
+package model
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"waxwing.example/croft"
+	"waxwing.example/croft/sched"
+)
+
+// TestTrace plays the seed of WAXWING_TRACE as the tests of the laws do and prints the planner's log and
+// orders; WAXWING_TRACE_JOB names a job whose last state is printed too.
+func TestTrace(t *testing.T) {
+	text := os.Getenv("WAXWING_TRACE")
+	if text == "" {
+		t.Skip("WAXWING_TRACE names no seed")
+	}
+	seed, err := strconv.ParseUint(text, 10, 64)
+	assert.NilError(t, err)
+	debug = printEffect
+	debugEnd = func(w *World) { fmt.Println(w.planner.Describe(croft.JobID(os.Getenv("WAXWING_TRACE_JOB")))) }
+	defer func() { debug, debugEnd = nil, nil }()
+	options := small(seed)
+	options.Faults, options.Wave = seed >= firstFaulty, seed%2 == 0
+	assert.Assert(t, len(Run(options).Broken) == 0)
+}
+
+func printEffect(w *World, effect sched.Effect) {
+	switch e := effect.(type) {
+	case sched.Log:
+		fmt.Println(w.now, e.Action, e.Subject, e.Choice, e.Reason)
+	case sched.Start:
+		fmt.Println(w.now, "START", e.Order.Task, e.Order.Run, e.Order.Worker)
+	case sched.OrderVM:
+		fmt.Println(w.now, "ORDER", e.Order.VM, e.Order.Pool, e.Order.Wave)
+	}
+}
--- a/model/world.go
+++ b/model/world.go
@@ -209,8 +209,7 @@
 		w.report.Takeovers++
 		w.version++
 		w.planner = sched.New(sched.Options{
-			Holder: fmt.Sprintf("entry-%d", w.term), Lease: mostHold, Stop: stopSpan, Notice: 4500,
-			Maintain: maintainSpan, Move: moveSpan, RemoteFactor: 2,
+			Holder: fmt.Sprintf("entry-%d", w.term), Lease: mostHold, Stop: stopSpan, Maintain: maintainSpan,
 		})
 		w.tell(sched.LeadBegan{Fence: w.version, Term: w.term}, sched.ConfigRead{Config: w.config})
 		if w.wave.Number != 0 {
--- a/sched/helpers_test.go
+++ b/sched/helpers_test.go
@@ -20,7 +20,7 @@
 func newBench(t *testing.T) *bench {
 	t.Helper()
 	return &bench{t: t, now: 1000, planner: New(Options{
-		Holder: "entry-1", Lease: 10 * croft.Second, Stop: 200, Notice: 4500, Maintain: 2000, Move: 1500, RemoteFactor: 2,
+		Holder: "entry-1", Lease: 10 * croft.Second, Stop: 200, Maintain: 2000,
 	})}
 }
 
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -105,7 +105,7 @@
 		p.lifeOver(w, "it answered with a later start")
 	}
 	w.born = e.Report.Born
-	w.heard, w.misses = p.now.Elapsed, 0
+	w.misses = 0
 	w.ahead, w.clockKnown = e.Report.Clock-p.now.Elapsed, true
 	if !w.verified {
 		if e.Order.Seen != 0 || e.Order.Wait != 0 {
@@ -249,7 +249,7 @@
 	if r.number != a.Run {
 		return
 	}
-	if r.phase == phaseStarting || r.phase == phaseDoubtful {
+	if r.phase == phaseStarting {
 		r.phase, r.known = phaseActive, p.now.Elapsed
 	}
 	if r.percent != a.Percent {
--- a/sched/planner.go
+++ b/sched/planner.go
@@ -15,14 +15,8 @@
 	Lease croft.Millis
 	// Stop is the longest that a run takes to stop.
 	Stop croft.Millis
-	// Notice is how long a task must be idle to count as away.
-	Notice croft.Millis
 	// Maintain is how long a VM is away for a maintenance.
 	Maintain croft.Millis
-	// Move is how long a VM is away for a move.
-	Move croft.Millis
-	// RemoteFactor is how much longer a task takes away from its data.
-	RemoteFactor float64
 }
 
 // Planner is the state of the leading entry; one goroutine owns it.
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -46,8 +46,6 @@
 	endless int
 	// stopping counts the runs that are being stopped.
 	stopping int
-	// heard is when the executor last answered.
-	heard croft.Millis
 	// nextHold is when the next hold is due.
 	nextHold croft.Millis
 	// misses counts holds in a row without an answer.
@@ -79,8 +77,6 @@
 	// phaseStarting is ordered and not answered.
 	phaseStarting phase = iota
 	phaseActive
-	// phaseDoubtful is ordered without an answer, so it may begin later.
-	phaseDoubtful
 	phaseStopping
 )
 
