Names a newcomer knows: leader, intake, incarnation, quarantine, orphans

Cause: reading the change as a newcomer would, some names were of our own making (helm, desk, life, resting, strangers). Change: renamed throughout, no behaviour; log actions are IncarnationEnded and Quarantine. Test: go test of the packages renamed, linter.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -7,8 +7,8 @@
 	"github.com/oklog/run"
 
 	"waxwing.example/croft"
-	"waxwing.example/croft/desk"
-	"waxwing.example/croft/helm"
+	"waxwing.example/croft/intake"
+	"waxwing.example/croft/leader"
 	"waxwing.example/croft/logs"
 	"waxwing.example/croft/sched"
 	"waxwing.example/croft/stats"
@@ -17,8 +17,8 @@
 // Options are what an entry is made of.
 type Options struct {
 	Self      string
-	Helm      *helm.Helm
-	Desk      *desk.Desk
+	Election  *leader.Election
+	Intake    *intake.Intake
 	Table     croft.Table
 	Feed      croft.Feed
 	Directory croft.Directory
@@ -81,7 +81,7 @@
 
 // Ready reports whether the entry can serve callers.
 func (a *Agent) Ready() bool {
-	if a.Desk.Index() == nil {
+	if a.Intake.Index() == nil {
 		return false
 	}
 	return a.StoreAnswers()
@@ -127,7 +127,7 @@
 	ticks := make(chan struct{})
 	go func() {
 		for a.Clock.Sleep(ctx, tickSpan) == nil {
-			if a.Helm.Lead() == nil {
+			if a.Election.Lead() == nil {
 				continue
 			}
 			select {
@@ -163,10 +163,10 @@
 
 // lead takes the lead when its turn comes.
 func (a *Agent) lead(ctx context.Context) error {
-	return a.Helm.Run(ctx, func(lead *helm.Lead) { a.leadChanged(ctx, lead) })
+	return a.Election.Run(ctx, func(lead *leader.Lead) { a.leadChanged(ctx, lead) })
 }
 
-func (a *Agent) leadChanged(ctx context.Context, lead *helm.Lead) {
+func (a *Agent) leadChanged(ctx context.Context, lead *leader.Lead) {
 	a.mu.Lock()
 	if a.end != nil {
 		a.end()
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -7,12 +7,12 @@
 	"strings"
 
 	"waxwing.example/croft"
-	"waxwing.example/croft/helm"
 	"waxwing.example/croft/jobs"
+	"waxwing.example/croft/leader"
 	"waxwing.example/croft/sched"
 )
 
-func leadReason(lead helm.Lead) string {
+func leadReason(lead leader.Lead) string {
 	return fmt.Sprintf("fencing token %d, term %d", lead.Fence, lead.Term)
 }
 
@@ -58,8 +58,8 @@
 			a.Log.Warn("Operator", "rows", err.Error())
 		}
 		if got.Config != nil {
-			a.Desk.Configure(*got.Config)
-			a.Stats.Config(a.Desk.Index().Version)
+			a.Intake.Configure(*got.Config)
+			a.Stats.Config(a.Intake.Index().Version)
 			a.post(ctx, sched.ConfigRead{Config: *got.Config})
 		}
 		if len(got.Waves) > 0 {
@@ -73,14 +73,14 @@
 // followLead watches who leads and what the leader publishes.
 func (a *Agent) followLead(ctx context.Context) error {
 	a.follow(ctx, "lead", func(ctx context.Context, after uint64) (uint64, error) {
-		got, err := a.table(ctx, helm.Table, after)
+		got, err := a.table(ctx, leader.Table, after)
 		if err != nil {
 			return after, err
 		}
-		a.Helm.Observe(got, after == 0)
+		a.Election.Observe(got, after == 0)
 		for _, row := range got.Rows {
 			if row.Key == loadsKey {
-				a.Desk.TakeLoads(row.Value)
+				a.Intake.TakeLoads(row.Value)
 			}
 		}
 		return got.Version, nil
--- a/agent/perform.go
+++ b/agent/perform.go
@@ -7,8 +7,8 @@
 	"sync"
 
 	"waxwing.example/croft"
-	"waxwing.example/croft/helm"
 	"waxwing.example/croft/jobs"
+	"waxwing.example/croft/leader"
 	"waxwing.example/croft/sched"
 )
 
@@ -20,7 +20,7 @@
 		a.Log.Log(e.Decision)
 		return
 	case sched.StepDown:
-		a.Helm.Drop()
+		a.Election.Drop()
 		return
 	}
 	a.mu.Lock()
@@ -165,7 +165,7 @@
 }
 
 // loadsKey is the row in which the leader says what each queue can take.
-const loadsKey = helm.Table + "//loads"
+const loadsKey = leader.Table + "//loads"
 
 // loadWriter publishes the newest loads, one write at a time.
 type loadWriter struct {
--- a/desk/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package desk takes callers' jobs into the platform's store, and tells and cancels them, on every entry alike.
-package desk
--- a/helm/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package helm decides which entry leads, by one row of the platform's table that the leader renews.
-package helm
--- a/desk/index.go
+++ b/intake/index.go
@@ -1,4 +1,4 @@
-package desk
+package intake
 
 import (
 	"cmp"
--- a/desk/desk.go
+++ b/intake/intake.go
@@ -1,4 +1,4 @@
-package desk
+package intake
 
 import (
 	"context"
@@ -27,17 +27,17 @@
 	Unknown Outcome = "Unknown"
 )
 
-// Errors of a desk.
+// Errors of an intake.
 var (
 	// ErrNoJob tells that no such job is stored.
-	ErrNoJob = errors.New("desk: no such job")
+	ErrNoJob = errors.New("intake: no such job")
 	// ErrStore tells that the store did not answer in time.
-	ErrStore = errors.New("desk: the store gave no answer")
+	ErrStore = errors.New("intake: the store gave no answer")
 	// ErrCancelUnknown tells that a cancelling may be stored.
-	ErrCancelUnknown = errors.New("desk: the cancelling may be stored")
+	ErrCancelUnknown = errors.New("intake: the cancelling may be stored")
 )
 
-// Spans of a desk.
+// Spans of an intake.
 const (
 	// retryWait is the pause after a call that the store did not take.
 	retryWait = 60 * croft.Millis(1)
@@ -48,8 +48,8 @@
 	loadSpan = 2 * croft.Second
 )
 
-// Desk serves callers; its methods may be called at once.
-type Desk struct {
+// Intake stores, tells and cancels callers' jobs; its methods may be called at once.
+type Intake struct {
 	table croft.Table
 	clock croft.Clock
 	log   croft.DecisionLog
@@ -63,13 +63,13 @@
 	heard  croft.Millis
 }
 
-// New returns a desk without a configuration; reach says whether the store has answered lately.
-func New(table croft.Table, clock croft.Clock, log croft.DecisionLog, reach func() bool) *Desk {
-	return &Desk{table: table, clock: clock, log: log, reach: reach}
+// New returns an intake without a configuration; reach says whether the store has answered lately.
+func New(table croft.Table, clock croft.Clock, log croft.DecisionLog, reach func() bool) *Intake {
+	return &Intake{table: table, clock: clock, log: log, reach: reach}
 }
 
 // Configure takes a configuration into use, unless a newer one is.
-func (d *Desk) Configure(config croft.QueueConfig) {
+func (d *Intake) Configure(config croft.QueueConfig) {
 	if old := d.index.Load(); old != nil && old.Version >= config.Version {
 		return
 	}
@@ -78,10 +78,10 @@
 }
 
 // Index returns the configuration in use, nil before the first one.
-func (d *Desk) Index() *Index { return d.index.Load() }
+func (d *Intake) Index() *Index { return d.index.Load() }
 
 // TakeLoads takes in the leader's word on its queues.
-func (d *Desk) TakeLoads(raw []byte) {
+func (d *Intake) TakeLoads(raw []byte) {
 	queues := map[croft.QueueID]sched.Load{}
 	if err := json.Unmarshal(raw, &queues); err != nil {
 		d.log.Log(croft.Decision{Action: "Loads", Subject: "leader", Choice: "Ignored", Reason: err.Error()})
@@ -91,7 +91,7 @@
 }
 
 // load returns what is known of a queue, nothing where the word is old.
-func (d *Desk) load(id croft.QueueID) sched.Load {
+func (d *Intake) load(id croft.QueueID) sched.Load {
 	l := d.loads.Load()
 	if l == nil || d.clock.Elapsed()-l.heard > loadSpan {
 		return sched.Load{}
@@ -100,7 +100,7 @@
 }
 
 // Submit stores a job; after Rejected it says when to come again.
-func (d *Desk) Submit(ctx context.Context, q croft.Queue, id croft.JobID, spec croft.JobSpec) (Outcome, croft.Millis) {
+func (d *Intake) Submit(ctx context.Context, q croft.Queue, id croft.JobID, spec croft.JobSpec) (Outcome, croft.Millis) {
 	if load := d.load(q.ID); load.Refuse && !d.known(ctx, q, id) {
 		d.decide("Submit", id, string(Rejected), fmt.Sprintf("queue %s: a new job would begin after %d ms", q.ID, load.Wait))
 		return Rejected, load.Wait
@@ -118,7 +118,7 @@
 // that callers do not add to it.
 const retryAfter = 1 * croft.Second
 
-func (d *Desk) submission(q croft.Queue, id croft.JobID, spec croft.JobSpec) []croft.Op {
+func (d *Intake) submission(q croft.Queue, id croft.JobID, spec croft.JobSpec) []croft.Op {
 	part := jobs.Part(q.ID, id)
 	record := jobs.Record{
 		Queue: q.ID, Pool: q.Pool, Priority: q.Priority, MostAttempts: q.MostAttempts,
@@ -136,7 +136,7 @@
 
 // store commits a submission until its outcome is known or the caller's time is over; one that the
 // store refuses for a while is given up, so that the caller can go to another entry.
-func (d *Desk) store(ctx context.Context, ops []croft.Op) (Outcome, string) {
+func (d *Intake) store(ctx context.Context, ops []croft.Op) (Outcome, string) {
 	maybe, began := false, d.clock.Elapsed()
 	for {
 		_, err := d.table.Commit(ctx, ops)
@@ -165,17 +165,17 @@
 }
 
 // known reports whether a job is stored already.
-func (d *Desk) known(ctx context.Context, q croft.Queue, id croft.JobID) bool {
+func (d *Intake) known(ctx context.Context, q croft.Queue, id croft.JobID) bool {
 	_, _, err := d.read(ctx, q, id)
 	return err == nil
 }
 
-func (d *Desk) decide(action string, id croft.JobID, choice, reason string) {
+func (d *Intake) decide(action string, id croft.JobID, choice, reason string) {
 	d.log.Log(croft.Decision{Action: action, Subject: string(id), Choice: choice, Reason: reason})
 }
 
 // read returns a job's state and the version of its row.
-func (d *Desk) read(ctx context.Context, q croft.Queue, id croft.JobID) (jobs.Progress, uint64, error) {
+func (d *Intake) read(ctx context.Context, q croft.Queue, id croft.JobID) (jobs.Progress, uint64, error) {
 	key := jobs.Key(jobs.StateTable, jobs.Part(q.ID, id), id)
 	if !d.reach() {
 		d.decide("Read", id, "NoAnswer", "the store does not answer this entry")
@@ -198,13 +198,13 @@
 }
 
 // Status returns the state of a job.
-func (d *Desk) Status(ctx context.Context, q croft.Queue, id croft.JobID) (jobs.Status, error) {
+func (d *Intake) Status(ctx context.Context, q croft.Queue, id croft.JobID) (jobs.Status, error) {
 	progress, _, err := d.read(ctx, q, id)
 	return progress.Status, err
 }
 
 // Cancel ends a job; it returns ErrNoJob where there is none.
-func (d *Desk) Cancel(ctx context.Context, q croft.Queue, id croft.JobID) error {
+func (d *Intake) Cancel(ctx context.Context, q croft.Queue, id croft.JobID) error {
 	part := jobs.Part(q.ID, id)
 	for {
 		progress, version, err := d.read(ctx, q, id)
@@ -241,7 +241,7 @@
 }
 
 // Waiting returns how many jobs of a queue have not begun.
-func (d *Desk) Waiting(ctx context.Context, q croft.Queue) (int, error) {
+func (d *Intake) Waiting(ctx context.Context, q croft.Queue) (int, error) {
 	n := 0
 	for _, part := range jobs.Parts(q.ID) {
 		rows := croft.Range{Prefix: jobs.Key(jobs.WaitTable, part, ""), Limit: scanPage}
--- a/desk/desk_test.go
+++ b/intake/intake_test.go
@@ -1,4 +1,4 @@
-package desk
+package intake
 
 import (
 	"context"
@@ -85,7 +85,7 @@
 
 var queue = croft.Queue{ID: "q", Host: "h", Prefix: "/q/", Pool: "p"}
 
-func newDesk() (*Desk, *table, *bool) {
+func newIntake() (*Intake, *table, *bool) {
 	s := &table{rows: map[string]croft.Row{}}
 	reach := true
 	return New(s, clock.NewSystem(), quiet{}, func() bool { return reach }), s, &reach
@@ -101,7 +101,7 @@
 const id = croft.JobID("0123456789abcdef")
 
 func TestSubmissionIsOneJobHoweverOftenItComes(t *testing.T) {
-	d, s, _ := newDesk()
+	d, s, _ := newIntake()
 	for range 3 {
 		outcome, _ := d.Submit(soon(t), queue, id, croft.JobSpec{})
 		assert.Equal(t, outcome, Accepted)
@@ -113,7 +113,7 @@
 }
 
 func TestSubmissionWithoutAnswerIsFoundStored(t *testing.T) {
-	d, s, _ := newDesk()
+	d, s, _ := newIntake()
 	s.faults, s.done = []error{&croft.LostAnswerError{}}, []bool{true}
 	outcome, _ := d.Submit(soon(t), queue, id, croft.JobSpec{})
 	assert.Equal(t, outcome, Accepted)
@@ -121,7 +121,7 @@
 
 // A write that got no answer may be done later, so its job is never said to be rejected.
 func TestSubmissionThatMayBeStoredIsNotCalledRejected(t *testing.T) {
-	d, s, _ := newDesk()
+	d, s, _ := newIntake()
 	lost := &croft.LostAnswerError{}
 	refused := &croft.UnavailableError{}
 	s.faults = []error{lost, refused, refused, refused, refused, refused, refused, refused}
@@ -131,7 +131,7 @@
 }
 
 func TestSubmissionIsRefusedAtOnceWhileTheStoreIsAway(t *testing.T) {
-	d, s, reach := newDesk()
+	d, s, reach := newIntake()
 	*reach = false
 	outcome, after := d.Submit(soon(t), queue, id, croft.JobSpec{})
 	assert.Equal(t, outcome, Unavailable)
@@ -140,7 +140,7 @@
 }
 
 func TestRejectedSubmissionThatIsStoredIsAccepted(t *testing.T) {
-	d, _, _ := newDesk()
+	d, _, _ := newIntake()
 	outcome, _ := d.Submit(soon(t), queue, id, croft.JobSpec{})
 	assert.Equal(t, outcome, Accepted)
 	d.TakeLoads(jobs.Encode(map[croft.QueueID]sched.Load{"q": {Refuse: true, Wait: 4000}}))
@@ -152,7 +152,7 @@
 }
 
 func TestCancelIsStoredOverProgress(t *testing.T) {
-	d, s, _ := newDesk()
+	d, s, _ := newIntake()
 	assert.ErrorIs(t, d.Cancel(soon(t), queue, id), ErrNoJob)
 	d.Submit(soon(t), queue, id, croft.JobSpec{})
 	key := jobs.Key(jobs.StateTable, jobs.Part("q", id), id)
@@ -165,7 +165,7 @@
 }
 
 func TestFinishedJobStaysFinished(t *testing.T) {
-	d, s, _ := newDesk()
+	d, s, _ := newIntake()
 	d.Submit(soon(t), queue, id, croft.JobSpec{})
 	key := jobs.Key(jobs.StateTable, jobs.Part("q", id), id)
 	s.apply([]croft.Op{{Kind: croft.OpPut, Key: key, Value: jobs.Encode(jobs.Progress{Status: jobs.Done})}})
@@ -176,7 +176,7 @@
 }
 
 func TestReadsSayWhenTheStoreIsAway(t *testing.T) {
-	d, s, _ := newDesk()
+	d, s, _ := newIntake()
 	s.down = &croft.UnavailableError{}
 	_, err := d.Status(soon(t), queue, id)
 	assert.ErrorIs(t, err, ErrStore)
--- a/helm/helm.go
+++ b/leader/leader.go
@@ -1,4 +1,4 @@
-package helm
+package leader
 
 import (
 	"context"
@@ -48,8 +48,8 @@
 	Term  int
 }
 
-// Helm follows the row of the lead and takes the lead when it lapses.
-type Helm struct {
+// Election follows the row of the lead and takes the lead when it lapses.
+type Election struct {
 	self  string
 	rank  croft.Millis
 	lease croft.Millis
@@ -68,16 +68,16 @@
 	renewed croft.Millis
 }
 
-// New returns a helm of an entry; its rank spaces the candidates.
-func New(self string, rank int, lease croft.Millis, table croft.Table, clock croft.Clock) *Helm {
-	return &Helm{self: self, rank: rankWait * croft.Millis(rank), lease: lease, table: table, clock: clock}
+// New returns the election as seen by an entry; its rank spaces the candidates.
+func New(self string, rank int, lease croft.Millis, table croft.Table, clock croft.Clock) *Election {
+	return &Election{self: self, rank: rankWait * croft.Millis(rank), lease: lease, table: table, clock: clock}
 }
 
 // ErrNotLeading tells that an order was held back since the lead has lapsed or passed on.
-var ErrNotLeading = errors.New("helm: this entry does not lead")
+var ErrNotLeading = errors.New("leader: this entry does not lead")
 
 // Guard returns an error where orders may not be given any more.
-func (h *Helm) Guard() error {
+func (h *Election) Guard() error {
 	now := h.clock.Elapsed()
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -88,7 +88,7 @@
 }
 
 // Lead returns the present tenure, nil where another entry may lead.
-func (h *Helm) Lead() *Lead {
+func (h *Election) Lead() *Lead {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.lead
@@ -96,7 +96,7 @@
 
 // Drop ends the tenure at once, since a higher fencing token was seen; the row must then stand still
 // for a whole lease before this entry takes it again.
-func (h *Helm) Drop() {
+func (h *Election) Drop() {
 	now := h.clock.Elapsed()
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -104,7 +104,7 @@
 }
 
 // Observe takes in an answer of the feed: the row of the lead, or that it did not change.
-func (h *Helm) Observe(changes croft.Changes, whole bool) {
+func (h *Election) Observe(changes croft.Changes, whole bool) {
 	now := h.clock.Elapsed()
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -120,7 +120,7 @@
 	}
 }
 
-func (h *Helm) observeRow(r croft.Row, now croft.Millis) {
+func (h *Election) observeRow(r croft.Row, now croft.Millis) {
 	if r.Version <= h.seen.Version {
 		return
 	}
@@ -136,7 +136,7 @@
 }
 
 // Run takes and renews the lead until the context ends; notify is called whenever it changed hands.
-func (h *Helm) Run(ctx context.Context, notify func(*Lead)) error {
+func (h *Election) Run(ctx context.Context, notify func(*Lead)) error {
 	var told *Lead
 	for ctx.Err() == nil {
 		h.step(ctx)
@@ -151,7 +151,7 @@
 	return ctx.Err()
 }
 
-func (h *Helm) step(ctx context.Context) {
+func (h *Election) step(ctx context.Context) {
 	now := h.clock.Elapsed()
 	h.mu.Lock()
 	leading := h.lead != nil
@@ -170,7 +170,7 @@
 }
 
 // write renews the lead or takes it over.
-func (h *Helm) write(ctx context.Context, takeover bool) {
+func (h *Election) write(ctx context.Context, takeover bool) {
 	h.mu.Lock()
 	value := row{Holder: h.self, Nonce: uuid.NewString(), Term: h.value.Term}
 	expected := h.seen.Version
@@ -201,7 +201,7 @@
 }
 
 // settle reads back a write that was refused or not answered.
-func (h *Helm) settle(ctx context.Context, value row, failed error) (uint64, error) {
+func (h *Election) settle(ctx context.Context, value row, failed error) (uint64, error) {
 	var conflict *croft.ConflictError
 	if !errors.As(failed, &conflict) {
 		var lost *croft.LostAnswerError
@@ -228,7 +228,7 @@
 }
 
 // Release gives the lead back at a planned stop, so that another entry takes it at once.
-func (h *Helm) Release(ctx context.Context) {
+func (h *Election) Release(ctx context.Context) {
 	h.mu.Lock()
 	lead, expected, term := h.lead, h.seen.Version, h.value.Term
 	h.lead = nil
--- a/helm/helm_test.go
+++ b/leader/leader_test.go
@@ -1,4 +1,4 @@
-package helm
+package leader
 
 import (
 	"context"
@@ -42,7 +42,7 @@
 const lease = 3 * croft.Second
 
 type candidate struct {
-	*Helm
+	*Election
 	store *table
 }
 
--- a/model/executor.go
+++ b/model/executor.go
@@ -21,7 +21,7 @@
 	maintained map[int]bool
 }
 
-// executor is one life of an executor.
+// executor is one incarnation of an executor.
 type executor struct {
 	id    croft.WorkerID
 	vm    *vm
@@ -80,9 +80,9 @@
 
 // boot starts a new executor on a VM.
 func (w *World) boot(v *vm) {
-	w.lives++
+	w.incarnations++
 	x := &executor{
-		id: croft.WorkerID(fmt.Sprintf("x%03d", w.lives)), vm: v, born: int64(epochWall + w.now), start: w.now - w.between(0, 5000),
+		id: croft.WorkerID(fmt.Sprintf("x%03d", w.incarnations)), vm: v, born: int64(epochWall + w.now), start: w.now - w.between(0, 5000),
 		drift: w.between(-5, 20), runs: map[croft.TaskID]*running{}, highest: map[croft.TaskID]int{}, endedAt: map[int64]croft.Millis{},
 	}
 	v.worker, v.state = x, croft.FleetUp
@@ -90,7 +90,7 @@
 	w.later(registerSpan, func() { w.tell(registered(w.registration(x))) })
 }
 
-// end ends a life: all that runs there is gone with it.
+// end ends a incarnation: all that runs there is gone with it.
 func (w *World) end(x *executor, reason string) {
 	if x.dead {
 		return
--- a/model/world.go
+++ b/model/world.go
@@ -59,11 +59,11 @@
 	queue   timeline
 	count   int
 
-	store     map[string]croft.Row
-	version   uint64
-	vms       []*vm
-	executors map[croft.WorkerID]*executor
-	lives     int
+	store        map[string]croft.Row
+	version      uint64
+	vms          []*vm
+	executors    map[croft.WorkerID]*executor
+	incarnations int
 
 	planner *sched.Planner
 	// generation tells answers for a former leader from those for the present one.
--- a/queue.go
+++ b/queue.go
@@ -51,7 +51,7 @@
 	Draining   bool
 	// Remaining is how long a draining executor will stay at least.
 	Remaining Millis
-	// Born is when this life began, zero where the entry does not say.
+	// Born is when this incarnation began, zero where the entry does not say.
 	Born int64
 }
 
--- a/sched/events.go
+++ b/sched/events.go
@@ -185,7 +185,7 @@
 	// Stage is the first task of the stage.
 	Stage   croft.TaskID
 	Workers []croft.WorkerID
-	// Born has the lives of the workers that are meant.
+	// Born has the incarnations of the workers that are meant.
 	Born []int64
 	Sent croft.Millis
 }
--- a/sched/fleet.go
+++ b/sched/fleet.go
@@ -85,7 +85,7 @@
 			p.log("Stays", string(id), string(d.vm), "the order had been carried out before")
 			continue
 		}
-		p.lifeOver(w, "its VM left by our order")
+		p.endIncarnation(w, "its VM left by our order")
 		w.listed = false
 	}
 }
@@ -109,12 +109,12 @@
 		if w, ok := p.workers[vm.Worker]; vm.State == croft.FleetUp && !ok && !p.rule(vm.Pool).Spare {
 			f.unregistered = append(f.unregistered, vm)
 		} else if ok && vm.State != croft.FleetUp && !w.verified {
-			p.lifeOver(w, "its VM is "+string(vm.State))
+			p.endIncarnation(w, "its VM is "+string(vm.State))
 		}
 	}
 	for _, w := range p.workerOrder {
 		if _, ok := f.byWorker[w.ID]; !ok && !w.verified {
-			p.lifeOver(w, "no VM has it any more")
+			p.endIncarnation(w, "no VM has it any more")
 		}
 	}
 	slices.SortFunc(f.unregistered, func(a, b croft.FleetVM) int {
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -84,8 +84,8 @@
 		case croft.RefusedFence:
 			p.stepDown("an executor has seen a higher fencing token")
 			return
-		case croft.RefusedLife:
-			p.lifeOver(w, "another executor answers at its address")
+		case croft.RefusedIncarnation:
+			p.endIncarnation(w, "another executor answers at its address")
 		}
 	}
 	if w.verified {
@@ -102,14 +102,14 @@
 		if e.Report.Born < w.born {
 			return
 		}
-		p.lifeOver(w, "it answered with a later start")
+		p.endIncarnation(w, "it answered with a later start")
 	}
 	w.born = e.Report.Born
 	w.misses = 0
 	w.ahead, w.clockKnown = e.Report.Clock-p.now.Elapsed, true
 	if !w.verified {
 		if e.Order.Seen != 0 || e.Order.Wait != 0 {
-			// The lists of a new life must be asked for without forgetting ends.
+			// The lists of a new incarnation must be asked for without forgetting ends.
 			w.nextHold = p.now.Elapsed
 			return
 		}
@@ -165,12 +165,12 @@
 	}
 	switch end.How {
 	case croft.EndDone:
-		w.blamed = 0
+		w.failures = 0
 		p.endDone(s, index)
 		entry.job, entry.sequence = s.job, s.job.sequence
 	case croft.EndFailed:
 		p.log("Failed", end.Task.String(), string(w.ID), fmt.Sprintf("run %d", end.Run))
-		p.blame(w)
+		p.countFailure(w)
 		p.taskFailed(s, index, end.Run, w.ID)
 		entry.job, entry.sequence = s.job, s.job.sequence
 	default:
@@ -212,13 +212,13 @@
 // compareRuns brings what is known of a worker's runs in line with its list.
 func (p *Planner) compareRuns(w *worker, e Holding) {
 	listed := make(map[croft.TaskID]bool, len(e.Report.Active))
-	strangers := w.strangers
-	w.strangers = 0
+	orphans := w.orphans
+	w.orphans = 0
 	for _, a := range e.Report.Active {
 		listed[a.Task] = true
 		p.takeActive(w, a)
 	}
-	if w.strangers < strangers {
+	if w.orphans < orphans {
 		p.pool(w.Pool).changed = true
 	}
 	for _, r := range sortedRuns(w) {
@@ -235,7 +235,7 @@
 func (p *Planner) takeActive(w *worker, a croft.ActiveRun) {
 	s, index := p.find(a.Task)
 	if s == nil {
-		w.strangers++
+		w.orphans++
 		p.stopUnknown(w, a)
 		return
 	}
--- a/sched/order.go
+++ b/sched/order.go
@@ -102,7 +102,7 @@
 		if r.stage.spec.Gang || r.stage.spec.Filler {
 			continue
 		}
-		p.blame(w)
+		p.countFailure(w)
 		r.stage.tasks[r.index].avoid = w.ID
 		p.stopRun(r, fmt.Sprintf("it stands at %d %% since %d ms", r.percent, p.now.Elapsed-r.moved))
 	}
@@ -140,8 +140,8 @@
 	case croft.RefusedFence:
 		p.stepDown("an executor has seen a higher fencing token")
 		return true
-	case croft.RefusedLife:
-		p.lifeOver(w, "another executor answers at its address")
+	case croft.RefusedIncarnation:
+		p.endIncarnation(w, "another executor answers at its address")
 		return true
 	}
 	return false
@@ -182,13 +182,13 @@
 		if refused.Reason == croft.RefusedTicket && r.stage.advice != nil {
 			delete(r.stage.advice.permits, w.ID)
 		} else {
-			w.resting = max(w.resting, p.now.Elapsed+roomWait)
+			w.quarantined = max(w.quarantined, p.now.Elapsed+roomWait)
 		}
 		p.drop(r)
 		p.requeue(r.stage, r.index)
 	case errors.As(err, &unavailable):
 		p.log("Unhealthy", id, string(w.ID), fmt.Sprintf("run %d: %v", r.number, err))
-		w.resting = max(w.resting, p.now.Elapsed+sickWait)
+		w.quarantined = max(w.quarantined, p.now.Elapsed+sickWait)
 		p.drop(r)
 		p.requeue(r.stage, r.index)
 	default:
--- a/sched/place.go
+++ b/sched/place.go
@@ -14,13 +14,13 @@
 	// tier is 0 for endless tasks, whose absence is never excused, and 1 for others.
 	tier     int
 	priority int
-	// lost is 1 for a job that cannot be on time any more and 2 for one of no more use.
-	lost int
-	due  croft.Millis
+	// lateness is 1 for a job that cannot be on time any more and 2 for one of no more use.
+	lateness int
+	due      croft.Millis
 }
 
 func (a rank) compare(b rank) int {
-	return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.priority, b.priority), cmp.Compare(a.lost, b.lost), cmp.Compare(a.due, b.due))
+	return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.priority, b.priority), cmp.Compare(a.lateness, b.lateness), cmp.Compare(a.due, b.due))
 }
 
 // uselessAfter times the objective is when a job is of no more use to its caller: the platform's
@@ -39,9 +39,9 @@
 	}
 	switch left := p.now.Elapsed + j.tail[s.step]; {
 	case left > j.came+uselessAfter*(j.due-j.came):
-		r.lost = 2
+		r.lateness = 2
 	case left > j.due:
-		r.lost = 1
+		r.lateness = 1
 	}
 	return r
 }
@@ -94,10 +94,10 @@
 			}
 		}
 	}
-	for _, kept := range po.promised {
+	for _, kept := range po.tentative {
 		kept.worker.used = kept.worker.used.Minus(kept.needs)
 	}
-	po.promised = nil
+	po.tentative = nil
 }
 
 // fullness is what did not fit anywhere in one pass over a pool, so that what needs no less is not
@@ -146,7 +146,7 @@
 			// Its room is taken for this pass only, so that no more is announced than fits.
 			p.announce(s.job)
 			w.used = w.used.Plus(s.needs())
-			po.promised = append(po.promised, promise{worker: w, needs: s.needs()})
+			po.tentative = append(po.tentative, tentativeRoom{worker: w, needs: s.needs()})
 			continue
 		}
 		s.waiting = without(s.waiting, index)
@@ -192,8 +192,8 @@
 	}
 }
 
-// promise is room that a pass over a pool keeps for a job that is being announced.
-type promise struct {
+// tentativeRoom is room that a pass over a pool keeps for a job that is being announced.
+type tentativeRoom struct {
 	worker *worker
 	needs  croft.Resources
 }
@@ -298,13 +298,13 @@
 	dueScore = int64(1) << 34
 	// freshScore gathers endless tasks on few executors, so that the VMs of others can move.
 	freshScore = int64(1) << 27
-	// blameScore keeps tasks from executors on which the last ones failed.
-	blameScore = int64(1) << 28
+	// failureScore keeps tasks from executors on which the last ones failed.
+	failureScore = int64(1) << 28
 )
 
 // score is lower for a better worker: short jobs are packed, endless tasks are spread.
 func (p *Planner) score(w *worker, s *stage, index int) int64 {
-	score := int64(w.blamed) * blameScore
+	score := int64(w.failures) * failureScore
 	if s.spec.DataRack != "" && w.Rack != s.spec.DataRack {
 		score += remoteScore
 	}
@@ -409,7 +409,7 @@
 		if !w.Draining && !p.mayTake(r) {
 			continue
 		}
-		if p.choose(po, s, r.index) == nil && (w.Draining || p.now.Elapsed-w.reservedAt < patience) {
+		if p.choose(po, s, r.index) == nil && (w.Draining || p.now.Elapsed-w.reservedAt < shortTaskSpan) {
 			// There may be room elsewhere soon. Where there is none for good, such as for a step as
 			// wide as its pool, the task is away while its VM is.
 			continue
--- a/sched/scale.go
+++ b/sched/scale.go
@@ -330,7 +330,7 @@
 	if w == nil {
 		return p.rule(p.fleet.vms[id].Pool).Spare
 	}
-	return w.verified && len(w.runs) == 0 && w.strangers == 0
+	return w.verified && len(w.runs) == 0 && w.orphans == 0
 }
 
 func (p *Planner) dropMove(id croft.VMID, reason string) {
--- a/sched/takeover_test.go
+++ b/sched/takeover_test.go
@@ -34,13 +34,13 @@
 	b := newBench(t)
 	b.lead(2, 0)
 	b.event(WorkersRead{Changes: croft.WorkerChanges{Entries: testWorkers(1)}})
-	stranger := croft.TaskID{Job: "gone"}
-	effects := b.held(0, active(stranger, 1))
+	orphan := croft.TaskID{Job: "gone"}
+	effects := b.held(0, active(orphan, 1))
 	assert.Equal(t, len(of[Stop](effects)), 1)
 	effects = b.event(JobsRead{Jobs: []JobRow{testJob("j1", step(1, 1))}})
 	assert.Equal(t, len(of[Start](effects)), 0)
 	b.advance(100)
-	effects = b.held(0, croft.EndedRun{Number: 1, Task: stranger, Run: 1, How: croft.EndStopped})
+	effects = b.held(0, croft.EndedRun{Number: 1, Task: orphan, Run: 1, How: croft.EndStopped})
 	assert.Equal(t, len(of[Start](effects)), 1)
 }
 
--- a/sched/wave.go
+++ b/sched/wave.go
@@ -38,9 +38,9 @@
 	// prepareAhead is how many times the allowed number of VMs are emptied at once, so that one is
 	// free when the former one is back.
 	prepareAhead = 2
-	// patience is how long running short tasks are waited for before a maintenance ends them;
+	// shortTaskSpan is how long running short tasks are waited for before a maintenance ends them;
 	// it covers the longest tasks on record.
-	patience = 3 * croft.Second
+	shortTaskSpan = 3 * croft.Second
 	// orderPause is the pause before a refused or lost order is sent again.
 	orderPause = 300 * croft.Millis(1)
 )
@@ -221,7 +221,7 @@
 		if r.stage.spec.Endless && r.stage.spec.MayMiss > 0 {
 			return false
 		}
-		if p.now.Elapsed-w.prepared[id] < patience {
+		if p.now.Elapsed-w.prepared[id] < shortTaskSpan {
 			return false
 		}
 	}
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -18,16 +18,16 @@
 	// changed says that something may fit now that did not, and placed when that was last tried.
 	changed bool
 	placed  croft.Millis
-	// promised is the room kept for jobs that are being announced.
-	promised []promise
+	// tentative is the room kept for jobs that are being announced.
+	tentative []tentativeRoom
 }
 
-// worker is one executor, over its lives.
+// worker is one executor, over its incarnations.
 type worker struct {
 	croft.WorkerEntry
 	// listed says that the executor is registered.
 	listed bool
-	// verified says that the lists of this life are known under our fencing token.
+	// verified says that the lists of this incarnation are known under our fencing token.
 	verified bool
 	holding  bool
 	checking bool
@@ -50,11 +50,11 @@
 	nextHold croft.Millis
 	// misses counts holds in a row without an answer.
 	misses int
-	// blamed counts failures since the last success; resting is until when it gets no work.
-	blamed  int
-	resting croft.Millis
-	// strangers counts runs of ended jobs in the last list; they take room of unknown size.
-	strangers int
+	// failures counts failures since the last success; quarantined is until when it gets no work.
+	failures    int
+	quarantined croft.Millis
+	// orphans counts runs of ended jobs in the last list; they take room of unknown size.
+	orphans int
 	// pace is the processor share of the fillers, in percent.
 	pace int
 	// reserved says that the VM is kept free for a maintenance or a move.
@@ -167,7 +167,7 @@
 		p.workerOrder = slices.Insert(p.workerOrder, at, w)
 	}
 	if e.Born != 0 && w.born != 0 && e.Born > w.born {
-		p.lifeOver(w, "it registered with a later start")
+		p.endIncarnation(w, "it registered with a later start")
 	}
 	if ok && w.Pool != e.Pool {
 		p.pool(w.Pool).remove(w)
@@ -197,10 +197,10 @@
 
 func byName(a, b *worker) int { return strings.Compare(string(a.ID), string(b.ID)) }
 
-// lifeOver takes note that all that ran on a worker has ended.
-func (p *Planner) lifeOver(w *worker, reason string) {
+// endIncarnation takes note that all that ran on a worker has ended.
+func (p *Planner) endIncarnation(w *worker, reason string) {
 	if len(w.runs) > 0 || w.verified {
-		p.log("LifeOver", string(w.ID), "", reason)
+		p.log("IncarnationEnded", string(w.ID), "", reason)
 	}
 	for _, r := range sortedRuns(w) {
 		p.drop(r)
@@ -208,7 +208,7 @@
 	}
 	w.verified, w.clockKnown = false, false
 	w.seen, w.noted, w.acks = 0, 0, nil
-	w.born, w.strangers = 0, 0
+	w.born, w.orphans = 0, 0
 	w.granted = p.now.Elapsed
 	w.nextHold = p.now.Elapsed
 }
@@ -269,7 +269,7 @@
 			continue
 		}
 		if len(w.runs) > 0 {
-			p.lifeOver(w, "its leases ended without an answer")
+			p.endIncarnation(w, "its leases ended without an answer")
 		}
 		if !w.listed && !w.holding {
 			delete(p.workers, id)
@@ -300,26 +300,26 @@
 
 // usable reports whether a worker may be given work.
 func (p *Planner) usable(w *worker) bool {
-	return w.listed && w.verified && w.strangers == 0 && !w.Draining && !w.reserved && w.resting <= p.now.Elapsed
+	return w.listed && w.verified && w.orphans == 0 && !w.Draining && !w.reserved && w.quarantined <= p.now.Elapsed
 }
 
 // Weights of failures.
 const (
-	// blameLimit is how many tasks in a row may fail on an executor before it rests: a sound one
+	// failureLimit is how many tasks in a row may fail on an executor before it rests: a sound one
 	// fails below 3 % of them.
-	blameLimit = 3
-	// restSpan is how long it gets no work, doubled with each further failure.
-	restSpan    = 2 * croft.Second
-	restLongest = 16 * croft.Second
-	// restShare bounds the resting executors of a pool to one in three, since a job that can never
+	failureLimit = 3
+	// quarantineSpan is how long it gets no work, doubled with each further failure.
+	quarantineSpan    = 2 * croft.Second
+	quarantineLongest = 16 * croft.Second
+	// quarantineShare bounds the quarantined executors of a pool to one in three, since a job that can never
 	// succeed fails everywhere.
-	restShare = 3
+	quarantineShare = 3
 )
 
-func (p *Planner) restingIn(id croft.PoolID) int {
+func (p *Planner) quarantinedIn(id croft.PoolID) int {
 	n := 0
 	for _, w := range p.pool(id).workers {
-		if w.resting > p.now.Elapsed {
+		if w.quarantined > p.now.Elapsed {
 			n++
 		}
 	}
@@ -327,12 +327,12 @@
 }
 
 // blame counts a failure of a worker that another one might not have had.
-func (p *Planner) blame(w *worker) {
-	w.blamed++
-	if w.blamed < blameLimit || p.restingIn(w.Pool) >= len(p.pool(w.Pool).workers)/restShare {
+func (p *Planner) countFailure(w *worker) {
+	w.failures++
+	if w.failures < failureLimit || p.quarantinedIn(w.Pool) >= len(p.pool(w.Pool).workers)/quarantineShare {
 		return
 	}
-	span := min(restSpan<<min(w.blamed-blameLimit, 4), restLongest)
-	w.resting = p.now.Elapsed + span
-	p.log("Rest", string(w.ID), "", "tasks failed there one after another")
+	span := min(quarantineSpan<<min(w.failures-failureLimit, 4), quarantineLongest)
+	w.quarantined = p.now.Elapsed + span
+	p.log("Quarantine", string(w.ID), "", "tasks failed there one after another")
 }
--- a/task.go
+++ b/task.go
@@ -154,7 +154,7 @@
 
 // EndedRun is a run that an executor lists as ended.
 type EndedRun struct {
-	// Number counts the ends of one life of the executor, from 1.
+	// Number counts the ends of one incarnation of the executor, from 1.
 	Number     int64
 	Task       TaskID
 	Run        int
@@ -166,7 +166,7 @@
 type HoldReport struct {
 	// Clock is the executor's own clock.
 	Clock Millis
-	// Born is when this life of the executor began.
+	// Born is when this incarnation of the executor began.
 	Born   int64
 	Active []ActiveRun
 	Ended  []EndedRun
@@ -199,9 +199,9 @@
 	RefusedRoom RunRefusal = "Room"
 	// RefusedTicket means that the advice service's permit is missing or no longer valid.
 	RefusedTicket RunRefusal = "Ticket"
-	// RefusedLife means that another life of the executor is at the address.
-	RefusedLife RunRefusal = "Life"
-	RefusedForm RunRefusal = "Form"
+	// RefusedIncarnation means that another incarnation of the executor is at the address.
+	RefusedIncarnation RunRefusal = "Incarnation"
+	RefusedForm        RunRefusal = "Form"
 )
 
 // RunRefusedError tells that the executor did nothing.
