--- a/model/executor.go
+++ b/model/executor.go
@@ -90,7 +90,7 @@
 	w.later(registerSpan, func() { w.tell(registered(w.registration(x))) })
 }
 
-// end ends a incarnation: all that runs there is gone with it.
+// end ends an incarnation: all that runs there is gone with it.
 func (w *World) end(x *executor, reason string) {
 	if x.dead {
 		return
