model: three open seeds of ten thousand, listed as known red

Cause: not known yet. Two may be orders that were held up, which the platform's rules allow; no run shows it yet.

--- a/model/model_test.go
+++ b/model/model_test.go
@@ -67,3 +67,15 @@
 		return options
 	})
 }
+
+// TestOpenSeeds plays seeds that break a law for a cause that is not known yet; KNOWN-RED.txt lists them.
+func TestOpenSeeds(t *testing.T) {
+	for _, seed := range []uint64{1000352, 1001116, 1004536} {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			options := small(seed)
+			options.Faults, options.Wave = true, seed%2 == 0
+			report := Run(options)
+			assert.Check(t, len(report.Broken) == 0, "%v", report.Broken)
+		})
+	}
+}
