sched: a task that has a run is not queued again, whichever of its runs has ended

Cause: found by reading. requeue cleared the task's run whatever had ended; one caller of five guarded against that. When the executor of a second run that was being stopped was lost, the first run was forgotten and the task would start again. Change: the check is in requeue, and the guard at takeEnd is gone. Test: TestLossOfASecondRunLeavesTheFirst, failing first.

--- a/sched/hold.go
+++ b/sched/hold.go
@@ -176,9 +176,7 @@
 	default:
 		p.log("Ended", end.Task.String(), string(w.ID), fmt.Sprintf("run %d %s", end.Run, end.How))
 	}
-	if t.run == nil {
-		p.requeue(s, index)
-	}
+	p.requeue(s, index)
 	w.acks = append(w.acks, entry)
 }
 
--- a/sched/job.go
+++ b/sched/job.go
@@ -359,11 +359,10 @@
 	}
 }
 
-// requeue lets a task wait for another run.
+// requeue lets a task wait for another run, unless it has one.
 func (p *Planner) requeue(s *stage, index int) {
 	t := &s.tasks[index]
-	t.run = nil
-	if t.done || s.job.ended || !s.open || slices.Contains(s.waiting, index) {
+	if t.run != nil || t.done || s.job.ended || !s.open || slices.Contains(s.waiting, index) {
 		return
 	}
 	s.waiting = append(s.waiting, index)
--- a/sched/takeover_test.go
+++ b/sched/takeover_test.go
@@ -78,3 +78,26 @@
 	effects = b.planner.Reduce(Instant{Elapsed: b.now + refusedWait}, Committed{Commit: commits[0], Version: 9})
 	assert.Equal(t, len(of[Start](effects)), 2)
 }
+
+// A task with a run on two executors, one of them being stopped, was started a third time when the
+// executor of the other was lost: the end of one run was taken for the end of the task's own.
+func TestLossOfASecondRunLeavesTheFirst(t *testing.T) {
+	b := newBench(t)
+	row := testJob("j1", step(1, 1))
+	row.Progress = jobs.Progress{Status: jobs.Running}
+	b.lead(2, 0, row)
+	b.event(WorkersRead{Changes: croft.WorkerChanges{Entries: testWorkers(3)}})
+	task := croft.TaskID{Job: "j1"}
+	b.held(0, active(task, 1))
+	b.held(1, active(task, 2))
+	b.held(2)
+	assert.Equal(t, len(b.planner.workers[workerName(1)].runs), 1)
+	entries := testWorkers(2)
+	entries[1].Born = 99
+	effects := b.event(WorkersRead{Changes: croft.WorkerChanges{Entries: entries[1:]}})
+	for range 5 {
+		effects = append(effects, b.advance(50)...)
+	}
+	assert.Equal(t, len(of[Start](effects)), 0)
+	assert.Assert(t, b.planner.jobs["j1"].stages[0].tasks[0].run != nil)
+}
