--- a/model/executor.go
+++ b/model/executor.go
@@ -91,7 +91,7 @@
 }
 
 // end ends an incarnation: all that runs there is gone with it.
-func (w *World) end(x *executor, reason string) {
+func (w *World) end(x *executor) {
 	if x.dead {
 		return
 	}
@@ -99,7 +99,7 @@
 	runs := x.runs
 	x.runs = map[croft.TaskID]*running{}
 	for _, id := range sortedTasks(runs) {
-		w.away(id, reason)
+		w.away(id)
 		if runs[id].gang {
 			w.breakGang(runs[id])
 		}
--- a/model/laws.go
+++ b/model/laws.go
@@ -121,7 +121,7 @@
 }
 
 // away notes that a run is gone with its executor.
-func (w *World) away(id croft.TaskID, _ string) {
+func (w *World) away(id croft.TaskID) {
 	if t, ok := w.jobs[id.Job]; ok {
 		t.law(id).stopWorking(w.now)
 	}
--- a/model/load.go
+++ b/model/load.go
@@ -247,7 +247,7 @@
 	}
 	v := x.vm
 	v.state = croft.FleetDown
-	w.end(x, "it crashed")
+	w.end(x)
 	w.after(w.between(1000, 6000), func() {
 		if v.state == croft.FleetDown {
 			w.boot(v)
@@ -273,7 +273,7 @@
 	w.after(w.between(2000, 5000), func() {
 		if x.vm.worker == x {
 			x.vm.state = croft.FleetDown
-			w.end(x, "it left")
+			w.end(x)
 		}
 	})
 }
--- a/model/perform.go
+++ b/model/perform.go
@@ -236,7 +236,7 @@
 		for id := range v.worker.runs {
 			w.checkTaken(id, "an order for its VM")
 		}
-		w.end(v.worker, "its VM was ordered away")
+		w.end(v.worker)
 	}
 	w.after(span, func() {
 		v.state = croft.FleetUp
--- a/model/world.go
+++ b/model/world.go
@@ -80,14 +80,19 @@
 	report Report
 }
 
-// Report is what a run came to.
-type Report struct {
-	// Broken has a line for each broken law, at most some dozen.
-	Broken []string
+// Counts are the figures of a run.
+type Counts struct {
 	// Jobs counts submissions, OnTime those that ended within their objective, Late the others.
 	Jobs, OnTime, Late, Failed, Cancelled int
 	// Starts, Moves and Maintained count orders that were carried out, Takeovers changes of the leader.
 	Starts, Moves, Maintained, Takeovers, Commits int
+}
+
+// Report is what a run came to.
+type Report struct {
+	Counts
+	// Broken has a line for each broken law, at most some dozen.
+	Broken []string
 	// Waits are the milliseconds from each submission to its first start.
 	Waits []int64
 	// Durations are the milliseconds from each submission to its end.
--- a/sched/commit.go
+++ b/sched/commit.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"slices"
-	"sort"
 
 	"waxwing.example/croft"
 	"waxwing.example/croft/jobs"
@@ -86,7 +85,7 @@
 			names = append(names, name)
 		}
 	}
-	sort.Strings(names)
+	slices.Sort(names)
 	for _, name := range names {
 		p.commitPart(name, p.parts[name])
 	}
--- a/sched/events.go
+++ b/sched/events.go
@@ -163,14 +163,12 @@
 type Start struct {
 	effectMark
 	Order croft.RunOrder
-	Sent  croft.Millis
 }
 
 // Stop ends a run, answered by Stopped.
 type Stop struct {
 	effectMark
 	Order croft.RunOrder
-	Sent  croft.Millis
 }
 
 // Pace limits the processor share of a run; a lost answer is repaired by the next one.
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"errors"
 	"fmt"
 
 	"waxwing.example/croft"
@@ -78,15 +77,8 @@
 }
 
 func (p *Planner) holdFailed(w *worker, e Holding) {
-	var refused *croft.RunRefusedError
-	if errors.As(e.Err, &refused) {
-		switch refused.Reason {
-		case croft.RefusedFence:
-			p.stepDown("an executor has seen a higher fencing token")
-			return
-		case croft.RefusedIncarnation:
-			p.endIncarnation(w, "another executor answers at its address")
-		}
+	if p.refusedForAll(w, e.Err) && !p.leading {
+		return
 	}
 	if w.verified {
 		p.log("Lost", string(w.ID), "", e.Err.Error())
@@ -225,8 +217,7 @@
 			continue
 		}
 		p.log("Vanished", id.String(), string(w.ID), fmt.Sprintf("run %d is in neither list", r.number))
-		p.drop(r)
-		p.requeue(r.stage, r.index)
+		p.giveUp(r)
 	}
 }
 
@@ -258,7 +249,7 @@
 		t.checkpoint = a.Checkpoint
 	}
 	if a.Percent >= atWork && t.run == r {
-		t.idle, t.taken = p.now.Elapsed, false
+		t.taken = false
 	}
 	if (t.done || s.job.ended) && r.phase != phaseStopping {
 		p.stopRun(r, "its task has ended")
@@ -281,20 +272,10 @@
 		return r
 	}
 	t.run = r
-	s.waiting = without(s.waiting, index)
+	s.unqueue(index)
 	return r
 }
 
-func without(waiting []int, index int) []int {
-	out := waiting[:0]
-	for _, i := range waiting {
-		if i != index {
-			out = append(out, i)
-		}
-	}
-	return out
-}
-
 // forgetAcked moves the mark up to which the executor may forget ends.
 func (p *Planner) forgetAcked(w *worker) {
 	for len(w.acks) > 0 {
--- a/sched/job.go
+++ b/sched/job.go
@@ -83,8 +83,6 @@
 	runs int
 	// avoid is the worker on which the last run failed.
 	avoid croft.WorkerID
-	// idle is when the task last was at work or its turn came.
-	idle croft.Millis
 	// taken says that an order of ours took the task away and it is not back at work.
 	taken bool
 }
@@ -233,7 +231,6 @@
 		s.open, s.opened = true, p.now.Elapsed
 		for index := range s.tasks {
 			t := &s.tasks[index]
-			t.idle = p.now.Elapsed
 			if !t.done && t.run == nil {
 				s.waiting = append(s.waiting, index)
 				p.pool(j.record.Pool).changed = true
@@ -311,7 +308,7 @@
 	}
 	t.done = true
 	s.left--
-	s.waiting = slices.DeleteFunc(s.waiting, func(i int) bool { return i == index })
+	s.unqueue(index)
 	name := jobs.StageName(s.occurrence, s.step)
 	if s.job.progress.Done == nil {
 		s.job.progress.Done = map[string][]byte{}
@@ -359,6 +356,11 @@
 	}
 }
 
+// unqueue takes a task from those that wait.
+func (s *stage) unqueue(index int) {
+	s.waiting = slices.DeleteFunc(s.waiting, func(i int) bool { return i == index })
+}
+
 // requeue lets a task wait for another run, unless it has one.
 func (p *Planner) requeue(s *stage, index int) {
 	t := &s.tasks[index]
--- a/sched/order.go
+++ b/sched/order.go
@@ -28,7 +28,7 @@
 	if got, ok := p.permitFor(s, w); ok {
 		order.Ticket = got.ticket
 	}
-	p.do(Start{Order: order, Sent: p.now.Elapsed})
+	p.do(Start{Order: order})
 }
 
 // jobBegan notes that an executor has begun a task of a job; until then the job counts as waiting.
@@ -56,13 +56,13 @@
 
 func (p *Planner) sendStop(r *run) {
 	r.stopped = p.now.Elapsed
-	p.do(Stop{Order: p.runOrder(r.worker, r.stage.id(r.index), r.number), Sent: p.now.Elapsed})
+	p.do(Stop{Order: p.runOrder(r.worker, r.stage.id(r.index), r.number)})
 }
 
 // stopUnknown ends a run whose job has ended.
 func (p *Planner) stopUnknown(w *worker, a croft.ActiveRun) {
 	p.log("Stop", a.Task.String(), string(w.ID), fmt.Sprintf("run %d: its job is not known any more", a.Run))
-	p.do(Stop{Order: p.runOrder(w, a.Task, a.Run), Sent: p.now.Elapsed})
+	p.do(Stop{Order: p.runOrder(w, a.Task, a.Run)})
 }
 
 // repeatStops sends stops again that got no answer, and looks for runs that should have stopped.
@@ -184,13 +184,11 @@
 		} else {
 			w.quarantined = max(w.quarantined, p.now.Elapsed+roomWait)
 		}
-		p.drop(r)
-		p.requeue(r.stage, r.index)
+		p.giveUp(r)
 	case errors.As(err, &unavailable):
 		p.log("Unhealthy", id, string(w.ID), fmt.Sprintf("run %d: %v", r.number, err))
 		w.quarantined = max(w.quarantined, p.now.Elapsed+sickWait)
-		p.drop(r)
-		p.requeue(r.stage, r.index)
+		p.giveUp(r)
 	default:
 		p.log("Unanswered", id, string(w.ID), fmt.Sprintf("run %d: %v", r.number, err))
 		if r.phase == phaseStopping {
--- a/sched/place.go
+++ b/sched/place.go
@@ -149,7 +149,7 @@
 			po.tentative = append(po.tentative, tentativeRoom{worker: w, needs: s.needs()})
 			continue
 		}
-		s.waiting = without(s.waiting, index)
+		s.unqueue(index)
 		p.startRun(s, index, w, s.tasks[index].number+1)
 		placed.add(w)
 	}
--- a/sched/planner.go
+++ b/sched/planner.go
@@ -92,9 +92,6 @@
 	}
 }
 
-// Leading reports whether the planner leads.
-func (p *Planner) Leading() bool { return p.leading }
-
 // Reduce takes in events of one instant and returns what is to be done.
 func (p *Planner) Reduce(now Instant, events ...Event) []Effect {
 	p.now, p.out = now, nil
@@ -208,7 +205,7 @@
 func (p *Planner) pool(id croft.PoolID) *pool {
 	po, ok := p.pools[id]
 	if !ok {
-		po = &pool{id: id, workers: map[croft.WorkerID]*worker{}}
+		po = &pool{id: id}
 		p.pools[id] = po
 		at, _ := slices.BinarySearchFunc(p.poolOrder, po, func(a, b *pool) int { return cmp.Compare(a.id, b.id) })
 		p.poolOrder = slices.Insert(p.poolOrder, at, po)
--- a/sched/scale.go
+++ b/sched/scale.go
@@ -336,9 +336,7 @@
 func (p *Planner) dropMove(id croft.VMID, reason string) {
 	p.log("MoveDropped", string(id), "", reason)
 	delete(p.moves, id)
-	if w := p.workerOn(id); w != nil {
-		w.reserved = false
-	}
+	p.unreserve(id)
 }
 
 // moveWay is from one pool to another.
--- a/sched/wave.go
+++ b/sched/wave.go
@@ -12,8 +12,6 @@
 // wave is a set of VMs that are to be maintained.
 type wave struct {
 	croft.Wave
-	// since is when this leader learned of it.
-	since croft.Millis
 	// recalled says that what former leaders began is known.
 	recalled bool
 	begun    map[croft.VMID]bool
@@ -52,9 +50,7 @@
 			old.Wave = w
 			continue
 		}
-		n := newWave(w)
-		n.since = p.now.Elapsed
-		p.waves[w.Number] = n
+		p.waves[w.Number] = newWave(w)
 		p.askFleet()
 	}
 }
@@ -278,15 +274,12 @@
 	w.begun[id] = true
 	w.away[id] = p.now.Elapsed
 	delete(w.prepared, id)
-	p.askFleet()
 	p.do(ReportWave{Number: w.Number, Begun: w.begunVMs()})
 }
 
 func (p *Planner) release(w *wave, id croft.VMID) {
 	delete(w.prepared, id)
-	if wk := p.workerOn(id); wk != nil {
-		wk.reserved = false
-	}
+	p.unreserve(id)
 }
 
 // checkWaves takes VMs for back that are up in a list asked for after they went.
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -1,16 +1,15 @@
 package sched
 
 import (
+	"cmp"
 	"slices"
-	"strings"
 
 	"waxwing.example/croft"
 )
 
 // pool is the executors and jobs of one pool.
 type pool struct {
-	id      croft.PoolID
-	workers map[croft.WorkerID]*worker
+	id croft.PoolID
 	// order has the workers by name, so that decisions repeat.
 	order  []*worker
 	jobs   []*job
@@ -163,48 +162,44 @@
 		w = &worker{runs: map[croft.TaskID]*run{}, granted: p.longestLease(), pace: fullPace}
 		w.WorkerEntry = e
 		p.workers[e.ID] = w
-		at, _ := slices.BinarySearchFunc(p.workerOrder, w, byName)
-		p.workerOrder = slices.Insert(p.workerOrder, at, w)
+		p.workerOrder = withWorker(p.workerOrder, w)
 	}
 	if e.Born != 0 && w.born != 0 && e.Born > w.born {
 		p.endIncarnation(w, "it registered with a later start")
 	}
 	if ok && w.Pool != e.Pool {
-		p.pool(w.Pool).remove(w)
+		po := p.pool(w.Pool)
+		po.order = withoutWorker(po.order, w)
 	}
 	if e.Draining && !w.Draining {
 		p.log("Drain", string(e.ID), "", "the executor reports that it leaves")
 	}
 	w.WorkerEntry = e
 	w.listed = true
-	p.pool(e.Pool).add(w)
-	p.pool(e.Pool).changed = true
+	po := p.pool(e.Pool)
+	po.order, po.changed = withWorker(po.order, w), true
 }
 
-func (po *pool) add(w *worker) {
-	if _, ok := po.workers[w.ID]; ok {
-		return
+// withWorker returns a list by name that has the worker once.
+func withWorker(order []*worker, w *worker) []*worker {
+	at, there := slices.BinarySearchFunc(order, w, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
+	if there {
+		return order
 	}
-	po.workers[w.ID] = w
-	at, _ := slices.BinarySearchFunc(po.order, w, byName)
-	po.order = slices.Insert(po.order, at, w)
+	return slices.Insert(order, at, w)
 }
 
-func (po *pool) remove(w *worker) {
-	delete(po.workers, w.ID)
-	po.order = slices.DeleteFunc(po.order, func(other *worker) bool { return other == w })
+func withoutWorker(order []*worker, w *worker) []*worker {
+	return slices.DeleteFunc(order, func(other *worker) bool { return other == w })
 }
 
-func byName(a, b *worker) int { return strings.Compare(string(a.ID), string(b.ID)) }
-
 // endIncarnation takes note that all that ran on a worker has ended.
 func (p *Planner) endIncarnation(w *worker, reason string) {
 	if len(w.runs) > 0 || w.verified {
 		p.log("IncarnationEnded", string(w.ID), "", reason)
 	}
 	for _, r := range sortedRuns(w) {
-		p.drop(r)
-		p.requeue(r.stage, r.index)
+		p.giveUp(r)
 	}
 	w.verified, w.clockKnown = false, false
 	w.seen, w.noted, w.acks = 0, 0, nil
@@ -250,6 +245,12 @@
 	p.forgetJob(r.stage.job)
 }
 
+// giveUp forgets a run and lets its task wait for another.
+func (p *Planner) giveUp(r *run) {
+	p.drop(r)
+	p.requeue(r.stage, r.index)
+}
+
 func (r *run) needs() croft.Resources { return r.stage.needs() }
 
 // needs returns what a task of the stage takes of an executor's room.
@@ -273,8 +274,9 @@
 		}
 		if !w.listed && !w.holding {
 			delete(p.workers, id)
-			p.workerOrder = slices.DeleteFunc(p.workerOrder, func(other *worker) bool { return other == w })
-			p.pool(w.Pool).remove(w)
+			p.workerOrder = withoutWorker(p.workerOrder, w)
+			po := p.pool(w.Pool)
+			po.order = withoutWorker(po.order, w)
 		}
 	}
 }
@@ -287,7 +289,7 @@
 	if !p.fleet.complete {
 		return true
 	}
-	for _, w := range po.workers {
+	for _, w := range po.order {
 		if !w.verified && p.now.Elapsed < w.granted {
 			return true
 		}
@@ -298,6 +300,13 @@
 // reserve keeps new work from a worker whose VM is to leave.
 func (p *Planner) reserve(w *worker) { w.reserved, w.reservedAt = true, p.now.Elapsed }
 
+// unreserve lets the worker on a VM have work again.
+func (p *Planner) unreserve(id croft.VMID) {
+	if w := p.workerOn(id); w != nil {
+		w.reserved = false
+	}
+}
+
 // usable reports whether a worker may be given work.
 func (p *Planner) usable(w *worker) bool {
 	return w.listed && w.verified && w.orphans == 0 && !w.Draining && !w.reserved && w.quarantined <= p.now.Elapsed
@@ -305,7 +314,7 @@
 
 // Weights of failures.
 const (
-	// failureLimit is how many tasks in a row may fail on an executor before it rests: a sound one
+	// failureLimit is how many tasks in a row may fail on an executor before it gets no work for a while: a sound one
 	// fails below 3 % of them.
 	failureLimit = 3
 	// quarantineSpan is how long it gets no work, doubled with each further failure.
@@ -316,9 +325,9 @@
 	quarantineShare = 3
 )
 
-func (p *Planner) quarantinedIn(id croft.PoolID) int {
+func (p *Planner) quarantinedIn(po *pool) int {
 	n := 0
-	for _, w := range p.pool(id).workers {
+	for _, w := range po.order {
 		if w.quarantined > p.now.Elapsed {
 			n++
 		}
@@ -326,10 +335,11 @@
 	return n
 }
 
-// blame counts a failure of a worker that another one might not have had.
+// countFailure counts a failure of a worker that another one might not have had.
 func (p *Planner) countFailure(w *worker) {
 	w.failures++
-	if w.failures < failureLimit || p.quarantinedIn(w.Pool) >= len(p.pool(w.Pool).workers)/quarantineShare {
+	po := p.pool(w.Pool)
+	if w.failures < failureLimit || p.quarantinedIn(po) >= len(po.order)/quarantineShare {
 		return
 	}
 	span := min(quarantineSpan<<min(w.failures-failureLimit, 4), quarantineLongest)
--- a/verbs/load.go
+++ b/verbs/load.go
@@ -47,10 +47,9 @@
 
 // loadSummary is what is printed of a run.
 type loadSummary struct {
-	Jobs, OnTime, Late, Failed, Cancelled         int
-	Starts, Moves, Maintained, Takeovers, Commits int
-	WaitP50, WaitP99, DurationP50, DurationP99    int64
-	Broken                                        []string
+	model.Counts
+	WaitP50, WaitP99, DurationP50, DurationP99 int64
+	Broken                                     []string
 }
 
 // Run plays the load.
@@ -65,11 +64,7 @@
 		Seed: l.Seed, Pools: l.Pools, WorkersAPool: l.Executors, Spares: l.Spares, JobsASecond: l.Rate,
 		Span: croft.Millis(l.Seconds) * croft.Second, Quiet: loadQuiet, Turns: !l.Steady, Faults: l.Faults, Wave: l.Wave, Varied: l.Varied,
 	})
-	s := loadSummary{
-		Jobs: report.Jobs, OnTime: report.OnTime, Late: report.Late, Failed: report.Failed, Cancelled: report.Cancelled,
-		Starts: report.Starts, Moves: report.Moves, Maintained: report.Maintained, Takeovers: report.Takeovers, Commits: report.Commits,
-		Broken: report.Broken,
-	}
+	s := loadSummary{Counts: report.Counts, Broken: report.Broken}
 	s.WaitP50, s.WaitP99 = percentiles(report.Waits)
 	s.DurationP50, s.DurationP99 = percentiles(report.Durations)
 	if l.JSON {
--- a/verbs/why.go
+++ b/verbs/why.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"os"
 	"slices"
 	"strings"
 	"time"
@@ -80,9 +79,9 @@
 
 // read returns the lines of a log that belong to the story; a line that is not JSON is told.
 func (w *Why) read(name string) ([]storyLine, error) {
-	body, err := os.ReadFile(name)
+	body, err := readFile(name)
 	if err != nil {
-		return nil, &FileError{Text: err.Error()}
+		return nil, err
 	}
 	var out []storyLine
 	scanner := bufio.NewScanner(bytes.NewReader(body))
