sched: a wave looks for VMs that were down when the list was last read

Ruled out: the VMs being reserved or prepared (neither), a lost answer of the list (it was complete).

Change: while an unfinished wave waits for a VM that is not up, the list is read every 2 s.

--- a/model/perform.go
+++ b/model/perform.go
@@ -76,7 +76,7 @@
 		w.after(w.between(2000, 12000), func() {
 			if x, ok := w.reachable(id); ok {
 				// A late order is refused or carried out, and nobody hears of it.
-				_ = do(x)
+				w.carryOutLate(func() { _ = do(x) })
 			}
 		})
 		w.later(lostSpan, func() { w.tell(event(0, lost)) })
@@ -99,6 +99,13 @@
 	})
 }
 
+// carryOutLate carries out an order that was held up on its way.
+func (w *World) carryOutLate(do func()) {
+	w.late = true
+	do()
+	w.late = false
+}
+
 func (w *World) performHold(e sched.Hold) {
 	generation := w.generation
 	answered := false
@@ -195,7 +202,7 @@
 func (w *World) performFleet(e sched.OrderVM) {
 	v := w.vms[slices.IndexFunc(w.vms, func(v *vm) bool { return v.id == e.Order.VM })]
 	if w.chance(w.losing / 4) {
-		w.after(w.between(1, 8000), func() { _ = w.orderVM(v, e.Order) })
+		w.after(w.between(1, 8000), func() { w.carryOutLate(func() { _ = w.orderVM(v, e.Order) }) })
 		w.later(lostSpan, func() { w.tell(sched.Ordered{OrderVM: e, Err: &croft.LostAnswerError{Reason: "model"}}) })
 		return
 	}
--- a/model/world.go
+++ b/model/world.go
@@ -73,6 +73,8 @@
 	// storeDown is until when the store refuses, losing the share of answers that are lost.
 	storeDown croft.Millis
 	losing    float64
+	// late says that the order being carried out was held up on its way.
+	late bool
 
 	jobs   map[croft.JobID]*tracked
 	config croft.QueueConfig
--- a/sched/fleet.go
+++ b/sched/fleet.go
@@ -33,6 +33,9 @@
 // Spans of the list of VMs; each reading is charged, and the platform bounds them to some tens a second.
 const (
 	fleetPause = 400 * croft.Millis(1)
+	// fleetSearch is the pause while a wave waits for VMs that are not up: an executor that is back
+	// shows them sooner, but VMs of a spare pool have none. It is the time of a maintenance.
+	fleetSearch = 2 * croft.Second
 	// fleetOverdue is when a list without an answer is asked for again.
 	fleetOverdue = 4 * croft.Second
 )
@@ -47,6 +50,9 @@
 	if !f.complete || p.waveAway() || len(p.moves)+len(f.leaving) > 0 {
 		f.wanted = true
 	}
+	if p.now.Elapsed-f.asked >= fleetSearch && p.waveSearches() {
+		f.wanted = true
+	}
 	if !f.wanted || f.asking || (f.asked != 0 && p.now.Elapsed-f.asked < fleetPause) {
 		return
 	}
--- a/sched/wave.go
+++ b/sched/wave.go
@@ -86,6 +86,21 @@
 	return false
 }
 
+// waveSearches reports whether a wave waits for VMs that the last list did not show up.
+func (p *Planner) waveSearches() bool {
+	for _, w := range p.waves {
+		if w.finished {
+			continue
+		}
+		for _, id := range w.VMs {
+			if vm, ok := p.fleet.vms[id]; ok && !w.begun[id] && vm.State != croft.FleetUp {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // dueForWave reports whether a worker's VM is still to be maintained.
 func (p *Planner) dueForWave(w *worker) bool {
 	vm, ok := p.fleet.byWorker[w.ID]
--- a/sched/wave_test.go
+++ b/sched/wave_test.go
@@ -101,3 +101,29 @@
 	effects = append(effects, b.event(JobsRead{Jobs: []JobRow{testJob("j1", step(1, 1))}})...)
 	assert.Equal(t, len(of[Start](effects)), 0)
 }
+
+// A VM that was down when the list was last read, and that nothing else made the leader read again,
+// was never maintained once it was up.
+func TestWaveLooksForVMsThatWereDown(t *testing.T) {
+	b := newBench(t)
+	b.lead(1, 2)
+	b.event(WaveRowsRead{})
+	vms := testFleet(2)
+	vms[1].State, vms[1].Worker = croft.FleetDown, ""
+	b.event(FleetRead{Asked: b.now, VMs: vms})
+	b.event(testWave(vmName(1)))
+	lists, orders := 0, 0
+	for i := range 100 {
+		effects := b.advance(50)
+		if i > 60 {
+			vms = testFleet(2)
+		}
+		for _, l := range of[ListFleet](effects) {
+			lists++
+			effects = append(effects, b.event(FleetRead{Asked: l.Asked, VMs: vms})...)
+		}
+		orders += len(of[OrderVM](effects))
+	}
+	assert.Equal(t, orders, 1)
+	assert.Assert(t, lists >= 2 && lists <= 10, "%d lists in 5 s", lists)
+}
