leader: the lead passes on once its row stands still for 40 % of the lease; VM orders wait for the whole

Why it is safe: executors and rows tell holders apart by the fencing token, and a successor starts nothing that a former leader may have started before all executors of the pool have taken the new token. Only orders for VMs need the whole lease between two holders: a second guard and the planner keep them until then. Time in which the store did not answer does not count, so a holder that lives keeps the lead over an outage; where renewals are slow, 2.5 times their longest gap is waited for.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -185,7 +185,7 @@
 		return
 	}
 	a.Log.Log(croft.Decision{Action: "Lead", Subject: a.Self, Choice: "Taken", Reason: leadReason(*lead)})
-	a.post(ctx, sched.LeadBegan{Fence: lead.Fence, Term: lead.Term})
+	a.post(ctx, sched.LeadBegan{Fence: lead.Fence, Term: lead.Term, VMsFrom: lead.VMsFrom})
 	go a.followWorkers(session)
 	go a.followJobs(session)
 	go a.followCancels(session)
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -20,8 +20,18 @@
 
 // Spans of the lead, as shares of the lease.
 const (
-	// renewShare is the part of the lease after which it is renewed, so that two renewals may fail.
-	renewShare = 4
+	// renewShare is the part of the lease after which it is renewed: three times before the row
+	// counts as standing still.
+	renewShare = 8
+	// stillShare is the part of the lease, in percent, for which the row must stand still before
+	// another entry takes the lead. Executors and rows tell the holders apart by their fencing tokens,
+	// so that only orders for VMs have to wait for the whole lease.
+	stillShare = 40
+	// stillFactor times the longest of the last gaps between renewals, in percent, is waited for too:
+	// where the store is slow, so are the renewals.
+	stillFactor = 250
+	// gapFade is what is left of the longest gap, in percent, with each renewal.
+	gapFade = 80
 	// marginShare is the part of the lease that a holder leaves unused, for the way of an order.
 	marginShare = 10
 	// rankWait keeps candidates from racing for a lapsed lead.
@@ -46,6 +56,9 @@
 	// Fence is the fencing token of all orders.
 	Fence uint64
 	Term  int
+	// VMsFrom is the time, by the steady clock, from which VMs may be ordered about: the lease of the
+	// former holder, which need not know of its successor yet, has then ended.
+	VMsFrom croft.Millis
 }
 
 // Election follows the row of the lead and takes the lead when it lapses.
@@ -58,11 +71,13 @@
 
 	mu sync.Mutex
 	// seen is the newest row known, and since when it has stood still.
-	seen    croft.Row
-	value   row
-	since   croft.Millis
-	read    croft.Millis
-	known   bool
+	seen  croft.Row
+	value row
+	since croft.Millis
+	read  croft.Millis
+	known bool
+	// gap is the longest of the last spans between renewals by the present holder.
+	gap     croft.Millis
 	lead    *Lead
 	valid   croft.Millis
 	renewed croft.Millis
@@ -87,6 +102,20 @@
 	return nil
 }
 
+// GuardVMs returns an error where VMs may not be ordered about.
+func (h *Election) GuardVMs() error {
+	if err := h.Guard(); err != nil {
+		return err
+	}
+	now := h.clock.Elapsed()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.lead == nil || now < h.lead.VMsFrom {
+		return ErrNotLeading
+	}
+	return nil
+}
+
 // Lead returns the present tenure, nil where another entry may lead.
 func (h *Election) Lead() *Lead {
 	h.mu.Lock()
@@ -108,6 +137,10 @@
 	now := h.clock.Elapsed()
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if now-h.read > h.lease/2 {
+		// The store did not answer, perhaps nobody: a living holder gets its time to renew.
+		h.since = now
+	}
 	h.read = now
 	if whole && !h.known {
 		h.known, h.since = true, now
@@ -129,12 +162,27 @@
 		// An unreadable row is taken over like a lapsed one.
 		value = row{}
 	}
+	h.noteGap(value.Holder, now)
 	h.seen, h.value, h.since = r, value, now
 	if h.lead != nil && value.Holder != h.self {
 		h.lead = nil
 	}
 }
 
+// noteGap takes in that the row has changed.
+func (h *Election) noteGap(holder string, now croft.Millis) {
+	if holder != h.value.Holder || h.seen.Version == 0 {
+		h.gap = 0
+		return
+	}
+	h.gap = max(now-h.since, h.gap*gapFade/100)
+}
+
+// still returns how long the row must not change before the lead counts as lapsed.
+func (h *Election) still() croft.Millis {
+	return min(max(h.lease*stillShare/100, h.gap*stillFactor/100), h.lease) + h.rank
+}
+
 // Run takes and renews the lead until the context ends; notify is called whenever it changed hands.
 func (h *Election) Run(ctx context.Context, notify func(*Lead)) error {
 	var told *Lead
@@ -156,7 +204,7 @@
 	h.mu.Lock()
 	leading := h.lead != nil
 	due := now-h.renewed >= h.lease/renewShare
-	lapsed := h.known && now-h.read < h.lease/2 && (h.value.Holder == "" || now-h.since >= h.lease+h.rank)
+	lapsed := h.known && now-h.read < h.lease/2 && (h.value.Holder == "" || now-h.since >= h.still())
 	if h.known && h.value.Holder == "" && now-h.since < h.rank {
 		lapsed = false
 	}
@@ -174,6 +222,11 @@
 	h.mu.Lock()
 	value := row{Holder: h.self, Nonce: uuid.NewString(), Term: h.value.Term}
 	expected := h.seen.Version
+	from := h.since + h.lease
+	if h.value.Holder == "" {
+		// The former holder gave the lead back and orders nothing any more.
+		from = h.since
+	}
 	h.mu.Unlock()
 	if takeover {
 		value.Term++
@@ -193,10 +246,12 @@
 		h.renewed = sent - h.lease/renewShare + retryWait
 		return
 	}
-	h.seen, h.value, h.since = croft.Row{Key: Key, Version: version, Value: raw}, value, h.clock.Elapsed()
+	now := h.clock.Elapsed()
+	h.noteGap(value.Holder, now)
+	h.seen, h.value, h.since = croft.Row{Key: Key, Version: version, Value: raw}, value, now
 	h.renewed, h.valid = sent, sent+h.lease-h.lease/marginShare
 	if takeover {
-		h.lead = &Lead{Fence: version, Term: value.Term}
+		h.lead = &Lead{Fence: version, Term: value.Term, VMsFrom: from}
 	}
 }
 
--- a/sched/events.go
+++ b/sched/events.go
@@ -27,6 +27,8 @@
 	Fence uint64
 	// Term counts the takeovers.
 	Term int
+	// VMsFrom is when VMs may be ordered about, by the steady clock.
+	VMsFrom croft.Millis
 }
 
 // LeadEnded says that another entry may lead; nothing of what is known holds any longer.
--- a/sched/planner.go
+++ b/sched/planner.go
@@ -28,6 +28,8 @@
 	term    int
 	// took is when the lead began.
 	took croft.Millis
+	// vmsFrom is when VMs may be ordered about: a former leader may do so until then.
+	vmsFrom croft.Millis
 	// read says that all jobs of before are known.
 	read bool
 
@@ -155,7 +157,7 @@
 
 func (p *Planner) begin(e LeadBegan) {
 	p.forget()
-	p.leading, p.fence, p.term, p.took = true, e.Fence, e.Term, p.now.Elapsed
+	p.leading, p.fence, p.term, p.took, p.vmsFrom = true, e.Fence, e.Term, p.now.Elapsed, e.VMsFrom
 	p.askFleet()
 }
 
--- a/sched/wave.go
+++ b/sched/wave.go
@@ -205,6 +205,9 @@
 
 // order begins the maintenance of prepared VMs.
 func (p *Planner) order(w *wave) {
+	if p.now.Elapsed < p.vmsFrom {
+		return
+	}
 	for _, id := range sortedVMs(w.prepared) {
 		if _, counted := w.away[id]; !counted && len(w.away) >= w.Most {
 			continue
