leader, sched: a restarted holder leads at once; a run that may be about to stop counts as away

A process that finds its own entry's row at its start now takes it: the process that wrote it is gone. VM orders wait on as before.

The leader was refused by the store and went on giving orders until executors knew its successor's token. It had one task of the step stopped, the list that the successor read showed it as running, for the stop takes up to 0.4 s, and two more were taken away beside it. Ruled out: the successor's own count (its stops were within the bound), late orders. A run adopted from a former leader now counts as away until a list that was asked for after a stop's time shows it; executors with such runs are asked again after just that time. A gang that was started in part is stopped at once, not left to wait alone for 3 s.

Tests, each failing before: TestRestartedHolderLeadsAtOnce, TestAdoptedRunMayBeAboutToStop, TestGangThatWasStartedInPartIsStopped.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -77,7 +77,9 @@
 	read  croft.Millis
 	known bool
 	// gap is the longest of the last spans between renewals by the present holder.
-	gap     croft.Millis
+	gap croft.Millis
+	// earlier says that the row is that of an earlier process of this entry, which is gone.
+	earlier bool
 	lead    *Lead
 	valid   croft.Millis
 	renewed croft.Millis
@@ -146,11 +148,15 @@
 		h.known, h.since = true, now
 		h.seen, h.value = croft.Row{Key: Key}, row{}
 	}
+	first := h.seen.Version == 0 && h.value.Holder == ""
 	for _, r := range changes.Rows {
 		if r.Key == Key {
 			h.observeRow(r, now)
 		}
 	}
+	if whole && first && h.value.Holder == h.self && h.lead == nil {
+		h.earlier = true
+	}
 }
 
 func (h *Election) observeRow(r croft.Row, now croft.Millis) {
@@ -164,6 +170,7 @@
 	}
 	h.noteGap(value.Holder, now)
 	h.seen, h.value, h.since = r, value, now
+	h.earlier = false
 	if h.lead != nil && value.Holder != h.self {
 		h.lead = nil
 	}
@@ -204,7 +211,7 @@
 	h.mu.Lock()
 	leading := h.lead != nil
 	due := now-h.renewed >= h.lease/renewShare
-	lapsed := h.known && now-h.read < h.lease/2 && (h.value.Holder == "" || now-h.since >= h.still())
+	lapsed := h.known && now-h.read < h.lease/2 && (h.value.Holder == "" || h.earlier || now-h.since >= h.still())
 	if h.known && h.value.Holder == "" && now-h.since < h.rank {
 		lapsed = false
 	}
@@ -250,6 +257,7 @@
 	h.noteGap(value.Holder, now)
 	h.seen, h.value, h.since = croft.Row{Key: Key, Version: version, Value: raw}, value, now
 	h.renewed, h.valid = sent, sent+h.lease-h.lease/marginShare
+	h.earlier = false
 	if takeover {
 		h.lead = &Lead{Fence: version, Term: value.Term, VMsFrom: from}
 	}
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -168,3 +168,18 @@
 	pass(c, lease, one)
 	assert.Equal(t, one.Lead().Term, 2)
 }
+
+// A process that was killed while it led finds its own row after the restart and need not wait for it
+// to lapse; VMs are left alone until the lease of before is over.
+func TestRestartedHolderLeadsAtOnce(t *testing.T) {
+	s, c, one, _ := newCandidates()
+	pass(c, croft.Second, one)
+	again := candidate{New("one", 0, lease, s, c), s}
+	again.Observe(s.changes(), true)
+	again.step(context.Background())
+	assert.Equal(t, again.Lead().Term, 2)
+	assert.NilError(t, again.Guard())
+	assert.ErrorIs(t, again.GuardVMs(), ErrNotLeading)
+	pass(c, lease+100, again)
+	assert.NilError(t, again.GuardVMs())
+}
--- a/sched/gang_test.go
+++ b/sched/gang_test.go
@@ -79,3 +79,16 @@
 		assert.Equal(t, b.planner.workers[workerName(i)].seen, int64(0))
 	}
 }
+
+// A leader that was lost while it started a gang leaves members that wait for the others in vain.
+func TestGangThatWasStartedInPartIsStopped(t *testing.T) {
+	b := newBench(t)
+	known := testJob("g", gang(2, 40))
+	known.Progress.Announced = true
+	b.lead(2, 0, known)
+	b.event(WorkersRead{Changes: croft.WorkerChanges{Entries: testWorkers(2)}}, FleetRead{VMs: testFleet(2)})
+	effects := append(b.held(0, active(croft.TaskID{Job: "g"}, 1)), b.held(1)...)
+	stops := of[Stop](append(effects, b.advance(50)...))
+	assert.Equal(t, len(stops), 1)
+	assert.Equal(t, stops[0].Order.Task, croft.TaskID{Job: "g"})
+}
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -37,7 +37,7 @@
 func (p *Planner) sendHold(w *worker) {
 	order := croft.HoldOrder{Worker: w.ID, Address: w.Address, Fence: p.fence, Until: p.until(w)}
 	if w.verified {
-		order.Seen, order.Wait = w.seen, w.holdWaitOf()
+		order.Seen, order.Wait = w.seen, w.holdWaitOf(p.now.Elapsed)
 	}
 	p.do(Hold{Order: order, Sent: p.now.Elapsed})
 }
@@ -206,7 +206,7 @@
 	w.orphans = 0
 	for _, a := range e.Report.Active {
 		listed[a.Task] = true
-		p.takeActive(w, a)
+		p.takeActive(w, a, e.Sent)
 	}
 	if w.orphans < orphans {
 		p.pool(w.Pool).changed = true
@@ -221,7 +221,8 @@
 	}
 }
 
-func (p *Planner) takeActive(w *worker, a croft.ActiveRun) {
+// takeActive takes in a listed run; the list was asked for at an instant.
+func (p *Planner) takeActive(w *worker, a croft.ActiveRun, sent croft.Millis) {
 	s, index := p.find(a.Task)
 	if s == nil {
 		w.orphans++
@@ -245,6 +246,9 @@
 		r.moved = p.now.Elapsed
 	}
 	r.percent, r.gauge = a.Percent, a.Gauge
+	if sent >= r.doubted {
+		r.doubted = 0
+	}
 	if a.Checkpoint != "" {
 		t.checkpoint = a.Checkpoint
 	}
@@ -264,7 +268,7 @@
 	if old := w.runs[a.Task]; old != nil {
 		p.drop(old)
 	}
-	r := &run{stage: s, index: index, number: a.Run, worker: w, phase: phaseActive, began: p.now.Elapsed, known: p.now.Elapsed, moved: p.now.Elapsed, pace: fullPace}
+	r := &run{stage: s, index: index, number: a.Run, worker: w, phase: phaseActive, began: p.now.Elapsed, known: p.now.Elapsed, moved: p.now.Elapsed, doubted: p.now.Elapsed + p.options.Stop, pace: fullPace}
 	p.add(r)
 	t := &s.tasks[index]
 	if t.run != nil && t.run != r {
--- a/sched/pace.go
+++ b/sched/pace.go
@@ -67,9 +67,24 @@
 }
 
 // holdWaitOf is how long a hold of a worker may wait.
-func (w *worker) holdWaitOf() croft.Millis {
+func (w *worker) holdWaitOf(now croft.Millis) croft.Millis {
+	if until := w.doubtedUntil(); until != 0 {
+		return max(until-now, 0)
+	}
 	if worst, fillers := w.tails(); worst >= 0 && len(fillers) > 0 {
 		return paceWait
 	}
 	return holdWait
 }
+
+// doubtedUntil returns when it shows whether an adopted run that callers count on stays, zero where
+// there is none.
+func (w *worker) doubtedUntil() croft.Millis {
+	until := croft.Millis(0)
+	for _, r := range w.runs {
+		if r.doubted != 0 && r.stage.spec.Endless && r.stage.spec.MayMiss > 0 {
+			until = max(until, r.doubted)
+		}
+	}
+	return until
+}
--- a/sched/pace_test.go
+++ b/sched/pace_test.go
@@ -36,5 +36,5 @@
 	}
 	assert.DeepEqual(t, shares, []int{33, 11, 3, 1})
 	assert.Equal(t, report(40)[0].Order.Percent, 11)
-	assert.Equal(t, w.holdWaitOf(), paceWait)
+	assert.Equal(t, w.holdWaitOf(b.now), paceWait)
 }
--- a/sched/place.go
+++ b/sched/place.go
@@ -201,6 +201,8 @@
 // placeGang starts all tasks of a gang at once or none.
 func (p *Planner) placeGang(po *pool, s *stage) {
 	if len(s.waiting) < s.left {
+		// A former leader started some of its members only: they would wait for the others in vain.
+		p.stopGang(s)
 		return
 	}
 	chosen := make([]*worker, 0, len(s.waiting))
@@ -443,7 +445,7 @@
 		if i == r.index || t.done {
 			continue
 		}
-		if t.taken || t.run == nil || t.run.phase != phaseActive || t.run.percent < atWork || !t.run.worker.verified {
+		if t.taken || t.run == nil || t.run.doubted != 0 || t.run.phase != phaseActive || t.run.percent < atWork || !t.run.worker.verified {
 			away++
 		}
 	}
--- a/sched/takeover_test.go
+++ b/sched/takeover_test.go
@@ -101,3 +101,30 @@
 	assert.Equal(t, len(of[Start](effects)), 0)
 	assert.Assert(t, b.planner.jobs["j1"].stages[0].tasks[0].run != nil)
 }
+
+// A former leader that was still giving orders had a task of a step stopped, the list showed it as at
+// work until it had stopped, and a second task of the step was taken away beside it.
+func TestAdoptedRunMayBeAboutToStop(t *testing.T) {
+	b := newBench(t)
+	lasting := step(2, 10)
+	lasting.Endless, lasting.MayMiss, lasting.MostPerWorker = true, 1, 1
+	known := testJob("j", lasting)
+	known.Progress = jobs.Progress{Status: jobs.Running}
+	b.event(LeadBegan{Fence: 20, Term: 2})
+	b.event(testConfig(), WaveRowsRead{}, testWave(vmName(1)))
+	b.event(WorkersRead{Changes: croft.WorkerChanges{Whole: true, Entries: testWorkers(3)}})
+	b.event(FleetRead{VMs: testFleet(3)})
+	b.event(JobsRead{Whole: true, Jobs: []JobRow{known}})
+	first, second := croft.TaskID{Job: "j"}, croft.TaskID{Job: "j", Index: 1}
+	effects := append(b.held(0, active(first, 1)), b.held(1, active(second, 1))...)
+	effects = append(effects, b.held(2)...)
+	for range 2 {
+		effects = append(effects, b.advance(90)...)
+	}
+	assert.Equal(t, len(of[Stop](effects)), 0)
+	b.advance(100)
+	b.held(1, active(second, 1))
+	effects = append(b.held(0, active(first, 1)), b.advance(50)...)
+	assert.Equal(t, len(of[Stop](effects)), 1)
+	assert.Equal(t, of[Stop](effects)[0].Order.Task, second)
+}
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -95,6 +95,9 @@
 	gauge   int64
 	// moved is when the percentage last changed.
 	moved croft.Millis
+	// doubted is when a stop that a former leader sent for an adopted run would have ended it; lists
+	// show runs that are being stopped. It is zero once a later list has shown the run.
+	doubted croft.Millis
 	// pace is the processor share of a filler, in percent.
 	pace int
 }
