--- a/agent/agent.go
+++ b/agent/agent.go
@@ -35,6 +35,7 @@
 type Agent struct {
 	Options
 	planner *sched.Planner
+	crew    crew
 	events  chan sched.Event
 	waves   waveWriter
 	loads   loadWriter
@@ -66,7 +67,7 @@
 
 // New returns an entry; Run starts it.
 func New(options Options) *Agent {
-	a := &Agent{Options: options, planner: sched.New(options.Planner), events: make(chan sched.Event, eventQueue)}
+	a := &Agent{Options: options, planner: sched.New(options.Planner), crew: newCrew(), events: make(chan sched.Event, eventQueue)}
 	a.waves.agent, a.loads.agent = a, a
 	return a
 }
--- a/agent/perform.go
+++ b/agent/perform.go
@@ -34,21 +34,27 @@
 func (a *Agent) performAsLeader(ctx context.Context, effect sched.Effect) {
 	switch e := effect.(type) {
 	case sched.Hold:
-		go a.hold(ctx, e)
+		a.crew.do(func() { a.hold(ctx, e) })
 	case sched.Start:
-		go a.start(ctx, e)
+		a.crew.do(func() { a.start(ctx, e) })
 	case sched.Stop:
-		go func() { a.post(ctx, sched.Stopped{Stop: e, Err: a.Runner.Stop(ctx, e.Order)}) }()
+		a.crew.do(func() { a.post(ctx, sched.Stopped{Stop: e, Err: a.Runner.Stop(ctx, e.Order)}) })
 	case sched.Pace:
-		go a.pace(ctx, e)
+		a.crew.do(func() { a.pace(ctx, e) })
 	case sched.Commit:
-		go a.commit(ctx, e)
+		a.crew.do(func() { a.commit(ctx, e) })
 	case sched.Advise:
 		go a.advise(ctx, e)
 	case sched.ListFleet:
 		go a.listFleet(ctx, e)
 	case sched.OrderVM:
 		go func() { a.post(ctx, sched.Ordered{OrderVM: e, Err: a.Fleet.MoveOrMaintain(ctx, e.Order)}) }()
+	case sched.Wake:
+		a.crew.do(func() {
+			if a.Clock.Sleep(ctx, e.After) == nil {
+				a.post(ctx, sched.Woken{})
+			}
+		})
 	case sched.ReportWave:
 		a.waves.put(ctx, e)
 	case sched.Publish:
--- a/model/load.go
+++ b/model/load.go
@@ -218,12 +218,21 @@
 	})
 }
 
+// killLeader ends the leader, or has the store refuse it: it then gives orders beside its successor
+// until its lease ends or it hears of the other.
 func (w *World) killLeader() {
-	if !w.alive {
+	l := w.lead
+	if l == nil || !l.alive || l.cut {
 		return
 	}
-	w.alive = false
-	w.takeOver(plannerLease + w.between(0, 800))
+	renewed := w.now - w.between(0, renewSpan)
+	if w.chance(0.5) {
+		l.alive = false
+	} else {
+		l.cut = true
+		w.after(renewed+plannerValid-w.now, func() { l.alive = false })
+	}
+	w.takeOver(renewed+plannerStill-w.now+w.between(0, 800), renewed)
 }
 
 func (w *World) anyExecutor() *executor {
--- a/model/perform.go
+++ b/model/perform.go
@@ -61,11 +61,14 @@
 		w.later(w.between(2, 20), func() { w.tell(sched.FleetRead{Asked: e.Asked, VMs: w.listFleet()}) })
 	case sched.OrderVM:
 		w.performFleet(e)
+	case sched.Wake:
+		w.later(e.After, func() { w.tell(sched.Woken{}) })
 	case sched.ReportWave:
 		w.performWave(e)
 	case sched.StepDown:
-		w.alive = false
-		w.takeOver(plannerLease)
+		if w.lead.alive = false; !w.lead.cut {
+			w.takeOver(plannerLease, w.now)
+		}
 	}
 }
 
@@ -82,20 +85,16 @@
 		w.later(lostSpan, func() { w.tell(event(0, lost)) })
 		return
 	}
-	generation := w.generation
+	l := w.lead
 	w.after(w.between(hopSpan, 3*hopSpan), func() {
 		x, ok := w.reachable(id)
 		if !ok {
-			if w.generation == generation {
-				w.later(lostSpan, func() { w.tell(event(0, lost)) })
-			}
+			w.laterFor(l, lostSpan, func() { w.tell(event(0, lost)) })
 			return
 		}
 		err := do(x)
 		clock := x.clock(w.now)
-		if w.generation == generation {
-			w.later(w.between(hopSpan, 3*hopSpan), func() { w.tell(event(clock, err)) })
-		}
+		w.laterFor(l, w.between(hopSpan, 3*hopSpan), func() { w.tell(event(clock, err)) })
 	})
 }
 
@@ -107,14 +106,14 @@
 }
 
 func (w *World) performHold(e sched.Hold) {
-	generation := w.generation
+	l := w.lead
 	answered := false
 	answer := func(report croft.HoldReport, err error) {
-		if w.generation != generation || answered {
+		if answered {
 			return
 		}
 		answered = true
-		w.later(hopSpan, func() { w.tell(sched.Holding{Hold: e, Report: report, Err: err}) })
+		w.laterFor(l, hopSpan, func() { w.tell(sched.Holding{Hold: e, Report: report, Err: err}) })
 	}
 	w.after(hopSpan, func() {
 		if x, ok := w.reachable(e.Order.Worker); ok {
@@ -126,7 +125,7 @@
 
 func (w *World) performCommit(e sched.Commit) {
 	w.report.Commits++
-	if w.now < w.storeDown {
+	if w.now < w.storeDown || w.lead.cut {
 		w.later(commitSpan, func() { w.tell(sched.Committed{Commit: e, Err: &croft.UnavailableError{Reason: "model"}}) })
 		return
 	}
@@ -135,12 +134,10 @@
 		w.later(lostSpan, func() { w.tell(sched.Committed{Commit: e, Err: &croft.LostAnswerError{Reason: "model"}}) })
 		return
 	}
-	generation := w.generation
+	l := w.lead
 	w.after(commitSpan, func() {
 		version, err := w.commit(e.Ops)
-		if w.generation == generation {
-			w.later(hopSpan, func() { w.tell(sched.Committed{Commit: e, Version: version, Err: err}) })
-		}
+		w.laterFor(l, hopSpan, func() { w.tell(sched.Committed{Commit: e, Version: version, Err: err}) })
 	})
 }
 
@@ -200,18 +197,19 @@
 }
 
 func (w *World) performFleet(e sched.OrderVM) {
+	if w.now < w.lead.vmsFrom {
+		w.broken("ONE", "%s orders %s while its predecessor may", e.Order.Holder, e.Order.VM)
+	}
 	v := w.vms[slices.IndexFunc(w.vms, func(v *vm) bool { return v.id == e.Order.VM })]
 	if w.chance(w.losing / 4) {
 		w.after(w.between(1, 8000), func() { w.carryOutLate(func() { _ = w.orderVM(v, e.Order) }) })
 		w.later(lostSpan, func() { w.tell(sched.Ordered{OrderVM: e, Err: &croft.LostAnswerError{Reason: "model"}}) })
 		return
 	}
-	generation := w.generation
+	l := w.lead
 	w.after(w.between(2, 10), func() {
 		err := w.orderVM(v, e.Order)
-		if w.generation == generation {
-			w.later(hopSpan, func() { w.tell(sched.Ordered{OrderVM: e, Err: err}) })
-		}
+		w.laterFor(l, hopSpan, func() { w.tell(sched.Ordered{OrderVM: e, Err: err}) })
 	})
 }
 
@@ -260,6 +258,9 @@
 		w.broken("STORE", "%v", err)
 		return
 	}
+	if w.lead.cut {
+		return
+	}
 	if e.Finished {
 		for _, v := range w.vms {
 			if slices.Contains(w.wave.VMs, v.id) && !v.maintained[e.Number] {
--- a/model/trace_test.go
+++ b/model/trace_test.go
@@ -22,7 +22,7 @@
 	seed, err := strconv.ParseUint(text, 10, 64)
 	assert.NilError(t, err)
 	debug = printEffect
-	debugEnd = func(w *World) { fmt.Println(w.planner.Describe(croft.JobID(os.Getenv("WAXWING_TRACE_JOB")))) }
+	debugEnd = func(w *World) { fmt.Println(w.lead.planner.Describe(croft.JobID(os.Getenv("WAXWING_TRACE_JOB")))) }
 	defer func() { debug, debugEnd = nil, nil }()
 	options := small(seed)
 	options.Faults, options.Wave = seed >= firstFaulty, seed%2 == 0
--- a/model/world.go
+++ b/model/world.go
@@ -31,8 +31,13 @@
 
 // bounds of the modelled platform, those of the platform's example file.
 const (
-	mostHold      = 10 * croft.Second
-	plannerLease  = 3 * croft.Second
+	mostHold     = 10 * croft.Second
+	plannerLease = 3 * croft.Second
+	// plannerValid is how long a leader gives orders without having renewed, and plannerStill how long
+	// its row must stand still before it has a successor.
+	plannerValid  = 2700 * croft.Millis(1)
+	plannerStill  = 1200 * croft.Millis(1)
+	renewSpan     = 375 * croft.Millis(1)
 	stopSpan      = 200 * croft.Millis(1)
 	moveSpan      = 1500 * croft.Millis(1)
 	maintainSpan  = 2 * croft.Second
@@ -65,11 +70,10 @@
 	executors    map[croft.WorkerID]*executor
 	incarnations int
 
-	planner *sched.Planner
-	// generation tells answers for a former leader from those for the present one.
-	generation int
-	term       int
-	alive      bool
+	// lead is the leader for which things happen at present: the last one to take the lead, but for
+	// the answers to a former one that is still there.
+	lead *leader
+	term int
 	// storeDown is until when the store refuses, losing the share of answers that are lost.
 	storeDown croft.Millis
 	losing    float64
@@ -162,7 +166,7 @@
 		store: map[string]croft.Row{}, executors: map[croft.WorkerID]*executor{}, jobs: map[croft.JobID]*tracked{},
 	}
 	w.build()
-	w.takeOver(0)
+	w.takeOver(0, -plannerLease)
 	w.submitAll()
 	if options.Faults {
 		w.plan()
@@ -170,7 +174,6 @@
 	if options.Wave {
 		w.after(options.Span/8, w.askWave)
 	}
-	w.after(tickSpan, w.tick)
 	end := options.Span + options.Quiet
 	for w.queue.Len() > 0 {
 		next := heap.Pop(&w.queue).(entry)
@@ -207,18 +210,28 @@
 
 func poolName(i int) croft.PoolID { return croft.PoolID(fmt.Sprintf("p%d", i)) }
 
-// takeOver lets a new leader begin, with nothing but what the store holds.
-func (w *World) takeOver(span croft.Millis) {
+// leader is one entry while it leads, or believes that it does.
+type leader struct {
+	planner *sched.Planner
+	alive   bool
+	// cut says that the store does not answer it, though executors do.
+	cut bool
+	// vmsFrom is when it may give orders for VMs.
+	vmsFrom croft.Millis
+}
+
+// takeOver lets a new leader begin, with nothing but what the store holds; it may give orders for VMs
+// once the lease of its predecessor, renewed at an instant, has ended.
+func (w *World) takeOver(span, renewed croft.Millis) {
 	w.after(span, func() {
-		w.generation++
 		w.term++
-		w.alive = true
 		w.report.Takeovers++
 		w.version++
-		w.planner = sched.New(sched.Options{
+		w.lead = &leader{alive: true, vmsFrom: renewed + plannerLease, planner: sched.New(sched.Options{
 			Holder: fmt.Sprintf("entry-%d", w.term), Lease: mostHold, Stop: stopSpan, Maintain: maintainSpan,
-		})
-		w.tell(sched.LeadBegan{Fence: w.version, Term: w.term}, sched.ConfigRead{Config: w.config})
+		})}
+		w.after(tickSpan, func() { w.tick(w.lead) })
+		w.tell(sched.LeadBegan{Fence: w.version, Term: w.term, VMsFrom: renewed + plannerLease}, sched.ConfigRead{Config: w.config})
 		if w.wave.Number != 0 {
 			w.tell(sched.WavesRead{Waves: []croft.Wave{w.wave}})
 		}
@@ -229,29 +242,41 @@
 }
 
 // later does something for the present leader, unless it is gone by then.
-func (w *World) later(span croft.Millis, what func()) {
-	generation := w.generation
-	w.after(span, func() {
-		if w.alive && w.generation == generation {
-			what()
-		}
-	})
+func (w *World) later(span croft.Millis, what func()) { w.laterFor(w.lead, span, what) }
+
+// laterFor does something for a leader, unless it is gone by then.
+func (w *World) laterFor(l *leader, span croft.Millis, what func()) {
+	w.after(span, func() { w.as(l, what) })
+}
+
+// as does something for a leader that is there.
+func (w *World) as(l *leader, what func()) {
+	if l == nil || !l.alive {
+		return
+	}
+	present := w.lead
+	w.lead = l
+	what()
+	if w.lead == l {
+		w.lead = present
+	}
 }
 
-func (w *World) tick() {
-	w.after(tickSpan, w.tick)
-	if w.alive {
-		w.tell(sched.Ticked{})
+func (w *World) tick(l *leader) {
+	if l.alive {
+		w.as(l, func() { w.tell(sched.Ticked{}) })
+		w.after(tickSpan, func() { w.tick(l) })
 	}
 }
 
 // tell lets the leader reduce events and carries out what it decides.
 func (w *World) tell(events ...sched.Event) {
-	if !w.alive {
+	l := w.lead
+	if l == nil || !l.alive {
 		return
 	}
 	now := sched.Instant{Elapsed: w.now, Wall: epochWall + w.now}
-	for _, e := range w.planner.Reduce(now, events...) {
+	for _, e := range l.planner.Reduce(now, events...) {
 		w.perform(e)
 	}
 }
--- a/sched/commit.go
+++ b/sched/commit.go
@@ -255,6 +255,7 @@
 		p.forgetAcked(w)
 		if len(w.acks) == 0 {
 			w.nextHold = min(w.nextHold, p.now.Elapsed)
+			p.heard = append(p.heard, w)
 		}
 	}
 }
--- a/sched/events.go
+++ b/sched/events.go
@@ -37,6 +37,9 @@
 // Ticked lets time pass.
 type Ticked struct{ eventMark }
 
+// Woken lets time pass for what a Wake asked for.
+type Woken struct{ eventMark }
+
 // ConfigRead is the operator's configuration.
 type ConfigRead struct {
 	eventMark
@@ -251,6 +254,12 @@
 	Refuse bool
 }
 
+// Wake asks for a Woken after a span.
+type Wake struct {
+	effectMark
+	After croft.Millis
+}
+
 // Log is a line about a decision.
 type Log struct {
 	effectMark
--- a/sched/helpers_test.go
+++ b/sched/helpers_test.go
@@ -24,7 +24,8 @@
 	})}
 }
 
-// event reduces events now and returns the effects; commits that only announce jobs are done at once.
+// event reduces events now and returns the effects; commits that only announce jobs are done at once,
+// and time passes as the planner asks.
 func (b *bench) event(events ...Event) []Effect {
 	effects := b.planner.Reduce(Instant{Elapsed: b.now, Wall: 1_000_000 + b.now}, events...)
 	for _, c := range of[Commit](effects) {
@@ -33,6 +34,10 @@
 			effects = append(effects, b.event(Committed{Commit: c, Version: b.version})...)
 		}
 	}
+	for _, w := range of[Wake](effects) {
+		b.now += w.After
+		effects = append(effects, b.event(Woken{})...)
+	}
 	return effects
 }
 
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -17,21 +17,30 @@
 	retryLongest = 1 * croft.Second
 )
 
-// holdIdle sends the holds that are due.
-func (p *Planner) holdIdle() {
+// holdIdle sends the holds that are due to executors about which something was heard, or to all.
+func (p *Planner) holdIdle(all bool) {
 	if !p.read {
 		return
 	}
-	for _, w := range p.workerOrder {
-		if w.holding || p.now.Elapsed < w.nextHold || w.Address == "" {
-			continue
-		}
-		if !w.verified && !w.listed && p.now.Elapsed >= w.granted {
-			continue
-		}
-		w.holding = true
-		p.sendHold(w)
+	heard := p.heard
+	if all {
+		heard = p.workerOrder
+	}
+	for _, w := range heard {
+		p.holdDue(w)
+	}
+	p.heard = p.heard[:0]
+}
+
+func (p *Planner) holdDue(w *worker) {
+	if w.holding || p.now.Elapsed < w.nextHold || w.Address == "" {
+		return
 	}
+	if !w.verified && !w.listed && p.now.Elapsed >= w.granted {
+		return
+	}
+	w.holding = true
+	p.sendHold(w)
 }
 
 func (p *Planner) sendHold(w *worker) {
@@ -69,6 +78,7 @@
 		return
 	}
 	w.holding = false
+	p.heard = append(p.heard, w)
 	if e.Err != nil {
 		p.holdFailed(w, e)
 		return
@@ -201,22 +211,18 @@
 
 // compareRuns brings what is known of a worker's runs in line with its list.
 func (p *Planner) compareRuns(w *worker, e Holding) {
-	listed := make(map[croft.TaskID]bool, len(e.Report.Active))
+	w.lists++
 	orphans := w.orphans
 	w.orphans = 0
 	for _, a := range e.Report.Active {
-		listed[a.Task] = true
 		p.takeActive(w, a, e.Sent)
 	}
 	if w.orphans < orphans {
 		p.pool(w.Pool).changed = true
 	}
-	for _, r := range sortedRuns(w) {
-		id := r.stage.id(r.index)
-		if listed[id] || r.known == 0 || r.known >= e.Sent {
-			continue
-		}
-		p.log("Vanished", id.String(), string(w.ID), fmt.Sprintf("run %d is in neither list", r.number))
+	vanished := func(r *run) bool { return r.listed != w.lists && r.known != 0 && r.known < e.Sent }
+	for _, r := range runsThat(w, vanished) {
+		p.log("Vanished", r.stage.id(r.index).String(), string(w.ID), fmt.Sprintf("run %d is in neither list", r.number))
 		p.giveUp(r)
 	}
 }
@@ -236,6 +242,7 @@
 	if r == nil || r.number < a.Run {
 		r = p.adopt(w, s, index, a)
 	}
+	r.listed = w.lists
 	if r.number != a.Run {
 		return
 	}
--- a/sched/load_test.go
+++ b/sched/load_test.go
@@ -48,3 +48,26 @@
 	load, _ := b.published()
 	assert.Assert(t, !load.Refuse)
 }
+
+// In a queue longer than its pool's room each end used to bring a pass over the whole queue; in a
+// turn at five times the mean load that was most of what the leader did.
+func TestEndsThatComeTogetherShareAPass(t *testing.T) {
+	b := newBench(t)
+	b.lead(1, 1)
+	starts := of[Start](b.event(JobsRead{Jobs: []JobRow{testJob("j", step(100, 1))}}))
+	assert.Equal(t, len(starts), 64)
+	b.advance(100)
+	now := Instant{Elapsed: b.now}
+	wakes, started := 0, 0
+	for i, s := range starts[:10] {
+		ended := croft.EndedRun{Number: int64(i + 1), Task: s.Order.Task, Run: s.Order.Run, How: croft.EndDone}
+		hold := Hold{Order: croft.HoldOrder{Worker: workerName(0), Wait: holdWait}, Sent: b.now}
+		effects := b.planner.Reduce(now, Holding{Hold: hold, Report: croft.HoldReport{Clock: b.now, Born: 7, Ended: []croft.EndedRun{ended}}})
+		wakes += len(of[Wake](effects))
+		started += len(of[Start](effects))
+	}
+	assert.Equal(t, wakes, 1)
+	assert.Equal(t, started, 1)
+	now.Elapsed += placePause
+	assert.Equal(t, len(of[Start](b.planner.Reduce(now, Woken{}))), 9)
+}
--- a/sched/order.go
+++ b/sched/order.go
@@ -90,18 +90,18 @@
 	stuckSpan   = 4 * croft.Second
 )
 
+// isStuck reports whether a run stands still.
+func (p *Planner) isStuck(r *run) bool {
+	if r.phase != phaseActive || r.stage.job.ended || r.stage.spec.Gang || r.stage.spec.Filler || (r.stage.spec.Endless && r.percent >= atWork) {
+		return false
+	}
+	still := p.now.Elapsed - r.moved
+	return still >= stuckSpan && still >= stuckFactor*p.duration(r.stage)
+}
+
 // stopStuck ends runs that stand still, so that they run elsewhere.
 func (p *Planner) stopStuck(w *worker) {
-	for _, r := range sortedRuns(w) {
-		if r.phase != phaseActive || r.stage.job.ended || (r.stage.spec.Endless && r.percent >= atWork) {
-			continue
-		}
-		if p.now.Elapsed-r.moved < max(stuckSpan, stuckFactor*p.duration(r.stage)) {
-			continue
-		}
-		if r.stage.spec.Gang || r.stage.spec.Filler {
-			continue
-		}
+	for _, r := range runsThat(w, p.isStuck) {
 		p.countFailure(w)
 		r.stage.tasks[r.index].avoid = w.ID
 		p.stopRun(r, fmt.Sprintf("it stands at %d %% since %d ms", r.percent, p.now.Elapsed-r.moved))
--- a/sched/pace.go
+++ b/sched/pace.go
@@ -54,6 +54,9 @@
 // tails returns the worst tail in percent of its target, -1 where no task serves, and the fillers.
 func (w *worker) tails() (int64, []*run) {
 	worst := int64(-1)
+	if w.fillers == 0 {
+		return worst, nil
+	}
 	var fillers []*run
 	for _, r := range sortedRuns(w) {
 		switch {
@@ -81,6 +84,9 @@
 // there is none.
 func (w *worker) doubtedUntil() croft.Millis {
 	until := croft.Millis(0)
+	if w.endless == 0 {
+		return until
+	}
 	for _, r := range w.runs {
 		if r.doubted != 0 && r.stage.spec.Endless && r.stage.spec.MayMiss > 0 {
 			until = max(until, r.doubted)
--- a/sched/place.go
+++ b/sched/place.go
@@ -55,17 +55,35 @@
 // placeSpan is how long a pool in which nothing changed is left alone; ranks change with time.
 const placeSpan = 200 * croft.Millis(1)
 
+// placePause is the least time between two passes over a pool in which the last one left tasks
+// waiting: room comes with each end, and a pass over a long queue for each of them costs more than
+// the room is worth for that time, which is 1 % of the shortest tasks on record.
+const placePause = 6 * croft.Millis(1)
+
 // place starts what waits and fits, in pools in which something changed.
 func (p *Planner) place() {
 	for _, po := range p.poolOrder {
 		if len(po.jobs) == 0 || len(po.order) == 0 || (!po.changed && p.now.Elapsed-po.placed < placeSpan) {
 			continue
 		}
-		po.changed, po.placed = false, p.now.Elapsed
+		if left := po.placed + placePause - p.now.Elapsed; po.short && left > 0 {
+			p.wake(left)
+			continue
+		}
+		po.changed, po.short, po.placed = false, false, p.now.Elapsed
 		p.placePool(po)
 	}
 }
 
+// wake asks for time to pass after a span.
+func (p *Planner) wake(span croft.Millis) {
+	if p.waking > p.now.Elapsed {
+		return
+	}
+	p.waking = p.now.Elapsed + span
+	p.do(Wake{After: span})
+}
+
 func (p *Planner) placePool(po *pool) {
 	var waiting []candidate
 	hidden := p.mayHideRuns(po)
@@ -85,6 +103,7 @@
 	for _, c := range waiting {
 		switch {
 		case full.covers(c.stage):
+			po.short = true
 		case c.stage.spec.Gang:
 			p.placeGang(po, c.stage)
 		default:
@@ -134,6 +153,7 @@
 	for _, index := range slices.Clone(s.waiting) {
 		w := p.choose(po, s, index)
 		if w == nil {
+			po.short = true
 			if s.advised {
 				p.seekAdvice(po, s)
 			}
@@ -221,6 +241,7 @@
 		w.used = w.used.Minus(needs)
 	}
 	if len(chosen) < len(s.waiting) {
+		po.short = true
 		if s.advised {
 			p.seekAdvice(po, s)
 		}
@@ -421,10 +442,18 @@
 	}
 }
 
+// sortedRuns returns the runs of a worker by task, so that decisions repeat.
 func sortedRuns(w *worker) []*run {
-	out := make([]*run, 0, len(w.runs))
+	return runsThat(w, func(*run) bool { return true })
+}
+
+// runsThat returns the runs of a worker for which something holds, by task.
+func runsThat(w *worker, holds func(*run) bool) []*run {
+	var out []*run
 	for _, r := range w.runs {
-		out = append(out, r)
+		if holds(r) {
+			out = append(out, r)
+		}
 	}
 	slices.SortFunc(out, func(a, b *run) int {
 		return cmp.Or(cmp.Compare(a.stage.job.id, b.stage.job.id), cmp.Compare(a.stage.occurrence, b.stage.occurrence), cmp.Compare(a.stage.step, b.stage.step), cmp.Compare(a.index, b.index))
--- a/sched/planner.go
+++ b/sched/planner.go
@@ -57,7 +57,11 @@
 	refusedMoves map[moveWay]bool
 	nextScale    croft.Millis
 	// sweep says that all executors are to be gone through.
-	sweep     bool
+	sweep bool
+	// heard are executors about which something was heard since the last holds.
+	heard []*worker
+	// waking is when time passes by the last Wake.
+	waking    croft.Millis
 	nextLoads croft.Millis
 	// refusing says that a queue takes no new jobs at present.
 	refusing bool
@@ -85,6 +89,7 @@
 	p.parts = map[string]*part{}
 	p.fleet = fleet{}
 	p.begun = nil
+	p.heard, p.waking = nil, 0
 	p.moves = map[croft.VMID]*move{}
 	p.refusedMoves = map[moveWay]bool{}
 	p.nextScale, p.nextLoads, p.advising, p.refusing = 0, 0, 0, false
@@ -107,8 +112,10 @@
 }
 
 func (p *Planner) take(e Event) {
-	switch e.(type) {
-	case Started, Stopped, Holding, Committed:
+	switch e := e.(type) {
+	case Started, Stopped, Holding, Committed, Advised, JobsCancelled, Woken:
+	case JobsRead:
+		p.sweep = p.sweep || e.Whole
 	default:
 		p.sweep = true
 	}
@@ -175,6 +182,7 @@
 // settle does what is due after the events of an instant. What goes through all executors and
 // waits for time to pass is done with ticks and news, not after each answer of an executor.
 func (p *Planner) settle() {
+	all := p.sweep
 	if p.sweep {
 		p.sweep = false
 		p.openOccurrences()
@@ -186,7 +194,7 @@
 		p.repeatStops()
 	}
 	p.place()
-	p.holdIdle()
+	p.holdIdle(all)
 	p.commitDirty()
 	p.tellLoads()
 }
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -17,6 +17,8 @@
 	// changed says that something may fit now that did not, and placed when that was last tried.
 	changed bool
 	placed  croft.Millis
+	// short says that the last pass left tasks waiting.
+	short bool
 	// tentative is the room kept for jobs that are being announced.
 	tentative []tentativeRoom
 }
@@ -41,8 +43,10 @@
 	acks        []ack
 	runs        map[croft.TaskID]*run
 	used        croft.Resources
-	// endless counts the endless tasks among the runs.
-	endless int
+	// endless counts the endless tasks among the runs, and fillers those that fill.
+	endless, fillers int
+	// lists counts the lists that were compared.
+	lists int
 	// stopping counts the runs that are being stopped.
 	stopping int
 	// nextHold is when the next hold is due.
@@ -95,6 +99,8 @@
 	gauge   int64
 	// moved is when the percentage last changed.
 	moved croft.Millis
+	// listed is the last list of its worker that showed the run.
+	listed int
 	// doubted is when a stop that a former leader sent for an adopted run would have ended it; lists
 	// show runs that are being stopped. It is zero once a later list has shown the run.
 	doubted croft.Millis
@@ -218,6 +224,9 @@
 	if r.stage.spec.Endless {
 		r.worker.endless++
 	}
+	if r.stage.spec.Filler {
+		r.worker.fillers++
+	}
 	if r.stage.on == nil {
 		r.stage.on = map[croft.WorkerID]int{}
 	}
@@ -234,6 +243,9 @@
 	if r.stage.spec.Endless {
 		w.endless--
 	}
+	if r.stage.spec.Filler {
+		w.fillers--
+	}
 	if r.phase == phaseStopping {
 		w.stopping--
 	}
