sched: VMs are ordered about only once a list has shown what the former leader ordered

The leader that the store refuses orders VMs until its lease ends, its successor read the list before, counted too few VMs as away, and emptied others meanwhile.

Change: waves and moves, with what is emptied for them, begin with a list that is asked for when the former lease is over.

--- a/sched/fleet.go
+++ b/sched/fleet.go
@@ -18,8 +18,10 @@
 	// unregistered are VMs that are up with an executor that is not registered.
 	unregistered []croft.FleetVM
 	asked        croft.Millis
-	asking       bool
-	wanted       bool
+	// shown is when the last list that came was asked for.
+	shown  croft.Millis
+	asking bool
+	wanted bool
 	// leaving are executors whose VM was ordered away, by when the platform took the order.
 	leaving map[croft.WorkerID]departure
 }
@@ -40,6 +42,12 @@
 	fleetOverdue = 4 * croft.Second
 )
 
+// mayOrderVMs reports whether VMs may be ordered about: no former leader may any more, and a list
+// has shown all that it ordered.
+func (p *Planner) mayOrderVMs() bool {
+	return p.now.Elapsed >= p.vmsFrom && p.fleet.complete && p.fleet.shown >= p.vmsFrom
+}
+
 func (p *Planner) askFleet() { p.fleet.wanted = true }
 
 func (p *Planner) pollFleet() {
@@ -53,6 +61,10 @@
 	if p.now.Elapsed-f.asked >= fleetSearch && p.waveSearches() {
 		f.wanted = true
 	}
+	if p.now.Elapsed >= p.vmsFrom && f.asked < p.vmsFrom {
+		// Whatever the former leader ordered until now is in a list that is asked for now.
+		f.wanted, f.asking, f.asked = true, false, 0
+	}
 	if !f.wanted || f.asking || (f.asked != 0 && p.now.Elapsed-f.asked < fleetPause) {
 		return
 	}
@@ -102,7 +114,7 @@
 	if e.VMs == nil {
 		return
 	}
-	f.complete = true
+	f.complete, f.shown = true, e.Asked
 	f.vms = make(map[croft.VMID]croft.FleetVM, len(e.VMs))
 	f.byWorker = make(map[croft.WorkerID]croft.VMID, len(e.VMs))
 	f.unregistered = nil
--- a/sched/scale.go
+++ b/sched/scale.go
@@ -90,7 +90,7 @@
 }
 
 func (p *Planner) planMoves() {
-	if p.now.Elapsed < max(p.nextScale, p.vmsFrom) || !p.fleet.complete || !p.read {
+	if p.now.Elapsed < p.nextScale || !p.mayOrderVMs() || !p.read {
 		return
 	}
 	p.nextScale = p.now.Elapsed + scaleSpan
@@ -299,7 +299,7 @@
 
 // advanceMoves orders the moves whose VMs are empty, and drops those that came to nothing.
 func (p *Planner) advanceMoves() {
-	if p.now.Elapsed < p.vmsFrom {
+	if !p.mayOrderVMs() {
 		return
 	}
 	for _, id := range sortedVMs(p.moves) {
--- a/sched/wave.go
+++ b/sched/wave.go
@@ -118,7 +118,7 @@
 func (p *Planner) runWaves() {
 	for _, number := range slices.Sorted(maps.Keys(p.waves)) {
 		w := p.waves[number]
-		if w.finished || !p.fleet.complete || !p.read || p.begun == nil {
+		if w.finished || !p.mayOrderVMs() || !p.read || p.begun == nil {
 			continue
 		}
 		p.recall(w)
@@ -205,9 +205,6 @@
 
 // order begins the maintenance of prepared VMs.
 func (p *Planner) order(w *wave) {
-	if p.now.Elapsed < p.vmsFrom {
-		return
-	}
 	for _, id := range sortedVMs(w.prepared) {
 		if _, counted := w.away[id]; !counted && len(w.away) >= w.Most {
 			continue
--- a/sched/wave_test.go
+++ b/sched/wave_test.go
@@ -127,3 +127,33 @@
 	assert.Equal(t, orders, 1)
 	assert.Assert(t, lists >= 2 && lists <= 10, "%d lists in 5 s", lists)
 }
+
+// A former leader that the store refuses goes on ordering VMs until its lease ends; its successor had
+// read the list before, and sent more VMs away than the wave allows.
+func TestVMsWaitForAListOfTheWholeLease(t *testing.T) {
+	b := newBench(t)
+	from := b.now + 1800
+	b.event(LeadBegan{Fence: 20, Term: 2, VMsFrom: from})
+	b.event(testConfig(), WaveRowsRead{}, testWave(vmName(0), vmName(1), vmName(2), vmName(3)))
+	b.event(WorkersRead{Changes: croft.WorkerChanges{Whole: true, Entries: testWorkers(6)}})
+	b.event(FleetRead{Asked: b.now, VMs: testFleet(6)}, JobsRead{Whole: true})
+	for i := range 6 {
+		b.held(i)
+	}
+	var lists []ListFleet
+	for b.now < from+50 {
+		effects := b.advance(50)
+		assert.Equal(t, len(of[OrderVM](effects)), 0)
+		for _, l := range of[ListFleet](effects) {
+			if l.Asked >= from {
+				lists = append(lists, l)
+			}
+		}
+	}
+	assert.Equal(t, len(lists), 1)
+	vms := testFleet(6)
+	for i := range 2 {
+		vms[i].State, vms[i].Worker = croft.FleetMaintenance, ""
+	}
+	assert.Equal(t, len(of[OrderVM](b.event(FleetRead{Asked: lists[0].Asked, VMs: vms}))), 0)
+}
