--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 
 // table holds the one row; its next commit can be made to fail.
 type table struct {
+	mu  sync.Mutex
 	row   croft.Row
 	fault error
 	// done says that the failing commit is carried out all the same.
@@ -21,28 +23,41 @@
 	slow func()
 }
 
-func (s *table) Get(context.Context, string) (croft.Row, error) { return s.row, nil }
+func (s *table) Get(context.Context, string) (croft.Row, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.row, nil
+}
 
 func (s *table) Scan(context.Context, croft.Range) ([]croft.Row, error) { return nil, nil }
 
 func (s *table) Commit(_ context.Context, ops []croft.Op) (uint64, error) {
+	version, slow, err := s.commit(ops)
+	if slow != nil {
+		slow()
+	}
+	return version, err
+}
+
+func (s *table) commit(ops []croft.Op) (version uint64, slow func(), err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	fault := s.fault
 	s.fault = nil
 	if fault != nil && !s.done {
-		return 0, fault
+		return 0, nil, fault
 	}
 	if ops[0].Version != s.row.Version {
-		return 0, &croft.ConflictError{Rows: []croft.Row{s.row}}
+		return 0, nil, &croft.ConflictError{Rows: []croft.Row{s.row}}
 	}
 	s.row = croft.Row{Key: Key, Version: s.row.Version + 1, Value: ops[0].Value}
-	if slow := s.slow; slow != nil {
-		s.slow = nil
-		slow()
-	}
-	return s.row.Version, fault
+	slow, s.slow = s.slow, nil
+	return s.row.Version, slow, fault
 }
 
 func (s *table) changes() croft.Changes {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	return croft.Changes{Version: s.row.Version, Rows: []croft.Row{s.row}}
 }
 
