sched: waves spare pools that need all their VMs while there is time; a line a second on each pool

Change: as long as a wave keeps to a pace that ends it in 60 % of its time, VMs are taken only from pools that have more than they need, and from the spare pool. The leader's log says of each pool once a second what it has, needs and uses. Test: TestWaveSparesPoolsInTheirTurn, failing before.

--- a/agent/follow.go
+++ b/agent/follow.go
@@ -63,7 +63,7 @@
 			a.post(ctx, sched.ConfigRead{Config: *got.Config})
 		}
 		if len(got.Waves) > 0 {
-			a.post(ctx, sched.WavesRead{Waves: got.Waves})
+			a.post(ctx, sched.WavesRead{Whole: after == 0, Waves: got.Waves})
 		}
 		return got.Version, nil
 	})
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -14,7 +14,7 @@
 
 // table holds the one row; its next commit can be made to fail.
 type table struct {
-	mu  sync.Mutex
+	mu    sync.Mutex
 	row   croft.Row
 	fault error
 	// done says that the failing commit is carried out all the same.
--- a/sched/events.go
+++ b/sched/events.go
@@ -49,6 +49,8 @@
 // WavesRead are the operator's waves.
 type WavesRead struct {
 	eventMark
+	// Whole says that they may have been there for long: they are what the first reading found.
+	Whole bool
 	Waves []croft.Wave
 }
 
--- a/sched/load.go
+++ b/sched/load.go
@@ -36,12 +36,44 @@
 		}
 	}
 	p.do(Publish{Loads: loads, Shared: refuse || p.refusing})
+	p.logPools()
 	if refuse != p.refusing {
 		p.log("Load", "queues", fmt.Sprintf("refusing %v", refuse), "the work of a pool takes longer than its jobs are of use")
 	}
 	p.refusing = refuse
 }
 
+// logPools writes a line a second on each pool with work, or whose figures have changed.
+func (p *Planner) logPools() {
+	if p.now.Elapsed < p.nextPools {
+		return
+	}
+	p.nextPools = p.now.Elapsed + croft.Second
+	for _, po := range p.poolOrder {
+		var used, room int64
+		working := 0
+		for _, w := range po.order {
+			if p.usable(w) {
+				used += w.used.MilliCores
+				room += w.Room.MilliCores
+				working++
+			}
+		}
+		waiting := 0
+		for _, j := range po.jobs {
+			if !j.began {
+				waiting++
+			}
+		}
+		line := fmt.Sprintf("%d jobs, %d not begun, needs %d VMs, has %d, %d usable, %d of %d cores in use",
+			len(po.jobs), waiting, po.demand.now, p.have(po), working, used/1000, room/1000)
+		if line != po.said {
+			po.said = line
+			p.log("Pool", string(po.id), "", line)
+		}
+	}
+}
+
 // waitOf returns how long the work that goes before a new job takes at least: that of jobs which can
 // still be on time, if all VMs of the fleet came to the pool's help. Whatever takes less may yet be
 // served in time, and its callers are better off waiting.
--- a/sched/planner.go
+++ b/sched/planner.go
@@ -63,6 +63,7 @@
 	// waking is when time passes by the last Wake.
 	waking    croft.Millis
 	nextLoads croft.Millis
+	nextPools croft.Millis
 	// refusing says that a queue takes no new jobs at present.
 	refusing bool
 	// durations has the mean duration of each queue's tasks, in milliseconds.
@@ -92,10 +93,10 @@
 	p.heard, p.waking = nil, 0
 	p.moves = map[croft.VMID]*move{}
 	p.refusedMoves = map[moveWay]bool{}
-	p.nextScale, p.nextLoads, p.advising, p.refusing = 0, 0, 0, false
+	p.nextScale, p.nextLoads, p.nextPools, p.advising, p.refusing = 0, 0, 0, 0, false
 	p.durations = map[croft.QueueID]float64{}
 	for number, w := range p.waves {
-		p.waves[number] = newWave(w.Wave)
+		p.waves[number] = newWave(w.Wave, w.asked)
 	}
 }
 
@@ -127,7 +128,7 @@
 	case ConfigRead:
 		p.configure(e.Config)
 	case WavesRead:
-		p.takeWaves(e.Waves)
+		p.takeWaves(e)
 	default:
 		if p.leading {
 			p.takeAsLeader(e)
--- a/sched/wave.go
+++ b/sched/wave.go
@@ -12,6 +12,8 @@
 // wave is a set of VMs that are to be maintained.
 type wave struct {
 	croft.Wave
+	// asked is when the operator asked for it, as far as is known.
+	asked croft.Millis
 	// recalled says that what former leaders began is known.
 	recalled bool
 	begun    map[croft.VMID]bool
@@ -24,9 +26,9 @@
 	finished bool
 }
 
-func newWave(w croft.Wave) *wave {
+func newWave(w croft.Wave, asked croft.Millis) *wave {
 	return &wave{
-		Wave: w, begun: map[croft.VMID]bool{}, away: map[croft.VMID]croft.Millis{},
+		Wave: w, asked: asked, begun: map[croft.VMID]bool{}, away: map[croft.VMID]croft.Millis{},
 		ordered: map[croft.VMID]bool{}, unsure: map[croft.VMID]bool{}, prepared: map[croft.VMID]croft.Millis{},
 	}
 }
@@ -41,16 +43,24 @@
 	shortTaskSpan = 3 * croft.Second
 	// orderPause is the pause before a refused or lost order is sent again.
 	orderPause = 300 * croft.Millis(1)
+	// paceShare of a wave's time, in percent, is what it may take while pools need their VMs; the
+	// rest is for VMs that are down or hard to empty.
+	paceShare = 60
 )
 
-func (p *Planner) takeWaves(waves []croft.Wave) {
-	for _, w := range waves {
+func (p *Planner) takeWaves(e WavesRead) {
+	for _, w := range e.Waves {
 		old, ok := p.waves[w.Number]
 		if ok {
 			old.Wave = w
 			continue
 		}
-		p.waves[w.Number] = newWave(w)
+		asked := p.now.Elapsed
+		if e.Whole {
+			// Nobody says since when; half of its time may be gone.
+			asked -= w.Duration / 2
+		}
+		p.waves[w.Number] = newWave(w, asked)
 		p.askFleet()
 	}
 }
@@ -140,11 +150,12 @@
 			p.reserve(wk)
 		}
 	}
+	late := p.isLate(w)
 	for _, id := range p.nextVMs(w) {
 		if len(w.prepared) >= max(w.Most*prepareAhead-len(w.away), 1) {
 			return
 		}
-		if p.poolIsShort(w, p.fleet.vms[id]) {
+		if p.poolIsShort(w, p.fleet.vms[id]) || (!late && p.poolNeeds(p.fleet.vms[id])) {
 			continue
 		}
 		w.prepared[id] = p.now.Elapsed
@@ -194,6 +205,21 @@
 	return n >= max(w.Most/2, 1)
 }
 
+// isLate reports whether a wave would not end in good time at the pace so far.
+func (p *Planner) isLate(w *wave) bool {
+	span := max(w.Duration*paceShare/100, 1)
+	return croft.Millis(len(w.begun)+len(w.prepared)) < croft.Millis(len(w.VMs))*(p.now.Elapsed-w.asked)/span
+}
+
+// poolNeeds reports whether the pool of a VM needs all that it has at present.
+func (p *Planner) poolNeeds(vm croft.FleetVM) bool {
+	if p.rule(vm.Pool).Spare || p.workerOn(vm.ID) == nil {
+		return false
+	}
+	po := p.pool(vm.Pool)
+	return p.have(po) <= po.demand.now
+}
+
 // busyOn returns how much runs on a VM, in runs.
 func (p *Planner) busyOn(id croft.VMID) int {
 	wk := p.workerOn(id)
--- a/sched/wave_test.go
+++ b/sched/wave_test.go
@@ -157,3 +157,35 @@
 	}
 	assert.Equal(t, len(of[OrderVM](b.event(FleetRead{Asked: lists[0].Asked, VMs: vms}))), 0)
 }
+
+// A wave that the operator gave 20 s took half of a pool's VMs away in the first seconds of its turn,
+// when all of them had work, and was done with 10 s to spare.
+func TestWaveSparesPoolsInTheirTurn(t *testing.T) {
+	b := newBench(t)
+	b.lead(1, 8)
+	b.event(WaveRowsRead{})
+	jobs := make([]JobRow, 0, 8)
+	for i := range 8 {
+		jobs = append(jobs, testJob(croft.JobID(rune('a'+i)), step(64, 2)))
+	}
+	b.event(JobsRead{Jobs: jobs})
+	b.advance(scaleSpan)
+	b.event(testWave(vmName(0), vmName(1), vmName(2), vmName(3)))
+	reserved := func() int {
+		n := 0
+		for i := range 8 {
+			if b.planner.workers[workerName(i)].reserved {
+				n++
+			}
+		}
+		return n
+	}
+	for range 10 {
+		b.advance(100)
+		assert.Equal(t, reserved(), 0)
+	}
+	for range 30 {
+		b.advance(100)
+	}
+	assert.Equal(t, reserved(), 1)
+}
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -19,6 +19,8 @@
 	placed  croft.Millis
 	// short says that the last pass left tasks waiting.
 	short bool
+	// said is the last line of the log on the pool.
+	said string
 	// tentative is the room kept for jobs that are being announced.
 	tentative []tentativeRoom
 }
