sched, platform: lost orders and executors are noticed sooner; an unheard stop is not repeated when it may not be

A stop that an executor had not heard was sent again seconds later, when another task of its step had gone. It is now repeated only while it would be allowed.

TestUnansweredStartIsSettledBesideTheLongHold counts the check that comes sooner too.

--- a/model/model_test.go
+++ b/model/model_test.go
@@ -75,12 +75,15 @@
 		cause string
 	}{
 		{1000352, "an order for a VM that was held up for 6.8 s ended a task that its new leader counted on; the platform does not judge such orders"},
+		{1001074, "a stop that an executor had not heard was repeated when another task of its step had gone"},
 		{1001116, "VMs that were down when the list was last read were never looked for again, and a wave did not end"},
 		{1000178, "a former leader's stop of an adopted run was not counted"},
 		{1002088, "a former leader's order for a VM took a task beside the one that its successor stopped"},
 		{1002928, "a former leader's maintenance was not counted against the wave's bound"},
 		{1003050, "a former leader's order for a VM took a task beside the one that its successor stopped"},
+		{1003756, "a stop that an executor had not heard was repeated when another task of its step had gone"},
 		{1003882, "a former leader's maintenance was not counted against the wave's bound"},
+		{1004478, "a stop that an executor had not heard was repeated when another task of its step had gone"},
 		{1004536, "a maintenance that was held up for 7.8 s came after the VM had been let go; the platform does not judge such orders"},
 	}
 	for _, c := range causes {
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -8,8 +8,9 @@
 
 // Spans of holds.
 const (
-	// holdWait is how long an executor may keep a hold waiting; the platform takes at most 2 s.
-	holdWait = 2 * croft.Second
+	// holdWait is how long an executor may keep a hold waiting; the platform takes at most 2 s. One that
+	// has crashed, or whose answer was lost, is given up only after it.
+	holdWait = 1 * croft.Second
 	// settleWait is the pause before a hold whose ends are not stored yet, which would come back at once.
 	settleWait = 150 * croft.Millis(1)
 	// retryWait and retryLongest pace holds of an executor that does not answer.
--- a/sched/order.go
+++ b/sched/order.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 
 	"waxwing.example/croft"
 	"waxwing.example/croft/jobs"
@@ -75,7 +76,7 @@
 			if r.phase == phaseStopping && r.known != 0 && p.now.Elapsed > r.known && !w.checking {
 				p.check(w)
 			}
-			if r.phase == phaseStopping && r.known == 0 && p.now.Elapsed-r.stopped >= stopRepeat {
+			if r.phase == phaseStopping && r.known == 0 && p.now.Elapsed-r.stopped >= stopRepeat && p.mayStillStop(r) {
 				p.sendStop(r)
 			}
 		}
@@ -116,6 +117,35 @@
 	// From here on the run cannot begin any more; a list asked for after it has stopped tells
 	// whether it is gone.
 	r.known = p.now.Elapsed + p.options.Stop
+	if r.unanswered {
+		// Most likely it never began: the first list that is asked for from now on tells.
+		r.known = p.now.Elapsed
+		p.unsettled = append(p.unsettled, w)
+	}
+}
+
+// mayStillStop reports whether a stop that may not have arrived may be sent again: other tasks of its
+// step may have gone since it was decided on.
+func (p *Planner) mayStillStop(r *run) bool {
+	return !r.evacuated || r.worker.Draining || p.mayTake(r)
+}
+
+// settleStarts asks executors whether starts that got no answer have begun.
+func (p *Planner) settleStarts() {
+	left := p.unsettled[:0]
+	for _, w := range p.unsettled {
+		switch {
+		case !w.verified || w.stopping == 0:
+		case w.checking || slices.ContainsFunc(sortedRuns(w), func(r *run) bool { return r.known == p.now.Elapsed }):
+			left = append(left, w)
+		default:
+			p.check(w)
+		}
+	}
+	p.unsettled = left
+	if len(left) > 0 {
+		p.wake(1)
+	}
 }
 
 func (p *Planner) runOf(order croft.RunOrder) (*worker, *run) {
@@ -195,6 +225,7 @@
 			return
 		}
 		// The order may be carried out later, unless a stop for the same run gets there.
+		r.unanswered = true
 		p.stopRun(r, "its start got no answer")
 	}
 }
--- a/sched/order_test.go
+++ b/sched/order_test.go
@@ -18,13 +18,14 @@
 	on := starts[0].Order.Worker
 	stops := of[Stop](b.event(Started{Start: starts[0], Err: &croft.LostAnswerError{Reason: "test"}}))
 	assert.Equal(t, len(stops), 1)
-	b.event(Stopped{Stop: stops[0]})
-	var checks []Hold
+	effects := b.event(Stopped{Stop: stops[0]})
 	for range 6 {
-		for _, h := range of[Hold](b.advance(50)) {
-			if h.Check {
-				checks = append(checks, h)
-			}
+		effects = append(effects, b.advance(50)...)
+	}
+	var checks []Hold
+	for _, h := range of[Hold](effects) {
+		if h.Check {
+			checks = append(checks, h)
 		}
 	}
 	assert.Equal(t, len(checks), 1)
@@ -33,3 +34,58 @@
 	assert.Equal(t, len(again), 1)
 	assert.Equal(t, again[0].Order.Run, 2)
 }
+
+// A start without an answer kept its task for a stop's longest time after the stop was taken, though
+// nothing that was not there can begin from then on.
+func TestStartWithoutAnswerIsSettledByTheFirstList(t *testing.T) {
+	b := newBench(t)
+	b.lead(1, 2)
+	starts := of[Start](b.event(JobsRead{Jobs: []JobRow{testJob("j", step(1, 40))}}))
+	assert.Equal(t, len(starts), 1)
+	stops := of[Stop](b.event(Started{Start: starts[0], Err: &croft.LostAnswerError{}}))
+	assert.Equal(t, len(stops), 1)
+	b.now++
+	effects := b.event(Stopped{Stop: stops[0]})
+	var checks []Hold
+	for _, h := range of[Hold](effects) {
+		if h.Check {
+			checks = append(checks, h)
+		}
+	}
+	assert.Equal(t, len(checks), 1)
+	b.now++
+	effects = b.event(Holding{Hold: checks[0], Report: croft.HoldReport{Clock: b.now, Born: 7}})
+	starts = of[Start](effects)
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Order.Run, 2)
+}
+
+// A stop that an executor did not hear was sent again seconds later, when another task of its step had
+// gone meanwhile and no more might be taken.
+func TestStopIsNotRepeatedOnceTooManyAreAway(t *testing.T) {
+	b := newBench(t)
+	b.lead(1, 3)
+	b.event(WaveRowsRead{})
+	lasting := step(2, 40)
+	lasting.Endless, lasting.MayMiss, lasting.MostPerWorker = true, 1, 1
+	on := map[int]int{}
+	for _, s := range of[Start](b.event(JobsRead{Jobs: []JobRow{testJob("j", lasting)}})) {
+		b.event(Started{Start: s, Clock: b.now})
+		for i := range 3 {
+			if s.Order.Worker == workerName(i) {
+				on[s.Order.Task.Index] = i
+				b.held(i, active(s.Order.Task, 1))
+			}
+		}
+	}
+	stops := of[Stop](append(b.event(testWave(vmName(on[1]))), b.advance(50)...))
+	assert.Equal(t, len(stops), 1)
+	b.event(Stopped{Stop: stops[0], Err: &croft.LostAnswerError{}})
+	b.held(on[0], croft.EndedRun{Number: 1, Task: croft.TaskID{Job: "j"}, Run: 1, How: croft.EndFailed})
+	var repeated []Stop
+	for range 40 {
+		b.held(on[1], active(croft.TaskID{Job: "j", Index: 1}, 1))
+		repeated = append(repeated, of[Stop](b.advance(50))...)
+	}
+	assert.Equal(t, len(repeated), 0)
+}
--- a/sched/place.go
+++ b/sched/place.go
@@ -437,7 +437,7 @@
 			// wide as its pool, the task is away while its VM is.
 			continue
 		}
-		s.tasks[r.index].taken = true
+		s.tasks[r.index].taken, r.evacuated = true, true
 		p.stopRun(r, "its executor is to be emptied")
 	}
 }
--- a/sched/planner.go
+++ b/sched/planner.go
@@ -60,6 +60,8 @@
 	sweep bool
 	// heard are executors about which something was heard since the last holds.
 	heard []*worker
+	// unsettled are executors on which starts without an answer are to be looked for.
+	unsettled []*worker
 	// waking is when time passes by the last Wake.
 	waking    croft.Millis
 	nextLoads croft.Millis
@@ -90,7 +92,7 @@
 	p.parts = map[string]*part{}
 	p.fleet = fleet{}
 	p.begun = nil
-	p.heard, p.waking = nil, 0
+	p.heard, p.unsettled, p.waking = nil, nil, 0
 	p.moves = map[croft.VMID]*move{}
 	p.refusedMoves = map[moveWay]bool{}
 	p.nextScale, p.nextLoads, p.nextPools, p.advising, p.refusing = 0, 0, 0, 0, false
@@ -194,6 +196,7 @@
 		p.evacuate()
 		p.repeatStops()
 	}
+	p.settleStarts()
 	p.place()
 	p.holdIdle(all)
 	p.commitDirty()
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -97,8 +97,12 @@
 	// whether it is there.
 	known   croft.Millis
 	stopped croft.Millis
-	percent int
-	gauge   int64
+	// evacuated says that it is stopped to empty its executor.
+	evacuated bool
+	// unanswered says that its start got no answer.
+	unanswered bool
+	percent    int
+	gauge      int64
 	// moved is when the percentage last changed.
 	moved croft.Millis
 	// listed is the last list of its worker that showed the run.
