sched: a pool that does not need a VM lends it, also by a narrow margin

Change: a pool that still has all that it needs lends to one that has not. Test: TestPoolWithoutNeedOfAVMLendsIt, failing before.

--- a/sched/scale.go
+++ b/sched/scale.go
@@ -225,8 +225,9 @@
 		if other == po || have < reserve || p.refusedMoves[moveWay{other.id, po.id}] {
 			continue
 		}
-		if supply := other.supply(have); supply > best {
-			from, best = other, supply
+		supply := other.supply(have)
+		if supply > best || (from == nil && have >= other.demand.now && p.have(po) < po.demand.now) {
+			from, best = other, max(supply, best)
 		}
 	}
 	if from == nil {
--- a/sched/scale_test.go
+++ b/sched/scale_test.go
@@ -68,3 +68,37 @@
 		assert.Equal(t, len(of[OrderVM](b.advance(50))), 0)
 	}
 }
+
+// A pool one VM short of what an endless step needs stayed short for good beside pools that each had
+// one to spare: none of them was better off by the margin that keeps VMs from going to and fro.
+func TestPoolWithoutNeedOfAVMLendsIt(t *testing.T) {
+	const other = croft.PoolID("other")
+	b := newBench(t)
+	b.lead(1, 0)
+	config := testConfig()
+	config.Config.Version = 2
+	config.Config.Pools = append(config.Config.Pools, croft.PoolRule{ID: other})
+	b.event(config)
+	entries, vms := testWorkers(7), testFleet(7)
+	for i := range 3 {
+		entries[i].Pool, vms[i].Pool = other, other
+	}
+	b.event(WorkersRead{Changes: croft.WorkerChanges{Entries: entries}}, FleetRead{Asked: b.now, VMs: vms})
+	for i := range 7 {
+		b.held(i)
+	}
+	lasting := func(count int) croft.Step {
+		s := step(count, 1)
+		s.Endless, s.MostPerWorker = true, 1
+		return s
+	}
+	lender, borrower := testJob("lender", lasting(3)), testJob("borrower", lasting(4))
+	borrower.Record.Pool = other
+	b.event(JobsRead{Jobs: []JobRow{lender, borrower}})
+	var orders []OrderVM
+	for range 20 {
+		orders = append(orders, of[OrderVM](b.advance(50))...)
+	}
+	assert.Equal(t, len(orders), 1)
+	assert.Equal(t, orders[0].Order.Pool, other)
+}
