sched: tasks that may run twice are copied from a lost executor at once

Their tasks wait until it is certain that they have ended, up to the lease of 10 s behind a cut; three tasks in ten may run twice by their callers' word and need not wait.

Change: when an executor is lost, such tasks wait for another run at once; whichever ends first counts, the other is stopped. Test: TestTaskThatMayRunTwiceIsCopiedFromALostExecutor, failing before.

--- a/model/load.go
+++ b/model/load.go
@@ -180,6 +180,8 @@
 		s.DataRack = w.vms[w.random.IntN(len(w.vms))].rack
 	case 4:
 		s.Requires = "a"
+	case 5, 6:
+		s.Duplicates = true
 	}
 	s.SavesProgress = w.chance(0.3)
 	return s
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -94,12 +94,28 @@
 	if w.verified {
 		p.log("Lost", string(w.ID), "", e.Err.Error())
 		p.askFleet()
+		p.copyRuns(w)
 	}
 	w.verified = false
 	w.misses++
 	w.nextHold = p.now.Elapsed + min(retryWait*croft.Millis(w.misses), retryLongest)
 }
 
+// copyRuns lets the tasks on a lost executor that may run twice wait for another run at once: the
+// others have to wait until it is certain that theirs have ended.
+func (p *Planner) copyRuns(w *worker) {
+	copied := runsThat(w, func(r *run) bool {
+		return r.stage.spec.Duplicates && !r.stage.spec.Gang && r.stage.tasks[r.index].run == r
+	})
+	for _, r := range copied {
+		r.stage.tasks[r.index].run = nil
+		p.requeue(r.stage, r.index)
+	}
+	if len(copied) > 0 {
+		p.log("Copy", string(w.ID), "", fmt.Sprintf("%d tasks that may run twice", len(copied)))
+	}
+}
+
 func (p *Planner) holdAnswered(w *worker, e Holding) {
 	if w.born != 0 && e.Report.Born != w.born {
 		if e.Report.Born < w.born {
--- a/sched/order_test.go
+++ b/sched/order_test.go
@@ -89,3 +89,39 @@
 	}
 	assert.Equal(t, len(repeated), 0)
 }
+
+// A task that may run twice waited, like all others, until its lost executor's leases had ended.
+func TestTaskThatMayRunTwiceIsCopiedFromALostExecutor(t *testing.T) {
+	b := newBench(t)
+	b.lead(1, 2)
+	twice := step(1, 40)
+	twice.Duplicates = true
+	starts := of[Start](b.event(JobsRead{Jobs: []JobRow{testJob("once", step(1, 40)), testJob("twice", twice)}}))
+	assert.Equal(t, len(starts), 2)
+	var effects []Effect
+	for i := range 2 {
+		for _, s := range starts {
+			if s.Order.Worker == workerName(i) {
+				b.event(Started{Start: s, Clock: b.now})
+				b.held(i, active(s.Order.Task, 1))
+			}
+		}
+	}
+	on := map[croft.JobID]croft.WorkerID{}
+	for _, s := range starts {
+		on[s.Order.Task.Job] = s.Order.Worker
+	}
+	entries := testWorkers(3)
+	b.event(WorkersRead{Changes: croft.WorkerChanges{Entries: entries[2:]}})
+	b.held(2)
+	for _, worker := range on {
+		hold := Hold{Order: croft.HoldOrder{Worker: worker, Wait: holdWait}, Sent: b.now}
+		effects = append(effects, b.event(Holding{Hold: hold, Err: &croft.LostAnswerError{}})...)
+	}
+	starts = of[Start](effects)
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Order.Task.Job, croft.JobID("twice"))
+	assert.Equal(t, starts[0].Order.Run, 2)
+	effects = b.held(2, croft.EndedRun{Number: 1, Task: starts[0].Order.Task, Run: 2, How: croft.EndDone})
+	assert.Equal(t, len(of[Commit](append(effects, b.advance(gatherWait)...))), 1)
+}
