sched: the store knows of a maintenance before it is ordered

Cause, by trace of the model's (`WAXWING_SEEDS=1000 go test ./model`, LIMIT): a leader ordered a maintenance, got no answer and was lost; the order was held up for 5.2 s and carried out when its successor, which could not know of it, had as many VMs away as the wave allows. The platform carries late orders out where no higher fencing token has been seen for the VM. Ruled out: the list (it showed the VM up, as it was), the former leader's lease (over for 2 s).

Change: a wave's row has the VMs whose orders may be on their way, and an order is sent once that is stored. A successor counts these as away and orders them first: its higher token settles what became of the former order. Tests, failing before: TestVMsThatMayHaveBeenOrderedCountAsAway, TestVMsAreOrderedOnceThatIsStored, the seed. The tests' bench stores reports of waves at once.

--- a/agent/follow.go
+++ b/agent/follow.go
@@ -207,16 +207,16 @@
 			}
 			continue
 		}
-		begun := map[int][]croft.VMID{}
+		rows := sched.WaveRowsRead{Begun: map[int][]croft.VMID{}, Ordered: map[int][]croft.VMID{}}
 		for _, row := range got.Rows {
-			number, vms, err := decodeBegun(strings.TrimPrefix(row.Key, waveTable+"//"), row.Value)
+			number, value, err := decodeWave(strings.TrimPrefix(row.Key, waveTable+"//"), row.Value)
 			if err != nil {
 				a.Log.Error("Unreadable", row.Key, err.Error())
 				continue
 			}
-			begun[number] = vms
+			rows.Begun[number], rows.Ordered[number] = value.Begun, value.Ordered
 		}
-		a.post(ctx, sched.WaveRowsRead{Begun: begun})
+		a.post(ctx, rows)
 		return
 	}
 }
--- a/agent/perform.go
+++ b/agent/perform.go
@@ -102,17 +102,23 @@
 	a.post(ctx, sched.Advised{Advise: e, Tickets: tickets, Valid: valid, Err: err})
 }
 
-// waveTable holds which VMs of each wave have begun their maintenance.
+// waveTable holds which VMs of each wave have begun their maintenance, or may be about to.
 const waveTable = "wave"
 
-func decodeBegun(key string, raw []byte) (int, []croft.VMID, error) {
+// waveRow is the value of a row of waveTable.
+type waveRow struct {
+	Begun   []croft.VMID `json:",omitempty"`
+	Ordered []croft.VMID `json:",omitempty"`
+}
+
+func decodeWave(key string, raw []byte) (int, waveRow, error) {
 	number, err := strconv.Atoi(key)
 	if err != nil {
-		return 0, nil, err
+		return 0, waveRow{}, err
 	}
-	var vms []croft.VMID
-	err = json.Unmarshal(raw, &vms)
-	return number, vms, err
+	var row waveRow
+	err = json.Unmarshal(raw, &row)
+	return number, row, err
 }
 
 // waveWriter publishes the newest state of each wave, one write at a time.
@@ -163,10 +169,11 @@
 
 func (w *waveWriter) writeOne(ctx context.Context, e sched.ReportWave) error {
 	key := waveTable + "//" + strconv.Itoa(e.Number)
-	ops := []croft.Op{{Kind: croft.OpPut, Key: key, Version: croft.AnyVersion, Value: jobs.Encode(e.Begun)}}
+	ops := []croft.Op{{Kind: croft.OpPut, Key: key, Version: croft.AnyVersion, Value: jobs.Encode(waveRow{Begun: e.Begun, Ordered: e.Ordered})}}
 	if _, err := w.agent.Table.Commit(ctx, ops); err != nil {
 		return err
 	}
+	w.agent.post(ctx, sched.WaveStored{ReportWave: e})
 	return w.agent.Fleet.ReportWave(ctx, e.Number, e.Finished)
 }
 
--- a/model/model_test.go
+++ b/model/model_test.go
@@ -75,6 +75,7 @@
 		cause string
 	}{
 		{1000352, "an order for a VM that was held up for 6.8 s ended a task that its new leader counted on; the platform does not judge such orders"},
+		{1000968, "a maintenance that was held up came after its leader was lost, beside as many as the wave allows"},
 		{1001074, "a stop that an executor had not heard was repeated when another task of its step had gone"},
 		{1001116, "VMs that were down when the list was last read were never looked for again, and a wave did not end"},
 		{1000178, "a former leader's stop of an adopted run was not counted"},
--- a/model/perform.go
+++ b/model/perform.go
@@ -253,7 +253,7 @@
 }
 
 func (w *World) performWave(e sched.ReportWave) {
-	raw, err := json.Marshal(e.Begun)
+	raw, err := json.Marshal(e)
 	if err != nil {
 		w.broken("STORE", "%v", err)
 		return
@@ -269,17 +269,21 @@
 		}
 	}
 	key := "wave//" + strconv.Itoa(e.Number)
-	w.later(commitSpan, func() { w.store[key] = croft.Row{Key: key, Value: raw} })
+	w.later(max(w.storeDown-w.now, 0)+commitSpan, func() {
+		w.store[key] = croft.Row{Key: key, Value: raw}
+		w.tell(sched.WaveStored{ReportWave: e})
+	})
 }
 
-func (w *World) begunRows() map[int][]croft.VMID {
-	out := map[int][]croft.VMID{}
+// waveRows returns what leaders stored of the wave.
+func (w *World) waveRows() sched.WaveRowsRead {
+	rows := sched.WaveRowsRead{Begun: map[int][]croft.VMID{}, Ordered: map[int][]croft.VMID{}}
 	if row, ok := w.store["wave//1"]; ok {
-		var ids []croft.VMID
-		if err := json.Unmarshal(row.Value, &ids); err != nil {
+		var stored sched.ReportWave
+		if err := json.Unmarshal(row.Value, &stored); err != nil {
 			w.broken("STORE", "%v", err)
 		}
-		out[1] = ids
+		rows.Begun[1], rows.Ordered[1] = stored.Begun, stored.Ordered
 	}
-	return out
+	return rows
 }
--- a/model/world.go
+++ b/model/world.go
@@ -237,7 +237,7 @@
 		}
 		w.later(w.between(2, 30), func() { w.tell(sched.WorkersRead{Changes: w.registry()}) })
 		w.later(w.between(2, 200), func() { w.tell(sched.JobsRead{Whole: true, Jobs: w.storedJobs()}) })
-		w.later(w.between(2, 200), func() { w.tell(sched.WaveRowsRead{Begun: w.begunRows()}) })
+		w.later(w.between(2, 200), func() { w.tell(w.waveRows()) })
 	})
 }
 
--- a/sched/events.go
+++ b/sched/events.go
@@ -88,6 +88,8 @@
 type WaveRowsRead struct {
 	eventMark
 	Begun map[int][]croft.VMID
+	// Ordered are VMs whose orders may still be on their way.
+	Ordered map[int][]croft.VMID
 }
 
 // FleetRead is the platform's list of VMs.
@@ -225,13 +227,21 @@
 	Order croft.FleetOrder
 }
 
-// ReportWave publishes the state of a wave.
+// ReportWave stores and publishes the state of a wave, answered by WaveStored.
 type ReportWave struct {
 	effectMark
 	Number   int
 	Finished bool
 	// Begun are the VMs whose maintenance has begun.
 	Begun []croft.VMID
+	// Ordered are VMs whose orders may be on their way once this is stored.
+	Ordered []croft.VMID
+}
+
+// WaveStored says that a ReportWave, or a newer one, is stored.
+type WaveStored struct {
+	eventMark
+	ReportWave
 }
 
 // StepDown says that another entry has given orders with a higher fencing token.
--- a/sched/helpers_test.go
+++ b/sched/helpers_test.go
@@ -25,7 +25,7 @@
 }
 
 // event reduces events now and returns the effects; commits that only announce jobs are done at once,
-// and time passes as the planner asks.
+// reports of waves are stored, and time passes as the planner asks.
 func (b *bench) event(events ...Event) []Effect {
 	effects := b.planner.Reduce(Instant{Elapsed: b.now, Wall: 1_000_000 + b.now}, events...)
 	for _, c := range of[Commit](effects) {
@@ -34,6 +34,9 @@
 			effects = append(effects, b.event(Committed{Commit: c, Version: b.version})...)
 		}
 	}
+	for _, r := range of[ReportWave](effects) {
+		effects = append(effects, b.event(WaveStored{ReportWave: r})...)
+	}
 	for _, w := range of[Wake](effects) {
 		b.now += w.After
 		effects = append(effects, b.event(Woken{})...)
--- a/sched/planner.go
+++ b/sched/planner.go
@@ -48,6 +48,8 @@
 	waves map[int]*wave
 	// begun has what former leaders wrote of waves, nil until it is read.
 	begun map[int][]croft.VMID
+	// sent has the VMs whose orders by former leaders may still be on their way.
+	sent  map[int][]croft.VMID
 	fleet fleet
 
 	// advising counts the questions to the advice service that are not answered.
@@ -147,7 +149,9 @@
 	case JobsCancelled:
 		p.cancelJobs(e.IDs)
 	case WaveRowsRead:
-		p.takeBegun(e.Begun)
+		p.takeBegun(e)
+	case WaveStored:
+		p.takeWaveStored(e)
 	case FleetRead:
 		p.takeFleet(e)
 	case Holding:
--- a/sched/wave.go
+++ b/sched/wave.go
@@ -19,6 +19,10 @@
 	begun    map[croft.VMID]bool
 	away     map[croft.VMID]croft.Millis
 	ordered  map[croft.VMID]bool
+	// intended are VMs that are to be ordered, and stored those of which the store knows: a successor
+	// counts them as away, since their orders may be carried out late.
+	intended map[croft.VMID]bool
+	stored   map[croft.VMID]bool
 	// unsure are VMs whose order got no answer and may be carried out later.
 	unsure   map[croft.VMID]bool
 	prepared map[croft.VMID]croft.Millis
@@ -30,6 +34,7 @@
 	return &wave{
 		Wave: w, asked: asked, begun: map[croft.VMID]bool{}, away: map[croft.VMID]croft.Millis{},
 		ordered: map[croft.VMID]bool{}, unsure: map[croft.VMID]bool{}, prepared: map[croft.VMID]croft.Millis{},
+		intended: map[croft.VMID]bool{}, stored: map[croft.VMID]bool{},
 	}
 }
 
@@ -66,8 +71,8 @@
 }
 
 // takeBegun takes in what former leaders wrote of waves.
-func (p *Planner) takeBegun(begun map[int][]croft.VMID) {
-	p.begun = begun
+func (p *Planner) takeBegun(e WaveRowsRead) {
+	p.begun, p.sent = e.Begun, e.Ordered
 	if p.begun == nil {
 		p.begun = map[int][]croft.VMID{}
 	}
@@ -84,6 +89,13 @@
 		// It may be away still.
 		w.away[id] = p.now.Elapsed
 	}
+	for _, id := range p.sent[w.Number] {
+		if !w.begun[id] {
+			// Our own order for it settles what became of the former one.
+			w.intended[id], w.stored[id], w.unsure[id] = true, true, true
+			w.away[id], w.prepared[id] = p.now.Elapsed, p.now.Elapsed
+		}
+	}
 	p.recallAway(w)
 }
 
@@ -134,7 +146,7 @@
 		p.recall(w)
 		if !w.reported {
 			w.reported = true
-			p.do(ReportWave{Number: w.Number, Begun: w.begunVMs()})
+			p.report(w, false)
 		}
 		p.prepare(w)
 		p.order(w)
@@ -238,8 +250,15 @@
 		if w.ordered[id] || w.prepared[id] > p.now.Elapsed || !p.isEmpty(w, id) {
 			continue
 		}
-		w.ordered[id] = true
 		w.away[id] = p.now.Elapsed
+		if !w.stored[id] {
+			if !w.intended[id] {
+				w.intended[id] = true
+				p.report(w, false)
+			}
+			continue
+		}
+		w.ordered[id] = true
 		p.log("Maintain", string(id), "", fmt.Sprintf("wave %d, %d of %d begun, %d away", w.Number, len(w.begun), len(w.VMs), len(w.away)))
 		p.do(OrderVM{Order: croft.FleetOrder{VM: id, Wave: w.Number, Holder: p.options.Holder, Fence: p.fence}})
 	}
@@ -284,6 +303,7 @@
 	case errors.As(e.Err, &refused):
 		p.log("Refused", string(id), "", fmt.Sprintf("maintenance in wave %d: %s", w.Number, refused.Reason))
 		delete(w.away, id)
+		w.settled(id)
 		switch refused.Reason {
 		case croft.FleetRefusedFence:
 			p.stepDown("the platform has seen a higher fencing token")
@@ -314,8 +334,9 @@
 	p.leave(id)
 	w.begun[id] = true
 	w.away[id] = p.now.Elapsed
+	w.settled(id)
 	delete(w.prepared, id)
-	p.do(ReportWave{Number: w.Number, Begun: w.begunVMs()})
+	p.report(w, false)
 }
 
 func (p *Planner) release(w *wave, id croft.VMID) {
@@ -350,13 +371,27 @@
 	}
 }
 
-func (w *wave) begunVMs() []croft.VMID {
-	out := make([]croft.VMID, 0, len(w.begun))
-	for id := range w.begun {
-		out = append(out, id)
+// settled notes that no order for a VM is on its way.
+func (w *wave) settled(id croft.VMID) {
+	delete(w.intended, id)
+	delete(w.stored, id)
+}
+
+// report has the state of a wave stored and published.
+func (p *Planner) report(w *wave, finished bool) {
+	p.do(ReportWave{Number: w.Number, Finished: finished, Begun: slices.Sorted(maps.Keys(w.begun)), Ordered: slices.Sorted(maps.Keys(w.intended))})
+}
+
+func (p *Planner) takeWaveStored(e WaveStored) {
+	w, ok := p.waves[e.Number]
+	if !ok {
+		return
+	}
+	for _, id := range e.Ordered {
+		if w.intended[id] {
+			w.stored[id] = true
+		}
 	}
-	slices.Sort(out)
-	return out
 }
 
 // finishWave reports a wave whose VMs have all begun, or are gone.
@@ -368,5 +403,5 @@
 	}
 	w.finished = true
 	p.log("Wave", fmt.Sprint(w.Number), "Finished", fmt.Sprintf("%d VMs", len(w.VMs)))
-	p.do(ReportWave{Number: w.Number, Finished: true, Begun: w.begunVMs()})
+	p.report(w, true)
 }
--- a/sched/wave_test.go
+++ b/sched/wave_test.go
@@ -189,3 +189,29 @@
 	}
 	assert.Equal(t, reserved(), 1)
 }
+
+// An order that was held up on its way was carried out after its leader was lost; the successor had
+// not counted it and had sent as many VMs away as the wave allows.
+func TestVMsThatMayHaveBeenOrderedCountAsAway(t *testing.T) {
+	b := newBench(t)
+	b.lead(2, 6)
+	b.event(WaveRowsRead{Ordered: map[int][]croft.VMID{1: {vmName(0)}}})
+	orders := of[OrderVM](b.event(testWave(vmName(0), vmName(1), vmName(2))))
+	assert.Equal(t, len(orders), 2)
+	assert.Equal(t, orders[0].Order.VM, vmName(0))
+	assert.Equal(t, orders[1].Order.VM, vmName(1))
+}
+
+// Nothing is sent before the store knows that it may be.
+func TestVMsAreOrderedOnceThatIsStored(t *testing.T) {
+	b := newBench(t)
+	b.lead(1, 4)
+	b.event(WaveRowsRead{})
+	now := Instant{Elapsed: b.now}
+	effects := b.planner.Reduce(now, testWave(vmName(0), vmName(1)))
+	assert.Equal(t, len(of[OrderVM](effects)), 0)
+	reports := of[ReportWave](effects)
+	last := reports[len(reports)-1]
+	assert.DeepEqual(t, last.Ordered, []croft.VMID{vmName(0), vmName(1)})
+	assert.Equal(t, len(of[OrderVM](b.planner.Reduce(now, WaveStored{ReportWave: last}))), 2)
+}
