leader: a late answer of the store delays a takeover

Submissions failed with 503 and 504 from 10 to 16 s on all entries and commits took long: the store was slow. A renewal then takes a write and an answer, each half a second, and the row stood still longer than 1.2 s before anybody could know how slow renewals are. Ruled out: the leader's link (its executors answered), a kill (it logged on).

Change: the row stands still only as far as an answer has shown it; the feed of the lead waits 450 ms, and three times the delay of its last answer without news is waited for besides. Tests, failing before: TestLateAnswersDelayTheTakeover, TestSilenceOfTheStoreIsNoSilenceOfTheHolder.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -61,6 +61,9 @@
 	// followSpan is how long a feed waits for news; it bounds how long a silent connection can
 	// hide a change, which is to be in force within 2 s.
 	followSpan = 900 * croft.Millis(1)
+	// leadSpan is how long the feed of the lead waits: above the time between renewals, and a few
+	// times in that after which the lead is taken.
+	leadSpan = 450 * croft.Millis(1)
 	// againSpan is the pause before a feed that failed is asked again.
 	againSpan = 100 * croft.Millis(1)
 )
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -73,10 +73,14 @@
 // followLead watches who leads and what the leader publishes.
 func (a *Agent) followLead(ctx context.Context) error {
 	a.follow(ctx, "lead", func(ctx context.Context, after uint64) (uint64, error) {
-		got, err := a.table(ctx, leader.Table, after)
+		began := a.Clock.Elapsed()
+		got, err := a.table(ctx, leader.Table, after, leadSpan)
 		if err != nil {
 			return after, err
 		}
+		if after != 0 && len(got.Rows)+len(got.Gone) == 0 {
+			a.Election.Delayed(a.Clock.Elapsed() - began - leadSpan)
+		}
 		a.Election.Observe(got, after == 0)
 		for _, row := range got.Rows {
 			if row.Key == loadsKey {
@@ -89,11 +93,11 @@
 }
 
 // table reads a table whole after version zero, and its changes else.
-func (a *Agent) table(ctx context.Context, name string, after uint64) (croft.Changes, error) {
+func (a *Agent) table(ctx context.Context, name string, after uint64, wait croft.Millis) (croft.Changes, error) {
 	if after == 0 {
 		return a.Feed.ReadTable(ctx, name)
 	}
-	return a.Feed.Follow(ctx, name, after, followSpan)
+	return a.Feed.Follow(ctx, name, after, wait)
 }
 
 func (a *Agent) followWorkers(ctx context.Context) {
@@ -113,7 +117,7 @@
 func (a *Agent) followJobs(ctx context.Context) {
 	first := true
 	a.follow(ctx, "jobs", func(ctx context.Context, after uint64) (uint64, error) {
-		got, err := a.table(ctx, jobs.JobTable, after)
+		got, err := a.table(ctx, jobs.JobTable, after, followSpan)
 		if err != nil {
 			return after, err
 		}
@@ -179,7 +183,7 @@
 
 func (a *Agent) followCancels(ctx context.Context) {
 	a.follow(ctx, "cancels", func(ctx context.Context, after uint64) (uint64, error) {
-		got, err := a.table(ctx, jobs.CancelTable, after)
+		got, err := a.table(ctx, jobs.CancelTable, after, followSpan)
 		if err != nil {
 			return after, err
 		}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -30,6 +30,9 @@
 	// stillFactor times the longest of the last gaps between renewals, in percent, is waited for too:
 	// where the store is slow, so are the renewals.
 	stillFactor = 250
+	// delayFactor times the delay of the store's answers is waited for besides: a renewal is a write and
+	// comes by an answer, each as late.
+	delayFactor = 3
 	// gapFade is what is left of the longest gap, in percent, with each renewal.
 	gapFade = 80
 	// marginShare is the part of the lease that a holder leaves unused, for the way of an order.
@@ -78,6 +81,8 @@
 	since croft.Millis
 	read  croft.Millis
 	known bool
+	// delay is how late the store's last answer without news was.
+	delay croft.Millis
 	// gap is the longest of the last spans between renewals by the present holder.
 	gap croft.Millis
 	// released says that this entry is about to end and takes the lead no more.
@@ -180,6 +185,13 @@
 	}
 }
 
+// Delayed takes in how late an answer of the feed without news was.
+func (h *Election) Delayed(delay croft.Millis) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.delay = max(delay, 0)
+}
+
 // noteGap takes in that the row has changed.
 func (h *Election) noteGap(holder string, now croft.Millis) {
 	if holder != h.value.Holder || h.seen.Version == 0 {
@@ -191,7 +203,7 @@
 
 // still returns how long the row must not change before the lead counts as lapsed.
 func (h *Election) still() croft.Millis {
-	return min(max(h.lease*stillShare/100, h.gap*stillFactor/100), h.lease) + h.rank
+	return min(max(h.lease*stillShare/100+h.delay*delayFactor, h.gap*stillFactor/100), h.lease) + h.rank
 }
 
 // Run takes and renews the lead until the context ends; notify is called whenever it changed hands.
@@ -215,7 +227,7 @@
 	h.mu.Lock()
 	leading := h.lead != nil
 	due := now-h.renewed >= h.lease/renewShare
-	lapsed := h.known && now-h.read < h.lease/2 && (h.value.Holder == "" || h.earlier || now-h.since >= h.still())
+	lapsed := h.known && now-h.read < h.lease/2 && (h.value.Holder == "" || h.earlier || h.read-h.since >= h.still())
 	if h.known && h.value.Holder == "" && now-h.since < h.rank {
 		lapsed = false
 	}
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -140,6 +140,27 @@
 	assert.NilError(t, one.Guard())
 }
 
+// The first slow renewal came after the time in which the lead used to be taken from a living holder;
+// nobody could know yet how slow renewals are, but answers without news were late too.
+func TestLateAnswersDelayTheTakeover(t *testing.T) {
+	_, c, one, two := newCandidates()
+	pass(c, croft.Second, one, two)
+	two.Delayed(350)
+	pass(c, lease*stillShare/100+600, two)
+	assert.Assert(t, two.Lead() == nil)
+	pass(c, croft.Second, two)
+	assert.Equal(t, two.Lead().Term, 2)
+}
+
+// A row that no answer has shown to stand still may have changed.
+func TestSilenceOfTheStoreIsNoSilenceOfTheHolder(t *testing.T) {
+	_, c, one, two := newCandidates()
+	pass(c, croft.Second, one, two)
+	c.Advance(lease * stillShare / 100)
+	two.step(context.Background())
+	assert.Assert(t, two.Lead() == nil)
+}
+
 // After an outage of the store for all, the holder that lives renews, and nobody takes its place.
 func TestHolderKeepsTheLeadOverAnOutage(t *testing.T) {
 	_, c, one, two := newCandidates()
