sched: wait for the leases that a former leader grants until its authority ends

Cause: a leader that is cut off from the store together with executors goes on renewing their leases until its own leadership ends, up to 1.5 s after an entry on the other side has taken over.

Ruled out: the leader's guard (no order left after its lease), executors' clocks (the slack is in the sum).

Change: leases of former leaders end one lease after VMOrdersFrom, the end of the former leader's authority; the same for workers that are new to the planner and for an incarnation that registers anew.

The model had missed it because its partitions cut an executor off from all leaders at once, and a leader without the store still reached all others, whose refusal ended it. ZoneCuts cuts a rack off together with the leader.

--- a/model/executor.go
+++ b/model/executor.go
@@ -51,7 +51,10 @@
 	dead          bool
 	// unreachableUntil is when a network partition ends, during which its runs go on but it receives nothing.
 	unreachableUntil croft.Millis
-	draining         bool
+	// cutWith is the only leader that reaches the executor until cutUntil, since both are in a rack that is cut off.
+	cutWith  *leader
+	cutUntil croft.Millis
+	draining bool
 	// failureRate is the share of its runs that fail.
 	failureRate float64
 }
@@ -136,10 +139,16 @@
 	return croft.Resources{MilliCores: executorMilliCores, MemoryMB: executorMemoryMB}
 }
 
-// reachable returns an executor and whether orders reach it.
-func (w *World) reachable(id croft.WorkerID) (*executor, bool) {
+// reachable returns an executor and whether orders of a leader reach it.
+func (w *World) reachable(l *leader, id croft.WorkerID) (*executor, bool) {
 	x, ok := w.executors[id]
-	return x, ok && !x.dead && w.now >= x.unreachableUntil
+	if !ok || x.dead || w.now < x.unreachableUntil {
+		return x, false
+	}
+	if w.now < x.cutUntil || w.now < l.cutUntil {
+		return x, x.cutWith == l
+	}
+	return x, true
 }
 
 // checkFencingToken refuses an order whose fencing token is lower than that of an earlier order, and records the others.
--- a/model/model_test.go
+++ b/model/model_test.go
@@ -68,6 +68,16 @@
 	})
 }
 
+// Guards against starting tasks twice when a leader is cut off together with executors: it went on renewing their leases
+// after the takeover, and the successor waited only for leases granted before it.
+func TestInvariantsHoldUnderZoneCuts(t *testing.T) {
+	checkSeeds(t, firstFaultSeed, func(seed uint64) Options {
+		options := smallOptions(seed)
+		options.Faults, options.ZoneCuts, options.Wave = true, true, seed%2 == 0
+		return options
+	})
+}
+
 // TestInvariantsHoldForFormerlyFailingSeeds simulates seeds that once violated an invariant, each with the cause.
 func TestInvariantsHoldForFormerlyFailingSeeds(t *testing.T) {
 	causes := []struct {
--- a/model/perform.go
+++ b/model/perform.go
@@ -61,7 +61,7 @@
 	case sched.Commit:
 		w.performCommit(e)
 	case sched.ListFleet:
-		w.scheduleForLeader(w.between(2, 20), func() { w.deliver(sched.FleetRead{RequestedAt: e.RequestedAt, VMs: w.listFleet()}) })
+		w.performListFleet(e)
 	case sched.OrderVM:
 		w.performVMOrder(e)
 	case sched.Wake:
@@ -79,9 +79,10 @@
 // returns. Some answers are lost; their orders are carried out seconds later if the executor is reachable then.
 func (w *World) sendOrder(id croft.WorkerID, handle func(*executor) error, newEvent func(croft.Millis, error) sched.Event) {
 	lost := &croft.LostAnswerError{Reason: "model"}
+	l := w.leader
 	if w.chance(w.answerLossRate / 10) {
 		w.schedule(w.between(2000, 12000), func() {
-			if x, ok := w.reachable(id); ok {
+			if x, ok := w.reachable(l, id); ok {
 				// The result of a delayed order is not delivered.
 				w.runDelayed(func() { _ = handle(x) })
 			}
@@ -89,9 +90,8 @@
 		w.scheduleForLeader(answerTimeout, func() { w.deliver(newEvent(0, lost)) })
 		return
 	}
-	l := w.leader
 	w.schedule(w.between(networkDelay, 3*networkDelay), func() {
-		x, ok := w.reachable(id)
+		x, ok := w.reachable(l, id)
 		if !ok {
 			w.scheduleFor(l, answerTimeout, func() { w.deliver(newEvent(0, lost)) })
 			return
@@ -122,7 +122,7 @@
 		w.scheduleFor(l, networkDelay, func() { w.deliver(sched.Held{Hold: e, Report: report, Err: err}) })
 	}
 	w.schedule(networkDelay, func() {
-		if x, ok := w.reachable(e.Order.Worker); ok {
+		if x, ok := w.reachable(l, e.Order.Worker); ok {
 			w.handleHold(x, e.Order, answer)
 		}
 	})
@@ -193,6 +193,15 @@
 	w.jobs[id].recordStatus(w, progress.Status)
 }
 
+// performListFleet delivers the list of VMs, or a failure to a leader that is cut off.
+func (w *World) performListFleet(e sched.ListFleet) {
+	if w.now < w.leader.cutUntil {
+		w.scheduleForLeader(answerTimeout, func() { w.deliver(sched.FleetRead{RequestedAt: e.RequestedAt}) })
+		return
+	}
+	w.scheduleForLeader(w.between(2, 20), func() { w.deliver(sched.FleetRead{RequestedAt: e.RequestedAt, VMs: w.listFleet()}) })
+}
+
 func (w *World) listFleet() []croft.FleetVM {
 	var out []croft.FleetVM
 	for _, v := range w.vms {
@@ -211,6 +220,10 @@
 	if w.now < w.leader.vmOrdersFrom {
 		w.violation("ONE", "%s orders %s while its predecessor may", e.Order.Holder, e.Order.VM)
 	}
+	if w.now < w.leader.cutUntil {
+		w.scheduleForLeader(answerTimeout, func() { w.deliver(sched.Ordered{OrderVM: e, Err: &croft.LostAnswerError{Reason: "model"}}) })
+		return
+	}
 	v := w.vms[slices.IndexFunc(w.vms, func(v *vm) bool { return v.id == e.Order.VM })]
 	if w.chance(w.answerLossRate / 4) {
 		w.schedule(w.between(1, 8000), func() { w.runDelayed(func() { _ = w.handleVMOrder(v, e.Order) }) })
--- a/model/trace_test.go
+++ b/model/trace_test.go
@@ -12,8 +12,9 @@
 	"waxwing.example/croft/sched"
 )
 
-// TestTrace simulates the seed in WAXWING_TRACE as the tests of the invariants do and prints the planner's log and
-// orders; if WAXWING_TRACE_JOB is a job's id, it also prints the job's state at the end.
+// TestTrace simulates the seed in WAXWING_TRACE as the tests of the invariants do, with zone cuts if WAXWING_TRACE_CUTS is
+// set, and prints the planner's log and orders; if WAXWING_TRACE_JOB is a job's id, it also prints the job's state at the
+// end.
 func TestTrace(t *testing.T) {
 	text := os.Getenv("WAXWING_TRACE")
 	if text == "" {
@@ -26,6 +27,7 @@
 	defer func() { onEffect, onEnd = nil, nil }()
 	options := smallOptions(seed)
 	options.Faults, options.Wave = seed >= firstFaultSeed, seed%2 == 0
+	options.ZoneCuts = os.Getenv("WAXWING_TRACE_CUTS") != ""
 	assert.Assert(t, len(Run(options).Broken) == 0)
 }
 
--- a/model/workload.go
+++ b/model/workload.go
@@ -236,7 +236,10 @@
 		return
 	}
 	lastRenewal := w.now - w.between(0, renewInterval)
-	if w.chance(0.5) {
+	if w.options.ZoneCuts {
+		w.cutRack(l)
+	}
+	if !w.options.ZoneCuts && w.chance(0.5) {
 		l.alive = false
 	} else {
 		l.storeUnreachable = true
@@ -245,6 +248,33 @@
 	w.scheduleTakeover(lastRenewal+takeoverTimeout-w.now+w.between(0, 800), lastRenewal)
 }
 
+// cutRack cuts the executors of a random rack off from all but one leader, and from the registry, for some seconds.
+func (w *World) cutRack(l *leader) {
+	seen := w.randomExecutor()
+	if seen == nil {
+		return
+	}
+	end := w.now + w.between(3000, 18000)
+	l.cutUntil = end
+	for _, v := range w.vms {
+		x := v.executor
+		if x == nil || v.rack != seen.vm.rack {
+			continue
+		}
+		x.cutWith, x.cutUntil = l, end
+		w.schedule(unregistrationDelay, func() {
+			if !x.dead && w.now < x.cutUntil {
+				w.deliver(unregistered(x.id))
+			}
+		})
+		w.schedule(end+registrationDelay-w.now, func() {
+			if !x.dead {
+				w.deliver(registered(w.registration(x)))
+			}
+		})
+	}
+}
+
 func (w *World) randomExecutor() *executor {
 	var up []*executor
 	for _, v := range w.vms {
--- a/model/world.go
+++ b/model/world.go
@@ -24,6 +24,9 @@
 	Peaks bool
 	// Faults makes leaders, executors, answers and the store fail.
 	Faults bool
+	// ZoneCuts makes each loss of a leader a cut between a rack together with the leader, and the store together with all
+	// others: until the leader's validity ends, it goes on renewing the leases of executors that its successor cannot reach.
+	ZoneCuts bool
 	// Wave requests the maintenance of half of the VMs.
 	Wave bool
 	// Varied draws jobs with gangs, schedules, labels, data racks and per-executor limits; otherwise all steps are plain.
@@ -251,6 +254,8 @@
 	alive   bool
 	// storeUnreachable reports that the store rejects its commits, while executors and VMs still accept its orders.
 	storeUnreachable bool
+	// cutUntil is when a cut ends in which it reaches only the executors of its own rack.
+	cutUntil croft.Millis
 	// vmOrdersFrom is the earliest time at which it may give orders for VMs.
 	vmOrdersFrom croft.Millis
 }
--- a/sched/planner.go
+++ b/sched/planner.go
@@ -29,7 +29,8 @@
 	term         int
 	// leaderSince is when the current term began.
 	leaderSince croft.Millis
-	// vmOrdersFrom is when VMs may first be ordered to move or to be maintained; until then a former leader may do so.
+	// vmOrdersFrom is when VMs may first be ordered to move or to be maintained; until then a former leader may do so, and
+	// may grant leases to executors that have not seen this leader's fencing token.
 	vmOrdersFrom croft.Millis
 	// jobsLoaded reports that all jobs that were stored before the term have been read.
 	jobsLoaded bool
--- a/sched/takeover_test.go
+++ b/sched/takeover_test.go
@@ -128,3 +128,25 @@
 	assert.Equal(t, len(effectsOf[Stop](effects)), 1)
 	assert.Equal(t, effectsOf[Stop](effects)[0].Order.Task, second)
 }
+
+// Guards against a second run of a task on an executor that is cut off together with the former leader: until its own
+// authority ended, that leader renewed the executor's leases, also after the takeover.
+func TestTakeoverWaitsForLeasesGrantedUntilTheFormerAuthorityEnds(t *testing.T) {
+	b := newTestBench(t)
+	row := testJob("j1", step(1, 1))
+	row.Progress = jobs.Progress{Status: jobs.Running}
+	authorityEnds := b.now + 1800
+	b.event(LeadershipAcquired{Fence: 20, Term: 2, VMOrdersFrom: authorityEnds})
+	b.event(testConfig(), WorkersRead{Changes: croft.WorkerChanges{Whole: true, Entries: testWorkers(2)}})
+	b.event(FleetRead{VMs: testFleet(2)}, JobsRead{Whole: true, Jobs: []JobRow{row}})
+	b.answerHold(0)
+	lastLeaseEnd := authorityEnds + b.planner.options.Lease*102/100
+	for b.now+100 < lastLeaseEnd {
+		assert.Equal(t, len(effectsOf[Start](b.advance(100))), 0, "started at %d ms; leases may last until %d ms", b.now, lastLeaseEnd)
+	}
+	var starts []Start
+	for range 10 {
+		starts = append(starts, effectsOf[Start](b.advance(100))...)
+	}
+	assert.Equal(t, len(starts), 1)
+}
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -147,9 +147,10 @@
 	return p.now.Elapsed + p.options.Lease*(1000+leaseSlackPermille)/1000 + orderSlack
 }
 
-// predecessorLeasesEnd returns when all leases that former leaders granted have certainly ended.
+// predecessorLeasesEnd returns when all leases that former leaders granted have certainly ended. A former leader that is
+// cut off from the store grants leases until vmOrdersFrom to the executors that it still reaches.
 func (p *Planner) predecessorLeasesEnd() croft.Millis {
-	return p.leaderSince + p.latestLeaseEnd() - p.now.Elapsed
+	return max(p.leaderSince, p.vmOrdersFrom) + p.latestLeaseEnd() - p.now.Elapsed
 }
 
 // handleWorkersRead applies changes of the registry of executors.
@@ -190,13 +191,15 @@
 	w, ok := p.workers[e.ID]
 	if !ok {
 		// The executor may have runs that a former leader or a delayed order started, until their leases end.
-		w = &worker{runs: map[croft.TaskID]*run{}, leasesEnd: p.latestLeaseEnd(), pace: fullPace}
+		w = &worker{runs: map[croft.TaskID]*run{}, leasesEnd: max(p.latestLeaseEnd(), p.predecessorLeasesEnd()), pace: fullPace}
 		w.WorkerEntry = e
 		p.workers[e.ID] = w
 		p.sortedWorkers = insertWorker(p.sortedWorkers, w)
 	}
 	if e.Born != 0 && w.born != 0 && e.Born > w.born {
 		p.endIncarnation(w, "the executor registered with a later start time")
+		// A former leader may have started runs on the new incarnation.
+		w.leasesEnd = max(w.leasesEnd, p.predecessorLeasesEnd())
 	}
 	if ok && w.Pool != e.Pool {
 		po := p.pool(w.Pool)
