leader: a released row tells how long the leader before it may act; an unreadable row counts as held

A row that could not be decoded counted as released, by no term: a takeover at once beside a live leader, and run numbers that start anew.

Change: a release stores for how long the earlier leader may still act. An unreadable row has an unknown holder and the last known term.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -56,8 +56,14 @@
 	Nonce string
 	// Term counts the takeovers.
 	Term int
+	// PredecessorRemaining is set in a released row: for how long, from the release on, a leader before the one that
+	// released the row may still give orders, in milliseconds.
+	PredecessorRemaining croft.Millis `json:",omitempty"`
 }
 
+// unknownHolder stands for the holder of a leader row that can't be decoded: it may be a leader that gives orders.
+const unknownHolder = "unknown"
+
 // Leadership is one term of leadership of this entry.
 type Leadership struct {
 	// Fence is the fencing token of all orders in this term.
@@ -190,8 +196,7 @@
 	}
 	var value leaderRow
 	if err := json.Unmarshal(r.Value, &value); err != nil {
-		// The decoded value has no holder, so that an unreadable row is taken over like a released one.
-		value = leaderRow{}
+		value = leaderRow{Holder: unknownHolder, Term: e.value.Term}
 	}
 	e.recordGap(value.Holder, now)
 	e.row, e.value, e.unchangedSince = r, value, now
@@ -273,8 +278,8 @@
 	expected := e.row.Version
 	vmsFrom := e.unchangedSince + e.lease
 	if e.value.Holder == "" {
-		// The former leader released the leadership and sends no more orders.
-		vmsFrom = e.unchangedSince
+		// The former leader released the leadership and sends no more orders, but the one before it still may.
+		vmsFrom = e.unchangedSince + e.value.PredecessorRemaining
 	}
 	e.mu.Unlock()
 	if takeover {
@@ -349,7 +354,8 @@
 	if current == nil {
 		return
 	}
-	encoded, err := json.Marshal(leaderRow{Nonce: uuid.NewString(), Term: term})
+	remaining := max(current.VMOrdersFrom-e.clock.Elapsed(), 0)
+	encoded, err := json.Marshal(leaderRow{Nonce: uuid.NewString(), Term: term, PredecessorRemaining: remaining})
 	if err != nil {
 		panic(err)
 	}
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -261,3 +261,39 @@
 	advance(c, croft.Second, one)
 	assert.Assert(t, one.Leadership() == nil)
 }
+
+// Guards against VM orders of two leaders at once: a leader released the leadership soon after it had taken over, and its
+// successor did not wait for the leader before it, which was cut off from the store and did not know of the takeover.
+func TestReleaseAfterTakeoverKeepsTheFormerLeadersTime(t *testing.T) {
+	table, c, one, two := newCandidates()
+	three := candidate{New("three", 0, lease, table, c), table}
+	three.Observe(croft.Changes{}, true)
+	advance(c, croft.Second, one, two, three)
+	for two.Leadership() == nil {
+		advance(c, 100, two)
+	}
+	two.Release(context.Background())
+	advance(c, 300, three)
+	assert.Assert(t, three.Leadership() != nil)
+	assert.NilError(t, one.GuardVMOrders())
+	for one.GuardVMOrders() == nil {
+		assert.Assert(t, three.GuardVMOrders() != nil, "two leaders may give VM orders at %d ms", c.Elapsed())
+		advance(c, 100, three)
+	}
+	advance(c, croft.Second, three)
+	assert.NilError(t, three.GuardVMOrders())
+}
+
+// Guards against a takeover at once from a leader that still gives orders, and against run numbers that start anew: a row
+// that could not be decoded counted as released, by no term.
+func TestUnreadableRowCountsAsHeld(t *testing.T) {
+	table, c, one, two := newCandidates()
+	advance(c, croft.Second, one, two)
+	table.row = croft.Row{Key: Key, Version: table.row.Version + 1, Value: []byte("{")}
+	advance(c, 500, two)
+	assert.Assert(t, two.Leadership() == nil)
+	advance(c, lease, two)
+	assert.Assert(t, two.Leadership() != nil)
+	assert.Equal(t, two.Leadership().Term, 2)
+	assert.Assert(t, two.GuardVMOrders() != nil || one.GuardVMOrders() != nil)
+}
