pools: repeat the unanswered reboot of a move instead of the drain before it

Cause: while the reboot of a move was ordered and not accepted, the next step took the drain as not finished and sent it again; the drain took the reboot's place, and the answer to the reboot was ignored.

Change: once the reboot is ordered in a phase, it is what the phase waits for.

Measured: TestUnansweredRebootOfAMoveIsRepeated failed before. Whether this is what TestScen/onepool showed once is not known; it stays listed.

--- a/pools/advance.go
+++ b/pools/advance.go
@@ -158,12 +158,18 @@
 		return croft.VMResume
 	case m.Phase == croft.PhaseAway:
 		return croft.VMReboot
-	case m.Purpose == croft.PurposeMove && s.drainFinished(m, now, in):
+	case m.Purpose == croft.PurposeMove && (s.rebootOrdered(m) || s.drainFinished(m, now, in)):
 		return croft.VMReboot
 	}
 	return croft.VMDrain
 }
 
+// rebootOrdered reports whether the reboot that follows the drain was ordered in this phase, whether accepted or not.
+func (s State) rebootOrdered(m croft.Member) bool {
+	o, ok := s.orders.Get(m.VM)
+	return ok && o.epoch == m.Epoch && o.verb == croft.VMReboot
+}
+
 // applyOrderResult records that the platform accepted the last order for a VM; failures and results of earlier orders are
 // ignored.
 func (s State) applyOrderResult(e croft.OrderEnded) State {
