agent: entries next in rank keep copies of the jobs, for a takeover without a read of all of them

Ruled out: the election (1.1 s, as designed), the feeds, which the store answers also while a part is silent.

Change: entries whose rank is at most one after the leader's follow the tables of jobs and states. A new leader takes its copies up to the version of its term by the feeds; without them, or once the history is gone, it reads the tables as before. Cancellations are followed from the version of the copies. A job that was stored after the states were read is new rather than skipped.

The four tests of agent fail without the copies.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -37,6 +37,7 @@
 	planner     *sched.Planner
 	goroutines  goroutinePool
 	events      chan sched.Event
+	standby     standby
 	waveReports waveWriter
 	loadReports loadWriter
 
@@ -80,7 +81,7 @@
 
 // Add adds the goroutines of the entry to a run group.
 func (a *Agent) Add(g *run.Group) {
-	for _, work := range []func(context.Context) error{a.runPlanner, a.followOperator, a.followLeader, a.runElection} {
+	for _, work := range []func(context.Context) error{a.runPlanner, a.followOperator, a.followLeader, a.runElection, a.runStandby} {
 		ctx, cancel := context.WithCancel(context.Background())
 		g.Add(func() error { return work(ctx) }, func(error) { cancel() })
 	}
@@ -199,7 +200,6 @@
 	a.Log.Log(croft.Decision{Action: "Lead", Subject: a.Self, Choice: "Taken", Reason: describeTerm(*term)})
 	a.post(ctx, sched.LeadershipAcquired{Fence: term.Fence, Term: term.Term, VMOrdersFrom: term.VMOrdersFrom})
 	go a.followWorkers(leadingCtx)
-	go a.followJobs(leadingCtx)
-	go a.followCancels(leadingCtx)
+	go a.followJobs(leadingCtx, term.Fence)
 	go a.readWaves(leadingCtx)
 }
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -19,9 +19,9 @@
 
 // follow calls step until the context ends, and logs when the feed starts or stops failing. step makes one
 // call of the feed for the changes after a version and returns the version from which to continue;
-// version zero requests a read of everything.
-func (a *Agent) follow(ctx context.Context, name string, step func(ctx context.Context, after uint64) (uint64, error)) {
-	after, failing := uint64(0), false
+// version zero requests a read of everything. The first call is for the changes after the given version.
+func (a *Agent) follow(ctx context.Context, name string, after uint64, step func(ctx context.Context, after uint64) (uint64, error)) {
+	failing := false
 	for ctx.Err() == nil {
 		next, err := step(ctx, after)
 		switch {
@@ -53,7 +53,7 @@
 
 // followOperator follows the operator's configuration and waves; every entry does.
 func (a *Agent) followOperator(ctx context.Context) error {
-	a.follow(ctx, "operator", func(ctx context.Context, after uint64) (uint64, error) {
+	a.follow(ctx, "operator", 0, func(ctx context.Context, after uint64) (uint64, error) {
 		got, err := a.Directory.FollowOperator(ctx, after, followWait)
 		if got.Version == 0 && err != nil {
 			return after, err
@@ -76,7 +76,7 @@
 
 // followLeader follows the leader row and the loads that the leader publishes; every entry does.
 func (a *Agent) followLeader(ctx context.Context) error {
-	a.follow(ctx, "lead", func(ctx context.Context, after uint64) (uint64, error) {
+	a.follow(ctx, "lead", 0, func(ctx context.Context, after uint64) (uint64, error) {
 		began := a.Clock.Elapsed()
 		got, err := a.readOrFollow(ctx, leader.Table, after, leaderFollowWait)
 		if err != nil {
@@ -106,7 +106,7 @@
 
 // followWorkers follows the registry of executors while the entry leads.
 func (a *Agent) followWorkers(ctx context.Context) {
-	a.follow(ctx, "workers", func(ctx context.Context, after uint64) (uint64, error) {
+	a.follow(ctx, "workers", 0, func(ctx context.Context, after uint64) (uint64, error) {
 		got, err := a.Directory.FollowWorkers(ctx, after, followWait)
 		if err != nil {
 			return after, err
@@ -118,47 +118,67 @@
 	})
 }
 
-// followJobs reads all stored jobs and then follows new ones while the entry leads.
-func (a *Agent) followJobs(ctx context.Context) {
-	first := true
-	a.follow(ctx, "jobs", func(ctx context.Context, after uint64) (uint64, error) {
-		got, err := a.readOrFollow(ctx, jobs.JobTable, after, followWait)
+// followJobs passes all stored jobs to the planner and then follows new ones and cancellations while the entry leads; fence
+// is the version at which the leadership began.
+func (a *Agent) followJobs(ctx context.Context, fence uint64) {
+	after, first := uint64(0), true
+	begin := func(stored storedJobs) {
+		a.post(ctx, sched.JobsRead{Whole: first, Jobs: a.joinJobStates(stored.rows, &stored)})
+		if first {
+			go a.followCancels(ctx, min(stored.version, stored.statesVersion))
+		}
+		after, first = stored.version, false
+	}
+	if copies := a.standby.take(); copies != nil {
+		stored, err := copies.catchUp(ctx, a.Feed, fence)
 		if err != nil {
-			return after, err
+			a.Log.Warn("Standby", "jobs", "reading all jobs, since the copy of this entry cannot be used: "+err.Error())
+		} else {
+			begin(stored)
 		}
-		var states map[croft.JobID]croft.Row
+	}
+	a.follow(ctx, "jobs", after, func(ctx context.Context, after uint64) (uint64, error) {
 		if after == 0 {
-			if states, err = a.readStates(ctx); err != nil {
+			stored, err := a.readStoredJobs(ctx)
+			if err != nil {
 				return after, err
 			}
+			begin(stored)
+			return stored.version, nil
 		}
-		added := a.joinJobStates(got.Rows, states, after == 0)
-		if len(added) > 0 || first {
-			a.post(ctx, sched.JobsRead{Whole: first, Jobs: added})
+		got, err := a.Feed.Follow(ctx, jobs.JobTable, after, followWait)
+		if err != nil {
+			return after, err
+		}
+		if added := a.joinJobStates(got.Rows, nil); len(added) > 0 {
+			a.post(ctx, sched.JobsRead{Jobs: added})
 		}
-		first = false
 		return got.Version, nil
 	})
 }
 
-// readStates reads the state rows of all jobs.
-func (a *Agent) readStates(ctx context.Context) (map[croft.JobID]croft.Row, error) {
-	got, err := a.Feed.ReadTable(ctx, jobs.StateTable)
+// readStoredJobs reads the tables of jobs and of their states.
+func (a *Agent) readStoredJobs(ctx context.Context) (storedJobs, error) {
+	got, err := a.Feed.ReadTable(ctx, jobs.JobTable)
 	if err != nil {
-		return nil, err
+		return storedJobs{}, err
 	}
-	states := make(map[croft.JobID]croft.Row, len(got.Rows))
-	for _, row := range got.Rows {
+	states, err := a.Feed.ReadTable(ctx, jobs.StateTable)
+	if err != nil {
+		return storedJobs{}, err
+	}
+	stored := storedJobs{rows: got.Rows, version: got.Version, states: make(map[croft.JobID]croft.Row, len(states.Rows)), statesVersion: states.Version}
+	for _, row := range states.Rows {
 		if _, id, err := jobs.SplitKey(row.Key); err == nil {
-			states[id] = row
+			stored.states[id] = row
 		}
 	}
-	return states, nil
+	return stored, nil
 }
 
-// joinJobStates joins job rows with their state rows. Where whole is not set, the rows are of new jobs, which
-// are still in the state with which they were stored. Unreadable rows are logged and skipped.
-func (a *Agent) joinJobStates(rows []croft.Row, states map[croft.JobID]croft.Row, whole bool) []sched.JobRow {
+// joinJobStates joins job rows with their state rows. If stored is nil, the rows are of new jobs, which are still in the
+// state with which they were stored. Unreadable rows are logged and skipped, and jobs that have ended are skipped.
+func (a *Agent) joinJobStates(rows []croft.Row, stored *storedJobs) []sched.JobRow {
 	out := make([]sched.JobRow, 0, len(rows))
 	for _, row := range rows {
 		part, id, err := jobs.SplitKey(row.Key)
@@ -171,17 +191,18 @@
 			a.Log.Error("Unreadable", row.Key, err.Error())
 			continue
 		}
-		if whole {
-			state, ok := states[id]
-			if !ok {
-				// The job was submitted after the states were read; the feed or the next read of the whole
-				// table has it again.
+		if stored != nil {
+			state, ok := stored.states[id]
+			if !ok && row.Version <= stored.statesVersion {
+				// The job has ended. One that was stored after the states were read is new.
 				continue
 			}
-			j.Version = state.Version
-			if j.Progress, err = jobs.DecodeProgress(state.Value); err != nil {
-				a.Log.Error("Unreadable", state.Key, err.Error())
-				continue
+			if ok {
+				j.Version = state.Version
+				if j.Progress, err = jobs.DecodeProgress(state.Value); err != nil {
+					a.Log.Error("Unreadable", state.Key, err.Error())
+					continue
+				}
 			}
 		}
 		out = append(out, j)
@@ -189,9 +210,9 @@
 	return out
 }
 
-// followCancels follows the cancellations of jobs while the entry leads.
-func (a *Agent) followCancels(ctx context.Context) {
-	a.follow(ctx, "cancels", func(ctx context.Context, after uint64) (uint64, error) {
+// followCancels follows the cancellations of jobs after a version while the entry leads.
+func (a *Agent) followCancels(ctx context.Context, after uint64) {
+	a.follow(ctx, "cancels", after, func(ctx context.Context, after uint64) (uint64, error) {
 		got, err := a.readOrFollow(ctx, jobs.CancelTable, after, followWait)
 		if err != nil {
 			return after, err
--- /dev/null
+++ b/agent/standby_test.go
@@ -0,0 +1,230 @@
+package agent
+
+import (
+	"cmp"
+	"context"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"waxwing.example/croft"
+	"waxwing.example/croft/clock"
+	"waxwing.example/croft/jobs"
+	"waxwing.example/croft/leader"
+	"waxwing.example/croft/logs"
+	"waxwing.example/croft/sched"
+	"waxwing.example/croft/setup"
+	"waxwing.example/croft/stats"
+)
+
+// fakeFeed is a store whose feeds answer at once; each write is a transaction of its own.
+type fakeFeed struct {
+	mu      sync.Mutex
+	version uint64
+	rows    map[string]croft.Row
+	// gone has the versions at which rows were deleted.
+	gone map[string]uint64
+	// partSilent reports that a part of the store does not answer, so that no table can be read as a whole.
+	partSilent bool
+	// historyGone reports that the feeds have no changes any more.
+	historyGone bool
+	// reads counts the reads of whole tables.
+	reads int
+}
+
+func newFakeFeed() *fakeFeed {
+	return &fakeFeed{version: 1, rows: map[string]croft.Row{}, gone: map[string]uint64{}}
+}
+
+// put writes rows in one transaction.
+func (f *fakeFeed) put(values map[string][]byte) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version++
+	for key, value := range values {
+		f.rows[key] = croft.Row{Key: key, Version: f.version, Value: value}
+		delete(f.gone, key)
+	}
+	return f.version
+}
+
+// set sets a fault of the feed.
+func (f *fakeFeed) set(fault *bool, value bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	*fault = value
+}
+
+func (f *fakeFeed) readCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reads
+}
+
+func (f *fakeFeed) Follow(ctx context.Context, table string, after uint64, wait croft.Millis) (croft.Changes, error) {
+	if wait > catchUpWait {
+		select {
+		case <-ctx.Done():
+		case <-time.After(2 * time.Millisecond):
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.historyGone {
+		return croft.Changes{}, croft.ErrHistoryGone
+	}
+	return f.changes(table, after), ctx.Err()
+}
+
+func (f *fakeFeed) ReadTable(_ context.Context, table string) (croft.Changes, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reads++
+	if f.partSilent {
+		return croft.Changes{}, &croft.LostAnswerError{Reason: "a part does not answer"}
+	}
+	return f.changes(table, 0), nil
+}
+
+func (f *fakeFeed) changes(table string, after uint64) croft.Changes {
+	out := croft.Changes{Version: f.version}
+	for key, row := range f.rows {
+		if strings.HasPrefix(key, table+"/") && row.Version > after {
+			out.Rows = append(out.Rows, row)
+		}
+	}
+	for key, at := range f.gone {
+		if strings.HasPrefix(key, table+"/") && at > after {
+			out.Gone = append(out.Gone, key)
+		}
+	}
+	return out
+}
+
+const testPart = "q.0"
+
+// putJob stores a job with a status.
+func (f *fakeFeed) putJob(id croft.JobID, status jobs.Status) uint64 {
+	return f.put(map[string][]byte{
+		jobs.Key(jobs.JobTable, testPart, id):   jobs.Encode(jobs.Record{Queue: "q", Pool: "p"}),
+		jobs.Key(jobs.StateTable, testPart, id): jobs.Encode(jobs.Progress{Status: status}),
+	})
+}
+
+// putStatus stores the status of a job.
+func (f *fakeFeed) putStatus(id croft.JobID, status jobs.Status) uint64 {
+	return f.put(map[string][]byte{jobs.Key(jobs.StateTable, testPart, id): jobs.Encode(jobs.Progress{Status: status})})
+}
+
+// newTestAgent returns an agent on a feed, without its goroutines, and a context that ends with the test.
+func newTestAgent(t *testing.T, feed *fakeFeed) (*Agent, context.Context) {
+	t.Helper()
+	systemClock := clock.NewSystem()
+	log := logs.New(io.Discard, setup.Log{Level: "info", Format: "json", Queue: 64}, systemClock)
+	t.Cleanup(log.Close)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	return New(Options{
+		Self: "one", Election: leader.New("one", 0, 3*croft.Second, nil, systemClock), Feed: feed, Clock: systemClock, Log: log, Stats: stats.New(),
+	}), ctx
+}
+
+// standBy has an agent stand by until its copies contain everything up to a version.
+func standBy(ctx context.Context, t *testing.T, a *Agent, version uint64) {
+	t.Helper()
+	a.standby.start(ctx, a)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, c := range []*tableCopy{&a.standby.copies.jobs, &a.standby.copies.states} {
+			c.mu.Lock()
+			at := c.version
+			c.mu.Unlock()
+			if at < version {
+				return poll.Continue("copy at version %d, want %d", at, version)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+}
+
+// firstJobs has the agent lead and returns the IDs of the jobs that its planner begins with, sorted.
+func firstJobs(ctx context.Context, t *testing.T, a *Agent, fence uint64) []croft.JobID {
+	t.Helper()
+	go a.followJobs(ctx, fence)
+	for {
+		select {
+		case e := <-a.events:
+			read, ok := e.(sched.JobsRead)
+			if !ok || !read.Whole {
+				continue
+			}
+			slices.SortFunc(read.Jobs, func(x, y sched.JobRow) int { return cmp.Compare(x.ID, y.ID) })
+			var ids []croft.JobID
+			for _, row := range read.Jobs {
+				ids = append(ids, row.ID)
+			}
+			return ids
+		case <-time.After(5 * time.Second):
+			t.Fatal("the planner got no stored jobs")
+		}
+	}
+}
+
+// Guards against a takeover that waits while a part of the store is silent: a new leader read all tables first, and for
+// 3.4 s nobody placed tasks, of any queue.
+func TestStandbyTakesOverWhileAPartOfTheStoreIsSilent(t *testing.T) {
+	feed := newFakeFeed()
+	feed.putJob("waiting", jobs.Pending)
+	version := feed.putJob("ended", jobs.Done)
+	a, ctx := newTestAgent(t, feed)
+	standBy(ctx, t, a, version)
+	feed.set(&feed.partSilent, true)
+	feed.putJob("new", jobs.Pending)
+	fence := feed.putStatus("waiting", jobs.Running)
+	assert.DeepEqual(t, firstJobs(ctx, t, a, fence), []croft.JobID{"new", "waiting"})
+}
+
+// Guards against a leader that begins with an old copy: what was stored before its term is part of it.
+func TestStandbyCatchesUpToItsTerm(t *testing.T) {
+	feed := newFakeFeed()
+	version := feed.putJob("a", jobs.Pending)
+	a, ctx := newTestAgent(t, feed)
+	standBy(ctx, t, a, version)
+	// The feeds end before the last changes.
+	a.standby.mu.Lock()
+	a.standby.stop()
+	a.standby.mu.Unlock()
+	feed.putJob("b", jobs.Pending)
+	fence := feed.putStatus("a", jobs.Canceled)
+	assert.DeepEqual(t, firstJobs(ctx, t, a, fence), []croft.JobID{"b"})
+}
+
+func TestStandbyReadsAllJobsOnceTheHistoryIsGone(t *testing.T) {
+	feed := newFakeFeed()
+	version := feed.putJob("a", jobs.Pending)
+	a, ctx := newTestAgent(t, feed)
+	standBy(ctx, t, a, version)
+	reads := feed.readCount()
+	a.standby.mu.Lock()
+	a.standby.stop()
+	a.standby.mu.Unlock()
+	feed.set(&feed.historyGone, true)
+	fence := feed.putJob("b", jobs.Pending)
+	assert.DeepEqual(t, firstJobs(ctx, t, a, fence), []croft.JobID{"a", "b"})
+	assert.Assert(t, feed.readCount() > reads)
+}
+
+// Guards against a job that stays unknown: it was stored between the reads of the two tables, and its state was missing.
+func TestJobStoredAfterTheStatesWereReadIsNew(t *testing.T) {
+	a, _ := newTestAgent(t, newFakeFeed())
+	row := croft.Row{Key: jobs.Key(jobs.JobTable, testPart, "a"), Version: 7, Value: jobs.Encode(jobs.Record{Queue: "q"})}
+	got := a.joinJobStates([]croft.Row{row}, &storedJobs{statesVersion: 6})
+	assert.Equal(t, len(got), 1)
+	assert.Equal(t, got[0].Version, uint64(7))
+	assert.Equal(t, len(a.joinJobStates([]croft.Row{row}, &storedJobs{statesVersion: 7})), 0)
+}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -56,6 +56,8 @@
 	Nonce string
 	// Term counts the takeovers.
 	Term int
+	// Rank is the rank of the holder.
+	Rank int
 	// PredecessorRemaining is set in a released row: for how long, from the release on, a leader before the one that
 	// released the row may still give orders, in milliseconds.
 	PredecessorRemaining croft.Millis `json:",omitempty"`
@@ -78,6 +80,7 @@
 // Election follows the leader row, takes the leadership over when the row expires, and renews it.
 type Election struct {
 	self string
+	rank int
 	// rankDelay delays a takeover by this entry, so that candidates don't race.
 	rankDelay croft.Millis
 	lease     croft.Millis
@@ -113,7 +116,7 @@
 
 // New returns an Election for the entry named self; candidates of a higher rank take over later.
 func New(self string, rank int, lease croft.Millis, table croft.Table, clock croft.Clock) *Election {
-	return &Election{self: self, rankDelay: rankSpacing * croft.Millis(rank), lease: lease, table: table, clock: clock}
+	return &Election{self: self, rank: rank, rankDelay: rankSpacing * croft.Millis(rank), lease: lease, table: table, clock: clock}
 }
 
 // ErrNotLeading reports that an order was not sent because this entry does not lead or, for a VM order,
@@ -152,6 +155,17 @@
 	return e.leadership
 }
 
+// standbyRanks is by how many ranks an entry that stands by may come after the leader. The next leader is most likely
+// among these, since the leader was itself the first of the candidates.
+const standbyRanks = 1
+
+// StandsBy reports whether this entry is likely to be the next leader, so that it should know what a leader has to know.
+func (e *Election) StandsBy() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.rowKnown && !e.stopping && e.leadership == nil && e.value.Holder != "" && e.rank <= e.value.Rank+standbyRanks
+}
+
 // StepDown ends this entry's leadership at once, for use when a higher fencing token has been seen. The
 // entry takes over again only after the row has stayed unchanged for the usual time from now.
 func (e *Election) StepDown() {
@@ -274,7 +288,7 @@
 		e.mu.Unlock()
 		return
 	}
-	value := leaderRow{Holder: e.self, Nonce: uuid.NewString(), Term: e.value.Term}
+	value := leaderRow{Holder: e.self, Nonce: uuid.NewString(), Term: e.value.Term, Rank: e.rank}
 	expected := e.row.Version
 	vmsFrom := e.unchangedSince + e.lease
 	if e.value.Holder == "" {
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -297,3 +297,13 @@
 	assert.Equal(t, two.Leadership().Term, 2)
 	assert.Assert(t, two.GuardVMOrders() != nil || one.GuardVMOrders() != nil)
 }
+
+// Entries whose rank is close to the leader's stand by; the leader itself and distant ones do not.
+func TestEntriesNextInRankStandBy(t *testing.T) {
+	table, c, one, two := newCandidates()
+	far := candidate{New("far", 5, lease, table, c), table}
+	far.Observe(croft.Changes{}, true)
+	assert.Assert(t, !two.StandsBy())
+	advance(c, croft.Second, one, two, far)
+	assert.Assert(t, !one.StandsBy() && two.StandsBy() && !far.StandsBy())
+}
