agent: the row of a wave is written by compare-and-set, with the leader's fencing token

Cause: rows of waves were written without a version. A late write of a former leader replaced its successor's, so that a third leader did not know of VMs under maintenance and could order more than the wave allows. And the goroutine of an ended term could take and drop the report of the next one, for which a wave then waited without end.

Change: each write expects the version that was read or written last. On a conflict with a former leader's write the planner gets its content and reports anew; on one with a later leader's this entry steps down. Each term has a writer of its own.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -38,7 +38,6 @@
 	goroutines  goroutinePool
 	events      chan sched.Event
 	standby     standby
-	waveReports waveWriter
 	loadReports loadWriter
 
 	mu sync.Mutex
@@ -47,6 +46,8 @@
 	// leadingCtx is the context of the work that runs only while the entry leads; it ends with the
 	// current term. It is nil if the entry does not lead.
 	leadingCtx context.Context
+	// waveReports is the writer of the current term; it is nil if the entry does not lead.
+	waveReports *waveWriter
 	// storeAnsweredAt is when the store last answered; storeFailures counts the failed calls since.
 	storeAnsweredAt croft.Millis
 	storeFailures   int
@@ -75,7 +76,7 @@
 // New returns an entry; Run starts it.
 func New(options Options) *Agent {
 	a := &Agent{Options: options, planner: sched.New(options.Planner), goroutines: newGoroutinePool(), events: make(chan sched.Event, eventQueueSize)}
-	a.waveReports.agent, a.loadReports.agent = a, a
+	a.loadReports.agent = a
 	return a
 }
 
@@ -183,12 +184,14 @@
 	a.mu.Lock()
 	if a.stopLeading != nil {
 		a.stopLeading()
-		a.stopLeading, a.leadingCtx = nil, nil
+		a.stopLeading, a.leadingCtx, a.waveReports = nil, nil, nil
 	}
 	var leadingCtx context.Context
+	var reports *waveWriter
 	if term != nil {
 		leadingCtx, a.stopLeading = context.WithCancel(ctx)
-		a.leadingCtx = leadingCtx
+		reports = newWaveWriter(a, term.Fence)
+		a.leadingCtx, a.waveReports = leadingCtx, reports
 	}
 	a.mu.Unlock()
 	a.Stats.SetLeading(term != nil)
@@ -201,5 +204,5 @@
 	a.post(ctx, sched.LeadershipAcquired{Fence: term.Fence, Term: term.Term, VMOrdersFrom: term.VMOrdersFrom})
 	go a.followWorkers(leadingCtx)
 	go a.followJobs(leadingCtx, term.Fence)
-	go a.readWaves(leadingCtx)
+	go a.readWaves(leadingCtx, reports)
 }
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"strings"
 
 	"waxwing.example/croft"
 	"waxwing.example/croft/jobs"
@@ -229,28 +228,3 @@
 		return got.Version, nil
 	})
 }
-
-// readWaves reads, once a term, for which VMs former leaders have begun or ordered maintenance.
-func (a *Agent) readWaves(ctx context.Context) {
-	for ctx.Err() == nil {
-		got, err := a.Feed.ReadTable(ctx, waveTable)
-		if err != nil {
-			a.Log.Warn("Feed", "waves", err.Error())
-			if a.Clock.Sleep(ctx, retryDelay) != nil {
-				return
-			}
-			continue
-		}
-		rows := sched.WaveRowsRead{Begun: map[int][]croft.VMID{}, Ordered: map[int][]croft.VMID{}}
-		for _, row := range got.Rows {
-			number, value, err := decodeWave(strings.TrimPrefix(row.Key, waveTable+"//"), row.Value)
-			if err != nil {
-				a.Log.Error("Unreadable", row.Key, err.Error())
-				continue
-			}
-			rows.Begun[number], rows.Ordered[number] = value.Begun, value.Ordered
-		}
-		a.post(ctx, rows)
-		return
-	}
-}
--- a/agent/perform.go
+++ b/agent/perform.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"strconv"
 	"sync"
 
 	"waxwing.example/croft"
@@ -25,8 +23,12 @@
 		return
 	}
 	a.mu.Lock()
-	ctx := a.leadingCtx
+	ctx, reports := a.leadingCtx, a.waveReports
 	a.mu.Unlock()
+	if report, ok := effect.(sched.ReportWave); ok && ctx != nil {
+		reports.submit(ctx, report)
+		return
+	}
 	if ctx != nil {
 		a.performAsLeader(ctx, effect)
 	}
@@ -57,8 +59,6 @@
 				a.post(ctx, sched.Woken{})
 			}
 		})
-	case sched.ReportWave:
-		a.waveReports.submit(ctx, e)
 	case sched.PublishLoads:
 		for id, load := range e.Loads {
 			a.Stats.SetQueue(id, load.Waiting, load.Oldest)
@@ -104,89 +104,6 @@
 	a.post(ctx, sched.Advised{Advise: e, Tickets: tickets, Valid: valid, Err: err})
 }
 
-// waveTable is the name of the table that records the VMs of each wave whose maintenance has begun or may have
-// been ordered.
-const waveTable = "wave"
-
-// waveRow is the value of a row of waveTable; the row's key is the number of the wave.
-type waveRow struct {
-	Begun   []croft.VMID `json:",omitempty"`
-	Ordered []croft.VMID `json:",omitempty"`
-}
-
-// decodeWave decodes a row of waveTable; key is the part of its key after the prefix.
-func decodeWave(key string, raw []byte) (int, waveRow, error) {
-	number, err := strconv.Atoi(key)
-	if err != nil {
-		return 0, waveRow{}, err
-	}
-	var row waveRow
-	err = json.Unmarshal(raw, &row)
-	return number, row, err
-}
-
-// waveWriter stores and publishes the newest state of each wave, with one write at a time for each wave.
-type waveWriter struct {
-	agent *Agent
-	mu    sync.Mutex
-	// pending has the newest report of each wave that is still to be written.
-	pending map[int]sched.ReportWave
-	// writing has the waves for which a goroutine runs write.
-	writing map[int]bool
-}
-
-// submit queues a report, which replaces an older pending one of the same wave.
-func (w *waveWriter) submit(ctx context.Context, e sched.ReportWave) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.pending == nil {
-		w.pending, w.writing = map[int]sched.ReportWave{}, map[int]bool{}
-	}
-	w.pending[e.Number] = e
-	if !w.writing[e.Number] {
-		w.writing[e.Number] = true
-		go w.write(ctx, e.Number)
-	}
-}
-
-// write writes the pending reports of a wave until there is none; it retries failed ones unless there is a
-// newer report.
-func (w *waveWriter) write(ctx context.Context, number int) {
-	for {
-		w.mu.Lock()
-		e, ok := w.pending[number]
-		delete(w.pending, number)
-		if !ok || ctx.Err() != nil {
-			w.writing[number] = false
-			w.mu.Unlock()
-			return
-		}
-		w.mu.Unlock()
-		if err := w.writeReport(ctx, e); err != nil {
-			w.agent.Log.Warn("Wave", strconv.Itoa(number), err.Error())
-			w.mu.Lock()
-			if _, newer := w.pending[number]; !newer {
-				w.pending[number] = e
-			}
-			w.mu.Unlock()
-			if w.agent.Clock.Sleep(ctx, retryDelay) != nil {
-				continue
-			}
-		}
-	}
-}
-
-// writeReport stores a report, confirms that to the planner and publishes whether the wave is finished.
-func (w *waveWriter) writeReport(ctx context.Context, e sched.ReportWave) error {
-	key := waveTable + "//" + strconv.Itoa(e.Number)
-	ops := []croft.Op{{Kind: croft.OpPut, Key: key, Version: croft.AnyVersion, Value: jobs.Encode(waveRow{Begun: e.Begun, Ordered: e.Ordered})}}
-	if _, err := w.agent.Table.Commit(ctx, ops); err != nil {
-		return err
-	}
-	w.agent.post(ctx, sched.WaveStored{ReportWave: e})
-	return w.agent.Fleet.ReportWave(ctx, e.Number, e.Finished)
-}
-
 // loadsKey is the key of the row in which the leader publishes the load of each queue.
 const loadsKey = leader.Table + "//loads"
 
--- a/sched/events.go
+++ b/sched/events.go
@@ -86,7 +86,8 @@
 	IDs []croft.JobID
 }
 
-// WaveRowsRead contains what former leaders stored about waves, read once a term.
+// WaveRowsRead contains what former leaders stored about waves: all of it at the start of a term, or a row that was found to
+// be written since.
 type WaveRowsRead struct {
 	eventMarker
 	// Begun has the VMs whose maintenance has begun, by wave.
--- a/sched/wave.go
+++ b/sched/wave.go
@@ -76,11 +76,18 @@
 	}
 }
 
-// handleWaveRowsRead records what former leaders stored about waves.
+// handleWaveRowsRead records what former leaders stored about waves, at the start of the term or, for a single wave, when a
+// write of a former leader is found later; that wave is reported anew with both.
 func (p *Planner) handleWaveRowsRead(e WaveRowsRead) {
-	p.inheritedBegun, p.inheritedOrders = e.Begun, e.Ordered
 	if p.inheritedBegun == nil {
-		p.inheritedBegun = map[int][]croft.VMID{}
+		p.inheritedBegun, p.inheritedOrders = map[int][]croft.VMID{}, map[int][]croft.VMID{}
+	}
+	maps.Copy(p.inheritedBegun, e.Begun)
+	maps.Copy(p.inheritedOrders, e.Ordered)
+	for number := range e.Begun {
+		if w, ok := p.waves[number]; ok {
+			w.historyApplied, w.initialReportSent = false, false
+		}
 	}
 }
 
