intake: submissions to a part of the store share a transaction while one is in flight

Cause: each submission was a transaction of its own.

Change: one transaction at a time for each part and entry, of up to 25 jobs. A job whose transaction was never sent, or was refused, is answered as not stored; after a lost answer the next transaction may take twice as long, since a repetition adds to the load of a slow store.

--- /dev/null
+++ b/intake/group.go
@@ -0,0 +1,245 @@
+package intake
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"waxwing.example/croft"
+)
+
+// Limits of grouped transactions.
+const (
+	// maxGroup keeps a transaction within the store's limit of 100 entries, with four for a submission: the expected
+	// version of the state and three rows.
+	maxGroup = 25
+	// maxGroupBytes keeps a transaction well below the store's limit of 1 MB, in which values are base64.
+	maxGroupBytes = 512 << 10
+	// baseCommitTimeout bounds the first transaction of a part; each one whose answer is lost doubles the bound up to
+	// maxCommitTimeout, since a repetition adds to the load of a slow store.
+	baseCommitTimeout = 1200 * croft.Millis(1)
+	maxCommitTimeout  = 2800 * croft.Millis(1)
+)
+
+// submission is a job that waits until its transaction has an outcome.
+type submission struct {
+	// stateKey is the key of the job's state row, whose existence shows that the job is stored.
+	stateKey string
+	ops      []croft.Op
+	began    croft.Millis
+	// sent reports that a transaction with the job was sent, and mayBeStored that the outcome of one is unknown.
+	sent, mayBeStored bool
+	lastErr           error
+	// decided is closed once outcome and reason are final.
+	decided chan struct{}
+	outcome Outcome
+	reason  string
+}
+
+// groupWriter stores submissions with one transaction at a time for each part. Submissions to a part that arrive meanwhile
+// share the next transaction: a slow store takes as long for one job as for many.
+type groupWriter struct {
+	table croft.Table
+	clock croft.Clock
+
+	mu    sync.Mutex
+	parts map[string]*partQueue
+}
+
+// partQueue has the submissions of one part that are not decided.
+type partQueue struct {
+	waiting []*submission
+	// writing reports that a goroutine runs write.
+	writing bool
+	timeout croft.Millis
+}
+
+// submit stores a job in a part and returns its outcome, or the best that is known once the caller's context ends. A
+// submission that the store keeps refusing is abandoned, so that the caller can try another entry.
+func (g *groupWriter) submit(ctx context.Context, part, stateKey string, ops []croft.Op) (Outcome, string) {
+	s := &submission{stateKey: stateKey, ops: ops, began: g.clock.Elapsed(), decided: make(chan struct{})}
+	g.enqueue(part, s)
+	select {
+	case <-s.decided:
+	case <-ctx.Done():
+		g.abandon(part, s, ctx.Err())
+	}
+	return s.outcome, s.reason
+}
+
+// enqueue queues a submission and starts the part's write goroutine if it does not run.
+func (g *groupWriter) enqueue(part string, s *submission) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	q, ok := g.parts[part]
+	if !ok {
+		q = &partQueue{timeout: baseCommitTimeout}
+		g.parts[part] = q
+	}
+	q.waiting = append(q.waiting, s)
+	if !q.writing {
+		q.writing = true
+		go g.write(q)
+	}
+}
+
+// abandon decides a submission whose caller's context has ended: a job that was never sent is certainly not stored.
+func (g *groupWriter) abandon(part string, s *submission, cause error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case <-s.decided:
+		return
+	default:
+	}
+	if s.lastErr != nil {
+		cause = s.lastErr
+	}
+	outcome := Unavailable
+	if s.sent {
+		outcome = Unknown
+	}
+	s.decide(outcome, cause.Error())
+	g.parts[part].drop(s)
+}
+
+// decide sets the final outcome; the caller holds the writer's lock.
+func (s *submission) decide(outcome Outcome, reason string) {
+	s.outcome, s.reason = outcome, reason
+	close(s.decided)
+}
+
+// isDecided reports whether the outcome is final.
+func (s *submission) isDecided() bool {
+	select {
+	case <-s.decided:
+		return true
+	default:
+		return false
+	}
+}
+
+// drop removes a submission from the waiting ones.
+func (q *partQueue) drop(s *submission) {
+	for i, other := range q.waiting {
+		if other == s {
+			q.waiting = append(q.waiting[:i:i], q.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// write commits the submissions of a part, group after group, until none waits.
+func (g *groupWriter) write(q *partQueue) {
+	alone := false
+	for {
+		group, timeout := g.nextGroup(q, alone)
+		if len(group) == 0 {
+			return
+		}
+		var ops []croft.Op
+		for _, s := range group {
+			ops = append(ops, s.ops...)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), timeout.Duration())
+		_, err := g.table.Commit(ctx, ops)
+		cancel()
+		var settled bool
+		if settled, alone = g.settle(q, group, err); !settled {
+			_ = g.clock.Sleep(context.Background(), retryDelay)
+		}
+	}
+}
+
+// nextGroup returns the submissions of the next transaction, or ends the part's writing if none waits. Each job is in a
+// group once; alone limits the group to one submission.
+func (g *groupWriter) nextGroup(q *partQueue, alone bool) ([]*submission, croft.Millis) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var group []*submission
+	bytes, keys := 0, map[string]bool{}
+	for _, s := range q.waiting {
+		size := 0
+		for _, op := range s.ops {
+			size += len(op.Key) + len(op.Value)
+		}
+		if len(group) > 0 && (alone || len(group) == maxGroup || bytes+size > maxGroupBytes) {
+			break
+		}
+		if keys[s.stateKey] {
+			continue
+		}
+		keys[s.stateKey] = true
+		bytes += size
+		s.sent = true
+		group = append(group, s)
+	}
+	q.writing = len(group) > 0
+	return group, q.timeout
+}
+
+// settle applies the outcome of a transaction to its submissions. It reports whether the next transaction may be sent at
+// once, and whether it has to be that of a single submission.
+func (g *groupWriter) settle(q *partQueue, group []*submission, err error) (settled, alone bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var conflict *croft.ConflictError
+	var unavailable *croft.UnavailableError
+	switch {
+	case err == nil:
+		q.timeout = baseCommitTimeout
+		for _, s := range group {
+			q.accept(s, "stored")
+		}
+		return true, false
+	case errors.As(err, &conflict):
+		q.timeout = baseCommitTimeout
+		return true, q.acceptStored(group, conflict)
+	case errors.As(err, &unavailable):
+		for _, s := range group {
+			s.lastErr = err
+			if !s.mayBeStored && g.clock.Elapsed()-s.began > refusalTimeout && !s.isDecided() {
+				s.decide(Unavailable, err.Error())
+				q.drop(s)
+				continue
+			}
+			s.sent = s.mayBeStored
+		}
+	default:
+		// The transaction may still be applied. Repeating it is safe, since it requires that the state rows do not exist.
+		q.timeout = min(2*q.timeout, maxCommitTimeout)
+		for _, s := range group {
+			s.lastErr, s.mayBeStored = err, true
+		}
+	}
+	return false, false
+}
+
+// accept decides a submission as accepted.
+func (q *partQueue) accept(s *submission, reason string) {
+	if !s.isDecided() {
+		s.decide(Accepted, reason)
+	}
+	q.drop(s)
+}
+
+// acceptStored accepts the submissions whose state row exists according to a conflict; the others were not stored with
+// them. It reports whether they have to be sent one by one, since the conflict does not tell which of them exist.
+func (q *partQueue) acceptStored(group []*submission, conflict *croft.ConflictError) bool {
+	existing := map[string]bool{}
+	for _, row := range conflict.Rows {
+		if row.Version > 0 {
+			existing[row.Key] = true
+		}
+	}
+	found := 0
+	for _, s := range group {
+		if existing[s.stateKey] || len(group) == 1 {
+			q.accept(s, "already stored")
+			found++
+		} else {
+			s.sent = s.mayBeStored
+		}
+	}
+	return found == 0
+}
--- /dev/null
+++ b/intake/group_test.go
@@ -0,0 +1,140 @@
+package intake
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"waxwing.example/croft"
+	"waxwing.example/croft/clock"
+	"waxwing.example/croft/jobs"
+)
+
+// slowTable is a table that takes one transaction at a time in each part, and some time for each.
+type slowTable struct {
+	fakeTable
+	mu sync.Mutex
+	// duration is how long a transaction takes.
+	duration time.Duration
+	// fail returns the error of a transaction, before it is applied, nil for none.
+	fail func(n int) error
+	// commits counts the transactions, and most is the largest number of operations in one.
+	commits, most int
+}
+
+func (t *slowTable) Commit(ctx context.Context, ops []croft.Op) (uint64, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.commits++
+	t.most = max(t.most, len(ops))
+	time.Sleep(t.duration)
+	if t.fail != nil {
+		if err := t.fail(t.commits); err != nil {
+			return 0, err
+		}
+	}
+	conflict := &croft.ConflictError{}
+	for _, op := range ops {
+		if row := t.rows[op.Key]; op.Version != croft.AnyVersion && row.Version != op.Version {
+			row.Key = op.Key
+			conflict.Rows = append(conflict.Rows, row)
+		}
+	}
+	if len(conflict.Rows) > 0 {
+		return 0, conflict
+	}
+	return t.fakeTable.Commit(ctx, ops)
+}
+
+// submitMany submits jobs to one part at once and returns their outcomes.
+func submitMany(t *testing.T, store croft.Table, ids []croft.JobID, patience time.Duration) []Outcome {
+	t.Helper()
+	g := &groupWriter{table: store, clock: clock.NewSystem(), parts: map[string]*partQueue{}}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	outcomes := make([]Outcome, len(ids))
+	var group sync.WaitGroup
+	for i, id := range ids {
+		group.Go(func() {
+			key := jobs.Key(jobs.StateTable, "q.0", id)
+			outcomes[i], _ = g.submit(ctx, "q.0", key, []croft.Op{
+				{Kind: croft.OpPut, Key: key, Value: []byte(id)},
+				{Kind: croft.OpPut, Key: jobs.Key(jobs.JobTable, "q.0", id), Version: croft.AnyVersion, Value: []byte(id)},
+			})
+		})
+	}
+	group.Wait()
+	return outcomes
+}
+
+func jobIDs(n int) []croft.JobID {
+	var ids []croft.JobID
+	for i := range n {
+		ids = append(ids, croft.JobID(fmt.Sprintf("%016x", i)))
+	}
+	return ids
+}
+
+func countOutcomes(outcomes []Outcome) map[Outcome]int {
+	counts := map[Outcome]int{}
+	for _, outcome := range outcomes {
+		counts[outcome]++
+	}
+	return counts
+}
+
+// The load of a turn on a slow store: sixty jobs for one part within the time of a few transactions. Each was a
+// transaction of its own, and most callers' deadlines passed in the store's queue.
+func TestSubmissionsToASlowPartShareTransactions(t *testing.T) {
+	store := &slowTable{fakeTable: fakeTable{rows: map[string]croft.Row{}}, duration: 100 * time.Millisecond}
+	outcomes := submitMany(t, store, jobIDs(60), time.Second)
+	assert.Equal(t, countOutcomes(outcomes)[Accepted], 60)
+	assert.Assert(t, store.commits <= 5, "%d transactions", store.commits)
+	assert.Assert(t, store.most <= 2*maxGroup)
+}
+
+// One job of a group that is stored already, since its caller repeats it, does not keep the others from being stored.
+func TestStoredJobDoesNotFailItsGroup(t *testing.T) {
+	store := &slowTable{fakeTable: fakeTable{rows: map[string]croft.Row{}}, duration: 10 * time.Millisecond}
+	ids := jobIDs(8)
+	submitMany(t, store, ids[:3], time.Second)
+	outcomes := submitMany(t, store, append(ids, ids[5]), time.Second)
+	assert.Equal(t, countOutcomes(outcomes)[Accepted], 9)
+	assert.Equal(t, len(store.rows), 16)
+}
+
+// A lost answer leaves all jobs of a transaction uncertain; the repetition shows whether they are stored.
+func TestLostAnswerOfAGroupIsResolved(t *testing.T) {
+	store := &slowTable{fakeTable: fakeTable{rows: map[string]croft.Row{}}}
+	store.fail = func(n int) error {
+		if n > 1 {
+			return nil
+		}
+		return &croft.LostAnswerError{Reason: "test"}
+	}
+	outcomes := submitMany(t, store, jobIDs(5), time.Second)
+	assert.Equal(t, countOutcomes(outcomes)[Accepted], 5)
+}
+
+// While the answers of the store stay away, a job that was sent may be stored, and one that still waits is not.
+func TestCallersLeaveWhileTheStoreIsSilent(t *testing.T) {
+	store := &slowTable{fakeTable: fakeTable{rows: map[string]croft.Row{}}, duration: 300 * time.Millisecond}
+	store.fail = func(int) error { return &croft.LostAnswerError{Reason: "test"} }
+	counts := countOutcomes(submitMany(t, store, jobIDs(60), 100*time.Millisecond))
+	assert.Assert(t, counts[Unknown] >= 1 && counts[Unknown] <= maxGroup, "%v", counts)
+	assert.Equal(t, counts[Unavailable], 60-counts[Unknown])
+}
+
+// A store that refuses transactions has stored none, so the callers are told so within refusalTimeout.
+func TestRefusedGroupIsNotStored(t *testing.T) {
+	store := &slowTable{fakeTable: fakeTable{rows: map[string]croft.Row{}}}
+	store.fail = func(int) error { return &croft.UnavailableError{Reason: "test"} }
+	began := time.Now()
+	counts := countOutcomes(submitMany(t, store, jobIDs(5), 5*time.Second))
+	assert.Equal(t, counts[Unavailable], 5)
+	assert.Assert(t, time.Since(began) < 2*refusalTimeout.Duration())
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -51,6 +51,7 @@
 // Intake stores callers' jobs, reports their status and cancels them; it is safe for concurrent use.
 type Intake struct {
 	table          croft.Table
+	writer         groupWriter
 	clock          croft.Clock
 	log            croft.DecisionLog
 	storeAvailable func() bool
@@ -66,7 +67,10 @@
 
 // New returns an Intake without a configuration; storeAvailable reports whether the store has answered recently.
 func New(table croft.Table, clock croft.Clock, log croft.DecisionLog, storeAvailable func() bool) *Intake {
-	return &Intake{table: table, clock: clock, log: log, storeAvailable: storeAvailable}
+	return &Intake{
+		table: table, writer: groupWriter{table: table, clock: clock, parts: map[string]*partQueue{}},
+		clock: clock, log: log, storeAvailable: storeAvailable,
+	}
 }
 
 // Configure puts a configuration into use, unless the one in use is as new or newer.
@@ -110,7 +114,8 @@
 		i.logDecision("Submit", id, string(Unavailable), fmt.Sprintf("queue %s: the store does not answer this entry", q.ID))
 		return Unavailable, retryAfter
 	}
-	outcome, reason := i.commitSubmission(ctx, i.submissionOps(q, id, spec))
+	part := jobs.Part(q.ID, id)
+	outcome, reason := i.writer.submit(ctx, part, jobs.Key(jobs.StateTable, part, id), i.submissionOps(q, id, spec))
 	i.logDecision("Submit", id, string(outcome), fmt.Sprintf("queue %s: %s", q.ID, reason))
 	return outcome, retryAfter
 }
@@ -136,38 +141,6 @@
 	}
 }
 
-// commitSubmission repeats the transaction of a submission until its outcome is known or the caller's context
-// ends. A submission that the store keeps refusing is abandoned, so that the caller can try another entry. It
-// also returns the reason for the log.
-func (i *Intake) commitSubmission(ctx context.Context, ops []croft.Op) (Outcome, string) {
-	mayBeStored, began := false, i.clock.Elapsed()
-	for {
-		_, err := i.table.Commit(ctx, ops)
-		var conflict *croft.ConflictError
-		var unavailable *croft.UnavailableError
-		switch {
-		case err == nil:
-			return Accepted, "stored"
-		case errors.As(err, &conflict):
-			return Accepted, "already stored"
-		case errors.As(err, &unavailable):
-		default:
-			// The transaction may still be applied. Repeating it is safe, since it requires that the
-			// state row does not exist.
-			mayBeStored = true
-		}
-		if !mayBeStored && i.clock.Elapsed()-began > refusalTimeout {
-			return Unavailable, err.Error()
-		}
-		if i.clock.Sleep(ctx, retryDelay) != nil || ctx.Err() != nil {
-			if mayBeStored {
-				return Unknown, err.Error()
-			}
-			return Unavailable, err.Error()
-		}
-	}
-}
-
 // isStored reports whether a job is known to be stored; it returns false if the store does not answer.
 func (i *Intake) isStored(ctx context.Context, q croft.Queue, id croft.JobID) bool {
 	_, _, err := i.readProgress(ctx, q, id)
