sched: surplus VMs go to a pool that is short rather than to the spare pool

Cause: while one pool had its turn and was short of VMs, the others released theirs to the spare pool, one each 150 ms: the reserve that a lender keeps (half of an equal share) does not hold for the spare pool.

Change: while a pool is short, a VM that another pool would release goes to it.

--- a/sched/scale.go
+++ b/sched/scale.go
@@ -118,11 +118,39 @@
 			}
 		}
 	}
+	if short := p.shortestPool(pools); short != nil {
+		p.lendSurplusVMs(short, pools)
+		return
+	}
 	for _, po := range pools {
 		p.releaseSurplusVM(po)
 	}
 }
 
+// shortestPool returns the pool with the largest deficit of VMs, nil if none has one.
+func (p *Planner) shortestPool(pools []*pool) *pool {
+	var shortest *pool
+	most := 0
+	for _, po := range pools {
+		if deficit := po.demand.current - p.availableVMs(po); deficit > most {
+			shortest, most = po, deficit
+		}
+	}
+	return shortest
+}
+
+// lendSurplusVMs begins the moves of VMs that other pools would release to the spare pool to one that is short.
+func (p *Planner) lendSurplusVMs(short *pool, pools []*pool) {
+	for _, po := range pools {
+		if po == short || p.refusedMoves[moveRoute{po.id, short.id}] || p.availableVMs(short) >= short.demand.current {
+			continue
+		}
+		if id, ok := p.surplusVM(po); ok {
+			p.beginMove(id, short.id)
+		}
+	}
+}
+
 // assessDemand computes how many VMs a pool needs.
 func (p *Planner) assessDemand(po *pool) {
 	var work, endless croft.Resources
@@ -406,20 +434,26 @@
 
 // releaseSurplusVM begins the move of one VM to the spare pool if a pool has had a surplus for some time.
 func (p *Planner) releaseSurplusVM(po *pool) {
-	d := &po.demand
-	keep := max(d.current+keepMarginVMs, int(d.peak*peakPercent/100))
-	if p.availableVMs(po) <= keep || p.now.Elapsed-d.surplusSince < surplusDelay {
-		return
-	}
 	spare, ok := p.sparePool()
 	if !ok || p.refusedMoves[moveRoute{po.id, spare}] {
 		return
 	}
-	if id, ok := p.leastBusyVM(po); ok && len(p.workerOn(id).runs) == 0 {
+	if id, ok := p.surplusVM(po); ok {
 		p.beginMove(id, spare)
 	}
 }
 
+// surplusVM returns a VM without runs of a pool that has had a surplus for some time.
+func (p *Planner) surplusVM(po *pool) (croft.VMID, bool) {
+	d := &po.demand
+	keep := max(d.current+keepMarginVMs, int(d.peak*peakPercent/100))
+	if p.availableVMs(po) <= keep || p.now.Elapsed-d.surplusSince < surplusDelay {
+		return "", false
+	}
+	id, ok := p.leastBusyVM(po)
+	return id, ok && len(p.workerOn(id).runs) == 0
+}
+
 // sparePool returns the first spare pool of the configuration.
 func (p *Planner) sparePool() (croft.PoolID, bool) {
 	for _, r := range p.config.Pools {
--- a/sched/scale_test.go
+++ b/sched/scale_test.go
@@ -102,3 +102,33 @@
 	assert.Equal(t, len(orders), 1)
 	assert.Equal(t, orders[0].Order.Pool, other)
 }
+
+// The load of a turn: one pool needs more VMs than it has, others need few. Guards against VMs that went from idle pools to
+// the spare pool, which takes a move there and a second one back, while a pool was short of VMs.
+func TestSurplusVMsGoToAPoolThatIsShort(t *testing.T) {
+	const idle = croft.PoolID("idle")
+	b := newTestBench(t)
+	b.takeLeadership(1, 0)
+	config := testConfig()
+	config.Config.Version = 2
+	config.Config.Pools = append(config.Config.Pools, croft.PoolRule{ID: idle}, croft.PoolRule{ID: sparePool, Spare: true})
+	b.event(config)
+	entries, vms := testWorkers(12), testFleet(12)
+	for i := range 6 {
+		entries[i].Pool, vms[i].Pool = idle, idle
+	}
+	b.event(WorkersRead{Changes: croft.WorkerChanges{Entries: entries}}, FleetRead{RequestedAt: b.now, VMs: vms})
+	for i := range 12 {
+		b.answerHold(i)
+	}
+	b.event(JobsRead{Jobs: testJobs(8, step(60, 16))})
+	moved := 0
+	for range 60 {
+		for _, o := range effectsOf[OrderVM](b.advance(50)) {
+			assert.Equal(t, o.Order.Pool, testPool)
+			moved++
+		}
+	}
+	// Without a surplus the idle pool keeps half of an equal share, three VMs.
+	assert.Equal(t, moved, 4)
+}
