--- a/agent/wave_test.go
+++ b/agent/wave_test.go
@@ -23,7 +23,9 @@
 	loseAnswer bool
 }
 
-func (s *waveStore) Get(context.Context, string) (croft.Row, error) { return croft.Row{}, croft.ErrNoRow }
+func (s *waveStore) Get(context.Context, string) (croft.Row, error) {
+	return croft.Row{}, croft.ErrNoRow
+}
 
 func (s *waveStore) Scan(context.Context, croft.Range) ([]croft.Row, error) { return nil, nil }
 
