sched: a leader that may have a successor restarts no task whose end it has not read

Cause: a leader that is cut off from the store has orders left until its lease is over, while a successor may have taken over after 40 % of it. Where it saw an executor as gone, it started that executor's tasks again on others that the successor had not reached yet; the successor may have read by then that they were done (model with zone cuts where the cut leader can list VMs: TWICE, a start after the done end was taken note of).

Change: 35 % of the lease after its last renewal a leader is in doubt; until it renews, tasks whose last run ended without being listed wait. Everything else goes on: first starts are covered by what a successor assumes of announced jobs.

TestLeaderInDoubtRestartsNoTaskWhoseEndItHasNotRead failed without it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -156,7 +156,7 @@
 		case e := <-a.events:
 			batch = append(batch, e)
 		case <-ticks:
-			batch = append(batch, sched.Ticked{})
+			batch = append(batch, sched.Ticked{DoubtFrom: a.Election.DoubtFrom()})
 		}
 		for more := true; more && len(batch) < maxBatchEvents; {
 			select {
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -36,6 +36,9 @@
 	delayFactor = 3
 	// gapDecayPercent is the percentage to which the longest gap decays with each renewal.
 	gapDecayPercent = 80
+	// doubtPercent of the lease after a leader's last renewal it must assume that another entry may have taken over; this is
+	// less than unchangedPercent, since clocks differ.
+	doubtPercent = 35
 	// marginDivisor gives the part of the lease that the leader leaves unused, so that orders sent
 	// at the last moment arrive within the lease.
 	marginDivisor = 10
@@ -148,6 +151,18 @@
 	return nil
 }
 
+// DoubtFrom returns from when on, by the monotonic clock, another entry may have taken over unless this one renews its
+// leadership before; zero if it does not lead.
+func (e *Election) DoubtFrom() croft.Millis {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.leadership == nil {
+		return 0
+	}
+	renewed := e.validUntil - e.lease + e.lease/marginDivisor
+	return renewed + e.lease*doubtPercent/100
+}
+
 // Leadership returns the current term of this entry, nil if it does not lead.
 func (e *Election) Leadership() *Leadership {
 	e.mu.Lock()
@@ -304,6 +319,8 @@
 		panic(err)
 	}
 	sentAt := e.clock.Elapsed()
+	ctx, cancel := context.WithTimeout(ctx, (e.lease * unchangedPercent / 100).Duration())
+	defer cancel()
 	version, err := e.table.Commit(ctx, []croft.Op{{Kind: croft.OpPut, Key: Key, Version: expected, Value: encoded}})
 	if err != nil {
 		version, err = e.resolve(ctx, value, err)
--- a/model/perform.go
+++ b/model/perform.go
@@ -195,7 +195,7 @@
 
 // performListFleet delivers the list of VMs, or a failure to a leader that is cut off.
 func (w *World) performListFleet(e sched.ListFleet) {
-	if w.now < w.leader.cutUntil {
+	if w.now < w.leader.cutUntil && !w.leader.listsVMs {
 		w.scheduleForLeader(answerTimeout, func() { w.deliver(sched.FleetRead{RequestedAt: e.RequestedAt}) })
 		return
 	}
--- a/model/workload.go
+++ b/model/workload.go
@@ -236,6 +236,7 @@
 		return
 	}
 	lastRenewal := w.now - w.between(0, renewInterval)
+	l.doubtFrom = lastRenewal + doubtTimeout
 	if w.options.ZoneCuts {
 		w.cutRack(l)
 	}
@@ -255,7 +256,7 @@
 		return
 	}
 	end := w.now + w.between(3000, 18000)
-	l.cutUntil = end
+	l.cutUntil, l.listsVMs = end, w.chance(0.5)
 	for _, v := range w.vms {
 		x := v.executor
 		if x == nil || v.rack != seen.vm.rack {
--- a/model/world.go
+++ b/model/world.go
@@ -42,7 +42,9 @@
 	// leaderValidity is how long after its last renewal a leader gives orders.
 	leaderValidity = 2700 * croft.Millis(1)
 	// takeoverTimeout is how long the leader row must be unchanged before another entry takes over.
-	takeoverTimeout     = 1200 * croft.Millis(1)
+	takeoverTimeout = 1200 * croft.Millis(1)
+	// doubtTimeout is how long after its last renewal a leader has to assume that it may have a successor.
+	doubtTimeout        = 1050 * croft.Millis(1)
 	renewInterval       = 375 * croft.Millis(1)
 	maxStopDuration     = 200 * croft.Millis(1)
 	moveDuration        = 1500 * croft.Millis(1)
@@ -254,8 +256,11 @@
 	alive   bool
 	// storeUnreachable reports that the store rejects its commits, while executors and VMs still accept its orders.
 	storeUnreachable bool
-	// cutUntil is when a cut ends in which it reaches only the executors of its own rack.
+	// cutUntil is when a cut ends in which it reaches only the executors of its own rack and, if listsVMs, the list of VMs.
 	cutUntil croft.Millis
+	listsVMs bool
+	// doubtFrom is from when on it has to assume that it has a successor, zero while it renews its leadership.
+	doubtFrom croft.Millis
 	// vmOrdersFrom is the earliest time at which it may give orders for VMs.
 	vmOrdersFrom croft.Millis
 }
@@ -308,7 +313,7 @@
 
 func (w *World) tick(l *leader) {
 	if l.alive {
-		w.runAs(l, func() { w.deliver(sched.Ticked{}) })
+		w.runAs(l, func() { w.deliver(sched.Ticked{DoubtFrom: l.doubtFrom}) })
 		w.schedule(tickInterval, func() { w.tick(l) })
 	}
 }
--- a/sched/events.go
+++ b/sched/events.go
@@ -36,7 +36,11 @@
 type LeadershipLost struct{ eventMarker }
 
 // Ticked is sent at regular intervals, for work that depends on time.
-type Ticked struct{ eventMarker }
+type Ticked struct {
+	eventMarker
+	// DoubtFrom is from when on another entry may have taken over, by Instant.Elapsed; zero if that is not known.
+	DoubtFrom croft.Millis
+}
 
 // Woken is sent when the duration of a Wake has passed.
 type Woken struct{ eventMarker }
--- a/sched/job.go
+++ b/sched/job.go
@@ -94,6 +94,8 @@
 	run *run
 	// liveRuns counts the runs that may still be active on executors, including run.
 	liveRuns int
+	// unlistedEnd reports that the last run ended without being listed: a successor of this leader may know how it ended.
+	unlistedEnd bool
 	// avoidWorker is the worker on which the last run failed.
 	avoidWorker croft.WorkerID
 	// evicted reports that the planner stopped the task to empty its executor and that it does not serve again yet.
--- a/sched/order.go
+++ b/sched/order.go
@@ -22,7 +22,7 @@
 	t.runNumber = number
 	r := &run{stage: s, index: index, number: number, worker: w, startedAt: p.now.Elapsed, progressedAt: p.now.Elapsed, pace: fullPace}
 	id := s.id(index)
-	t.run = r
+	t.run, t.unlistedEnd = r, false
 	p.addRun(r)
 	order := p.newRunOrder(w, id, number)
 	order.Payload, order.Checkpoint, order.Until = s.job.record.Spec.Payload, t.checkpoint, p.grantLease(w)
--- a/sched/place.go
+++ b/sched/place.go
@@ -306,6 +306,9 @@
 
 // admitsTask reports whether a task may start on a worker, apart from its capacity.
 func (p *Planner) admitsTask(w *worker, s *stage, index int) bool {
+	if s.tasks[index].unlistedEnd && p.mayBeSucceeded() {
+		return false
+	}
 	if !p.satisfiesConstraints(w, s) || (s.tasks[index].liveRuns > 0 && w.runs[s.id(index)] != nil) {
 		return false
 	}
--- a/sched/planner.go
+++ b/sched/planner.go
@@ -32,6 +32,8 @@
 	// vmOrdersFrom is when VMs may first be ordered to move or to be maintained; until then a former leader may do so, and
 	// may grant leases to executors that have not seen this leader's fencing token.
 	vmOrdersFrom croft.Millis
+	// doubtFrom is from when on another entry may have taken over, zero if that is not known.
+	doubtFrom croft.Millis
 	// jobsLoaded reports that all jobs that were stored before the term have been read.
 	jobsLoaded bool
 
@@ -92,7 +94,7 @@
 
 // resetLeaderState drops the state that only a leader has; the configuration and the requested waves are kept.
 func (p *Planner) resetLeaderState() {
-	p.leading, p.jobsLoaded = false, false
+	p.leading, p.jobsLoaded, p.doubtFrom = false, false, 0
 	p.pools = map[croft.PoolID]*pool{}
 	p.workers = map[croft.WorkerID]*worker{}
 	p.sortedPools, p.sortedWorkers = nil, nil
@@ -152,6 +154,8 @@
 // handleAsLeader applies an event that only concerns the leader.
 func (p *Planner) handleAsLeader(e Event) {
 	switch e := e.(type) {
+	case Ticked:
+		p.doubtFrom = e.DoubtFrom
 	case WorkersRead:
 		p.handleWorkersRead(e.Changes)
 	case JobsRead:
@@ -219,6 +223,9 @@
 	p.publishLoads()
 }
 
+// mayBeSucceeded reports that another entry may have taken over, as the last renewal of the leadership is too long ago.
+func (p *Planner) mayBeSucceeded() bool { return p.doubtFrom != 0 && p.now.Elapsed >= p.doubtFrom }
+
 // emit adds an effect to those that Reduce returns.
 func (p *Planner) emit(e Effect) { p.effects = append(p.effects, e) }
 
--- a/sched/takeover_test.go
+++ b/sched/takeover_test.go
@@ -150,3 +150,40 @@
 	}
 	assert.Equal(t, len(starts), 1)
 }
+
+// Guards against a second run of a task that is done: a leader that was cut off from the store started a task of a lost
+// executor again, while its successor had already read that the task was done.
+func TestLeaderInDoubtRestartsNoTaskWhoseEndItHasNotRead(t *testing.T) {
+	b := newTestBench(t)
+	b.takeLeadership(1, 2)
+	starts := effectsOf[Start](b.event(JobsRead{Jobs: []JobRow{testJob("j1", step(1, 1))}}))
+	assert.Equal(t, len(starts), 1)
+	b.event(Started{Start: starts[0], Clock: b.now})
+	doubtFrom := b.now + 1000
+	tick := func() []Effect {
+		b.now += 100
+		return b.event(Ticked{DoubtFrom: doubtFrom})
+	}
+	for b.now < doubtFrom {
+		tick()
+	}
+	lost := starts[0].Order.Worker
+	b.event(Held{Hold: Hold{Order: croft.HoldOrder{Worker: lost}}, Err: &croft.LostAnswerError{Reason: "test"}})
+	vms := testFleet(2)
+	for i := range vms {
+		if vms[i].Worker == lost {
+			vms[i].State, vms[i].Worker = croft.FleetDown, ""
+		}
+	}
+	effects := b.event(FleetRead{RequestedAt: b.now, VMs: vms})
+	for range 5 {
+		effects = append(effects, tick()...)
+	}
+	assert.Equal(t, len(effectsOf[Start](effects)), 0)
+	// Once the leadership is renewed, the task is started again.
+	doubtFrom = b.now + 1000
+	for range 3 {
+		effects = append(effects, tick()...)
+	}
+	assert.Equal(t, len(effectsOf[Start](effects)), 1)
+}
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -286,9 +286,10 @@
 	p.removeFinishedJob(r.stage.job)
 }
 
-// abandonRun removes a run and requeues its task.
+// abandonRun removes a run whose end was not listed and requeues its task.
 func (p *Planner) abandonRun(r *run) {
 	p.removeRun(r)
+	r.stage.tasks[r.index].unlistedEnd = true
 	p.requeue(r.stage, r.index)
 }
 
