platform, sched: commits of a slow store get more time and are fewer

Cause: while the store takes 90 times as long (platform_slow), a commit is answered after 0.9 s and what waits before it; it was given up after 1.2 s and sent again, so that the store had the same work twice. And the leader's commits of progress occupied the part in which the end of another job waited to be stored.

Changes of jobs that have neither begun nor ended wait as long as the last commit took, at most 0.5 s.

--- a/intake/group.go
+++ b/intake/group.go
@@ -15,10 +15,6 @@
 	maxGroup = 25
 	// maxGroupBytes keeps a transaction well below the store's limit of 1 MB, in which values are base64.
 	maxGroupBytes = 512 << 10
-	// baseCommitTimeout bounds the first transaction of a part; each one whose answer is lost doubles the bound up to
-	// maxCommitTimeout, since a repetition adds to the load of a slow store.
-	baseCommitTimeout = 1200 * croft.Millis(1)
-	maxCommitTimeout  = 2800 * croft.Millis(1)
 )
 
 // submission is a job that waits until its transaction has an outcome.
@@ -51,7 +47,6 @@
 	waiting []*submission
 	// writing reports that a goroutine runs write.
 	writing bool
-	timeout croft.Millis
 }
 
 // submit stores a job in a part and returns its outcome, or the best that is known once the caller's context ends. A
@@ -73,7 +68,7 @@
 	defer g.mu.Unlock()
 	q, ok := g.parts[part]
 	if !ok {
-		q = &partQueue{timeout: baseCommitTimeout}
+		q = &partQueue{}
 		g.parts[part] = q
 	}
 	q.waiting = append(q.waiting, s)
@@ -133,7 +128,7 @@
 func (g *groupWriter) write(q *partQueue) {
 	alone := false
 	for {
-		group, timeout := g.nextGroup(q, alone)
+		group := g.nextGroup(q, alone)
 		if len(group) == 0 {
 			return
 		}
@@ -141,9 +136,7 @@
 		for _, s := range group {
 			ops = append(ops, s.ops...)
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), timeout.Duration())
-		_, err := g.table.Commit(ctx, ops)
-		cancel()
+		_, err := g.table.Commit(context.Background(), ops)
 		var settled bool
 		if settled, alone = g.settle(q, group, err); !settled {
 			_ = g.clock.Sleep(context.Background(), retryDelay)
@@ -153,7 +146,7 @@
 
 // nextGroup returns the submissions of the next transaction, or ends the part's writing if none waits. Each job is in a
 // group once; alone limits the group to one submission.
-func (g *groupWriter) nextGroup(q *partQueue, alone bool) ([]*submission, croft.Millis) {
+func (g *groupWriter) nextGroup(q *partQueue, alone bool) []*submission {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var group []*submission
@@ -175,7 +168,7 @@
 		group = append(group, s)
 	}
 	q.writing = len(group) > 0
-	return group, q.timeout
+	return group
 }
 
 // settle applies the outcome of a transaction to its submissions. It reports whether the next transaction may be sent at
@@ -187,13 +180,11 @@
 	var unavailable *croft.UnavailableError
 	switch {
 	case err == nil:
-		q.timeout = baseCommitTimeout
 		for _, s := range group {
 			q.accept(s, "stored")
 		}
 		return true, false
 	case errors.As(err, &conflict):
-		q.timeout = baseCommitTimeout
 		return true, q.acceptStored(group, conflict)
 	case errors.As(err, &unavailable):
 		for _, s := range group {
@@ -207,7 +198,6 @@
 		}
 	default:
 		// The transaction may still be applied. Repeating it is safe, since it requires that the state rows do not exist.
-		q.timeout = min(2*q.timeout, maxCommitTimeout)
 		for _, s := range group {
 			s.lastErr, s.mayBeStored = err, true
 		}
--- a/sched/commit.go
+++ b/sched/commit.go
@@ -17,6 +17,8 @@
 	dirty []*job
 	// deletions are rows of cancelled jobs that are to be deleted.
 	deletions []croft.Op
+	// sentAt is when the last commit was sent.
+	sentAt croft.Millis
 	// nextCommit is when the next commit may be sent; urgent reports that it may be sent before that.
 	nextCommit croft.Millis
 	urgent     bool
@@ -26,6 +28,8 @@
 const (
 	// commitBatchDelay lets several changes in a partition share a commit.
 	commitBatchDelay = 20 * croft.Millis(1)
+	// maxBatchDelay bounds that delay while commits take long.
+	maxBatchDelay = 500 * croft.Millis(1)
 	// commitRetryPause is the pause after a commit that failed.
 	commitRetryPause = 200 * croft.Millis(1)
 	// maxJobsPerCommit keeps a transaction within the store's limit of 100 entries, with up to four for a job: the
@@ -121,7 +125,7 @@
 		commit.Ops = append(commit.Ops, pa.deletions[:m]...)
 		pa.deletions = slices.Clone(pa.deletions[m:])
 	}
-	pa.commitPending, pa.urgent = true, false
+	pa.commitPending, pa.urgent, pa.sentAt = true, false, p.now.Elapsed
 	p.emit(commit)
 }
 
@@ -129,7 +133,9 @@
 func (p *Planner) handleCommitResult(e Committed) {
 	pa := p.partWriter(e.Part)
 	pa.commitPending = false
-	pa.nextCommit = p.now.Elapsed + commitBatchDelay
+	// The changes of jobs that have neither begun nor ended wait as long as a commit takes: while the store is slow, their
+	// commits would delay those of others.
+	pa.nextCommit = p.now.Elapsed + max(commitBatchDelay, min(p.now.Elapsed-pa.sentAt, maxBatchDelay))
 	var conflict *croft.ConflictError
 	switch {
 	case e.Err == nil:
--- a/sched/commit_test.go
+++ b/sched/commit_test.go
@@ -97,3 +97,23 @@
 	assert.Equal(t, len(commits), 1)
 	assert.Assert(t, commits[0].Writes[0].Began)
 }
+
+// The load of a turn on a slow store, in which a commit takes half a second: the progress of a running job does not occupy
+// its part, so that the end of another job is stored at once.
+func TestEndIsStoredBeforeProgressWhileCommitsAreSlow(t *testing.T) {
+	b := newTestBench(t)
+	b.takeLeadership(1, 1)
+	for _, s := range effectsOf[Start](b.event(JobsRead{Jobs: []JobRow{testJob("j1", step(1, 1)), testJob("j2", step(2, 1))}})) {
+		b.event(Started{Start: s, Clock: b.now})
+	}
+	slow := effectsOf[Commit](b.advance(50))
+	assert.Equal(t, len(slow), 1)
+	b.now += 500
+	b.event(Committed{Commit: slow[0], Version: 6})
+	progress := croft.EndedRun{Number: 1, Task: croft.TaskID{Job: "j2"}, Run: 1, How: croft.EndDone}
+	assert.Equal(t, len(effectsOf[Commit](append(b.answerHold(0, progress), b.advance(100)...))), 0)
+	end := croft.EndedRun{Number: 2, Task: croft.TaskID{Job: "j1"}, Run: 1, How: croft.EndDone}
+	commits := effectsOf[Commit](b.answerHold(0, progress, end))
+	assert.Equal(t, len(commits), 1)
+	assert.Equal(t, len(commits[0].Writes), 2)
+}
