agent: standbys ask for changes twice a second

Cause: a feed call of a standby returned at each change.

Change: half a second between the calls of a copy. A new leader catches up in one call.

--- a/agent/standby.go
+++ b/agent/standby.go
@@ -65,14 +65,19 @@
 	return taken
 }
 
+// copyInterval is the pause between feed calls of a copy. With hundreds of changes a second each call returns at once, and
+// the platform charges for each; a new leader catches up in one call.
+const copyInterval = 500 * croft.Millis(1)
+
 // followCopy keeps a copy of a table up to date until the context ends.
 func (a *Agent) followCopy(ctx context.Context, table string, c *tableCopy) {
-	a.follow(ctx, "standby "+table, 0, func(ctx context.Context, after uint64) (uint64, error) {
-		got, err := a.readOrFollow(ctx, table, after, followWait)
+	a.follow(ctx, "standby "+table, 0, followWait, func(ctx context.Context, after uint64, wait croft.Millis) (uint64, error) {
+		got, err := a.readOrFollow(ctx, table, after, wait)
 		if err != nil {
 			return after, err
 		}
-		return c.apply(got, after == 0), nil
+		version := c.apply(got, after == 0)
+		return version, a.Clock.Sleep(ctx, copyInterval)
 	})
 }
 
--- a/agent/standby_test.go
+++ b/agent/standby_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -34,8 +35,8 @@
 	partSilent bool
 	// historyGone reports that the feeds have no changes any more.
 	historyGone bool
-	// reads counts the reads of whole tables.
-	reads int
+	// reads counts the reads of whole tables, and follows the calls of feeds.
+	reads, follows int
 }
 
 func newFakeFeed() *fakeFeed {
@@ -76,6 +77,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.follows++
 	if f.historyGone {
 		return croft.Changes{}, croft.ErrHistoryGone
 	}
@@ -228,3 +230,19 @@
 	assert.Equal(t, got[0].Version, uint64(7))
 	assert.Equal(t, len(a.joinJobStates([]croft.Row{row}, &storedJobs{statesVersion: 7})), 0)
 }
+
+// The load of a turn: a job each millisecond. Guards against a standby whose feed calls return at each change: the calls of
+// the standbys were as many as those of all other work together.
+func TestStandbyDoesNotCallForEachChange(t *testing.T) {
+	feed := newFakeFeed()
+	version := feed.putJob("a", jobs.Pending)
+	a, ctx := newTestAgent(t, feed)
+	standBy(ctx, t, a, version)
+	for i := range 200 {
+		feed.putJob(croft.JobID(strconv.Itoa(i)), jobs.Pending)
+		time.Sleep(time.Millisecond)
+	}
+	feed.mu.Lock()
+	defer feed.mu.Unlock()
+	assert.Assert(t, feed.follows <= 4, "%d calls", feed.follows)
+}
