sched: a refused start is not an end that another leader may know of

Cause: a start that an executor refuses was counted as a run whose end is not listed, so that its task waited while the leader was in doubt, though the run has certainly not begun.

Change: such runs are withdrawn without the mark.

Measured: no test of its own; the tests of sched hold.

--- a/sched/order.go
+++ b/sched/order.go
@@ -219,11 +219,11 @@
 		} else {
 			w.quarantinedUntil = max(w.quarantinedUntil, p.now.Elapsed+noCapacityPause)
 		}
-		p.abandonRun(r)
+		p.withdrawRun(r)
 	case errors.As(err, &unavailable):
 		p.log("Unhealthy", id, string(w.ID), fmt.Sprintf("run %d: %v", r.number, err))
 		w.quarantinedUntil = max(w.quarantinedUntil, p.now.Elapsed+unhealthyPause)
-		p.abandonRun(r)
+		p.withdrawRun(r)
 	default:
 		p.log("Unanswered", id, string(w.ID), fmt.Sprintf("run %d: %v", r.number, err))
 		if r.phase == phaseStopping {
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -288,8 +288,13 @@
 
 // abandonRun removes a run whose end was not listed and requeues its task.
 func (p *Planner) abandonRun(r *run) {
-	p.removeRun(r)
 	r.stage.tasks[r.index].unlistedEnd = true
+	p.withdrawRun(r)
+}
+
+// withdrawRun removes a run that has not begun and requeues its task.
+func (p *Planner) withdrawRun(r *run) {
+	p.removeRun(r)
 	p.requeue(r.stage, r.index)
 }
 
