agent, intake: the end of an outage of the store is noticed at once, and Retry-After grows with the outage

Cause: while the store did not answer, feed calls still waited up to 0.9 s for changes and 0.7 s more, so that entries went on refusing callers for a second after the outage.

Change: a feed that fails asks without waiting for changes. Retry-After is half of the time that the outage has lasted, one to three seconds.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -69,6 +69,8 @@
 	// leaderFollowWait is how long a call of the leader table's feed waits: longer than the interval
 	// between renewals, and short enough for a few calls within the time before a takeover.
 	leaderFollowWait = 450 * croft.Millis(1)
+	// probeWait is how long a feed call waits for changes while the feed fails.
+	probeWait = croft.Millis(1)
 	// retryDelay is the pause before a failed call is repeated.
 	retryDelay = 100 * croft.Millis(1)
 )
@@ -93,7 +95,7 @@
 	if a.Intake.Index() == nil {
 		return false
 	}
-	return a.StoreAnswers()
+	return a.StoreOutage() == 0
 }
 
 // Limits within which the store counts as available.
@@ -106,12 +108,16 @@
 	maxStoreFailures = 4
 )
 
-// StoreAnswers reports whether the store has answered this entry recently.
-func (a *Agent) StoreAnswers() bool {
+// StoreOutage returns for how long the store has not answered this entry, zero if it has answered recently.
+func (a *Agent) StoreOutage() croft.Millis {
 	now := a.Clock.Elapsed()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return now-a.storeAnsweredAt < storeTimeout && a.storeFailures < maxStoreFailures
+	silence := now - a.storeAnsweredAt
+	if silence < storeTimeout && a.storeFailures < maxStoreFailures {
+		return 0
+	}
+	return max(silence, 1)
 }
 
 // recordStoreCall records whether a feed call was answered by the store.
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -18,11 +18,16 @@
 
 // follow calls step until the context ends, and logs when the feed starts or stops failing. step makes one
 // call of the feed for the changes after a version and returns the version from which to continue;
-// version zero requests a read of everything. The first call is for the changes after the given version.
-func (a *Agent) follow(ctx context.Context, name string, after uint64, step func(ctx context.Context, after uint64) (uint64, error)) {
+// version zero requests a read of everything. The first call is for the changes after the given version. While the feed
+// fails, the calls wait for changes only briefly, so that the end of an outage is noticed soon.
+func (a *Agent) follow(ctx context.Context, name string, after uint64, wait croft.Millis, step func(ctx context.Context, after uint64, wait croft.Millis) (uint64, error)) {
 	failing := false
 	for ctx.Err() == nil {
-		next, err := step(ctx, after)
+		patience := wait
+		if failing {
+			patience = probeWait
+		}
+		next, err := step(ctx, after, patience)
 		switch {
 		case err == nil:
 			if failing {
@@ -52,8 +57,8 @@
 
 // followOperator follows the operator's configuration and waves; every entry does.
 func (a *Agent) followOperator(ctx context.Context) error {
-	a.follow(ctx, "operator", 0, func(ctx context.Context, after uint64) (uint64, error) {
-		got, err := a.Directory.FollowOperator(ctx, after, followWait)
+	a.follow(ctx, "operator", 0, followWait, func(ctx context.Context, after uint64, wait croft.Millis) (uint64, error) {
+		got, err := a.Directory.FollowOperator(ctx, after, wait)
 		if got.Version == 0 && err != nil {
 			return after, err
 		}
@@ -75,14 +80,14 @@
 
 // followLeader follows the leader row and the loads that the leader publishes; every entry does.
 func (a *Agent) followLeader(ctx context.Context) error {
-	a.follow(ctx, "lead", 0, func(ctx context.Context, after uint64) (uint64, error) {
+	a.follow(ctx, "lead", 0, leaderFollowWait, func(ctx context.Context, after uint64, wait croft.Millis) (uint64, error) {
 		began := a.Clock.Elapsed()
-		got, err := a.readOrFollow(ctx, leader.Table, after, leaderFollowWait)
+		got, err := a.readOrFollow(ctx, leader.Table, after, wait)
 		if err != nil {
 			return after, err
 		}
 		if after != 0 && len(got.Rows)+len(got.Gone) == 0 {
-			a.Election.RecordDelay(a.Clock.Elapsed() - began - leaderFollowWait)
+			a.Election.RecordDelay(a.Clock.Elapsed() - began - wait)
 		}
 		a.Election.Observe(got, after == 0)
 		for _, row := range got.Rows {
@@ -105,8 +110,8 @@
 
 // followWorkers follows the registry of executors while the entry leads.
 func (a *Agent) followWorkers(ctx context.Context) {
-	a.follow(ctx, "workers", 0, func(ctx context.Context, after uint64) (uint64, error) {
-		got, err := a.Directory.FollowWorkers(ctx, after, followWait)
+	a.follow(ctx, "workers", 0, followWait, func(ctx context.Context, after uint64, wait croft.Millis) (uint64, error) {
+		got, err := a.Directory.FollowWorkers(ctx, after, wait)
 		if err != nil {
 			return after, err
 		}
@@ -136,7 +141,7 @@
 			begin(stored)
 		}
 	}
-	a.follow(ctx, "jobs", after, func(ctx context.Context, after uint64) (uint64, error) {
+	a.follow(ctx, "jobs", after, followWait, func(ctx context.Context, after uint64, wait croft.Millis) (uint64, error) {
 		if after == 0 {
 			stored, err := a.readStoredJobs(ctx)
 			if err != nil {
@@ -145,7 +150,7 @@
 			begin(stored)
 			return stored.version, nil
 		}
-		got, err := a.Feed.Follow(ctx, jobs.JobTable, after, followWait)
+		got, err := a.Feed.Follow(ctx, jobs.JobTable, after, wait)
 		if err != nil {
 			return after, err
 		}
@@ -211,8 +216,8 @@
 
 // followCancels follows the cancellations of jobs after a version while the entry leads.
 func (a *Agent) followCancels(ctx context.Context, after uint64) {
-	a.follow(ctx, "cancels", after, func(ctx context.Context, after uint64) (uint64, error) {
-		got, err := a.readOrFollow(ctx, jobs.CancelTable, after, followWait)
+	a.follow(ctx, "cancels", after, followWait, func(ctx context.Context, after uint64, wait croft.Millis) (uint64, error) {
+		got, err := a.readOrFollow(ctx, jobs.CancelTable, after, wait)
 		if err != nil {
 			return after, err
 		}
--- a/agent/standby_test.go
+++ b/agent/standby_test.go
@@ -246,3 +246,24 @@
 	defer feed.mu.Unlock()
 	assert.Assert(t, feed.follows <= 4, "%d calls", feed.follows)
 }
+
+// Guards against an entry that refuses callers after the end of an outage: its feed call still waited for changes, and for
+// the time after which a silent call is given up.
+func TestFeedAsksAtOnceWhileItFails(t *testing.T) {
+	a, ctx := newTestAgent(t, newFakeFeed())
+	waits, calls := make(chan croft.Millis), 0
+	go a.follow(ctx, "test", 1, followWait, func(_ context.Context, after uint64, wait croft.Millis) (uint64, error) {
+		calls++
+		select {
+		case waits <- wait:
+		case <-ctx.Done():
+		}
+		if calls == 1 {
+			return after, &croft.LostAnswerError{Reason: "test"}
+		}
+		return after, nil
+	})
+	assert.Equal(t, <-waits, followWait)
+	assert.Equal(t, <-waits, probeWait)
+	assert.Equal(t, <-waits, followWait)
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -50,13 +50,13 @@
 
 // Intake stores callers' jobs, reports their status and cancels them; it is safe for concurrent use.
 type Intake struct {
-	table          croft.Table
-	writer         groupWriter
-	clock          croft.Clock
-	log            croft.DecisionLog
-	storeAvailable func() bool
-	index          atomic.Pointer[Index]
-	loads          atomic.Pointer[publishedLoads]
+	table       croft.Table
+	writer      groupWriter
+	clock       croft.Clock
+	log         croft.DecisionLog
+	storeOutage func() croft.Millis
+	index       atomic.Pointer[Index]
+	loads       atomic.Pointer[publishedLoads]
 }
 
 // publishedLoads are the loads that the leader last published.
@@ -65,11 +65,12 @@
 	receivedAt croft.Millis
 }
 
-// New returns an Intake without a configuration; storeAvailable reports whether the store has answered recently.
-func New(table croft.Table, clock croft.Clock, log croft.DecisionLog, storeAvailable func() bool) *Intake {
+// New returns an Intake without a configuration; storeOutage returns for how long the store has not answered, zero if it has
+// answered recently.
+func New(table croft.Table, clock croft.Clock, log croft.DecisionLog, storeOutage func() croft.Millis) *Intake {
 	return &Intake{
 		table: table, writer: groupWriter{table: table, clock: clock, parts: map[string]*partQueue{}},
-		clock: clock, log: log, storeAvailable: storeAvailable,
+		clock: clock, log: log, storeOutage: storeOutage,
 	}
 }
 
@@ -110,9 +111,10 @@
 		i.logDecision("Submit", id, string(Rejected), fmt.Sprintf("queue %s refuses new jobs; retry after %d ms", q.ID, load.Wait))
 		return Rejected, load.Wait
 	}
-	if !i.storeAvailable() {
-		i.logDecision("Submit", id, string(Unavailable), fmt.Sprintf("queue %s: the store does not answer this entry", q.ID))
-		return Unavailable, retryAfter
+	if outage := i.storeOutage(); outage > 0 {
+		wait := outageRetryAfter(outage)
+		i.logDecision("Submit", id, string(Unavailable), fmt.Sprintf("queue %s: the store has not answered this entry for %d ms; retry after %d ms", q.ID, outage, wait))
+		return Unavailable, wait
 	}
 	part := jobs.Part(q.ID, id)
 	outcome, reason := i.writer.submit(ctx, part, jobs.Key(jobs.StateTable, part, id), i.submissionOps(q, id, spec))
@@ -120,9 +122,21 @@
 	return outcome, retryAfter
 }
 
-// retryAfter is the time after which callers may retry during an outage of the store: shorter than most
-// outages, and long enough that retries do not prolong them.
-const retryAfter = 1 * croft.Second
+// Times after which callers may retry during an outage of the store. The longer one has lasted, the longer it is likely to
+// last on, and callers retry only a few times.
+const (
+	// retryAfter is shorter than most outages, and long enough that retries do not prolong them.
+	retryAfter = 1 * croft.Second
+	// maxRetryAfter bounds the time during a long outage.
+	maxRetryAfter = 3 * croft.Second
+	// outageDivisor divides the present duration of an outage.
+	outageDivisor = 2
+)
+
+// outageRetryAfter returns the time after which callers may retry, by how long an outage has lasted.
+func outageRetryAfter(outage croft.Millis) croft.Millis {
+	return min(max(outage/outageDivisor, retryAfter), maxRetryAfter)
+}
 
 // submissionOps returns the transaction that stores a job; it conflicts if the job is stored already.
 func (i *Intake) submissionOps(q croft.Queue, id croft.JobID, spec croft.JobSpec) []croft.Op {
@@ -155,7 +169,7 @@
 // readProgress returns a job's stored progress and the version of its row.
 func (i *Intake) readProgress(ctx context.Context, q croft.Queue, id croft.JobID) (jobs.Progress, uint64, error) {
 	key := jobs.Key(jobs.StateTable, jobs.Part(q.ID, id), id)
-	if !i.storeAvailable() {
+	if i.storeOutage() > 0 {
 		i.logDecision("Read", id, "NoAnswer", "the store does not answer this entry")
 		return jobs.Progress{}, 0, ErrStoreUnavailable
 	}
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -88,12 +88,12 @@
 // queue is the queue that the tests submit to.
 var queue = croft.Queue{ID: "q", Host: "h", Prefix: "/q/", Pool: "p"}
 
-// newIntake returns an Intake, its table, and a pointer to the result of the Intake's storeAvailable function, which
-// tests may change.
-func newIntake() (*Intake, *fakeTable, *bool) {
+// newIntake returns an Intake, its table, and a pointer to the result of the Intake's storeOutage function, which tests may
+// change.
+func newIntake() (*Intake, *fakeTable, *croft.Millis) {
 	store := &fakeTable{rows: map[string]croft.Row{}}
-	storeAvailable := true
-	return New(store, clock.NewSystem(), discardLog{}, func() bool { return storeAvailable }), store, &storeAvailable
+	outage := croft.Millis(0)
+	return New(store, clock.NewSystem(), discardLog{}, func() croft.Millis { return outage }), store, &outage
 }
 
 // shortContext returns a context that ends after 150 ms.
@@ -139,8 +139,8 @@
 }
 
 func TestSubmissionIsRefusedAtOnceWhileStoreIsUnavailable(t *testing.T) {
-	intake, store, storeAvailable := newIntake()
-	*storeAvailable = false
+	intake, store, outage := newIntake()
+	*outage = 2 * croft.Second
 	outcome, after := intake.Submit(shortContext(t), queue, id, croft.JobSpec{})
 	assert.Equal(t, outcome, Unavailable)
 	assert.Equal(t, after, retryAfter)
@@ -202,3 +202,17 @@
 		assert.Equal(t, string(q.ID), want, fmt.Sprint(path))
 	}
 }
+
+// The load of a turn during an outage of the store: callers retry a few times, so their pauses grow with the outage; with a
+// second each, those who came early had used their retries before its end.
+func TestRetryAfterGrowsWithTheOutage(t *testing.T) {
+	intake, _, outage := newIntake()
+	for _, c := range []struct{ outage, wait croft.Millis }{
+		{100, 1 * croft.Second}, {2 * croft.Second, 1 * croft.Second}, {4 * croft.Second, 2 * croft.Second}, {20 * croft.Second, 3 * croft.Second},
+	} {
+		*outage = c.outage
+		outcome, wait := intake.Submit(shortContext(t), queue, id, croft.JobSpec{})
+		assert.Equal(t, outcome, Unavailable)
+		assert.Equal(t, wait, c.wait, "after %d ms", c.outage)
+	}
+}
