leader: read the row back after a commit whose time is used up

A takeover whose answer was lost was not recognised, and the entry waited for its own row to expire.

Change: only the commit has the limit.

Measured: TestTakeoverWithoutAnswerIsReadBackAfterItsTime failed before.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -319,9 +319,9 @@
 		panic(err)
 	}
 	sentAt := e.clock.Elapsed()
-	ctx, cancel := context.WithTimeout(ctx, (e.lease * unchangedPercent / 100).Duration())
+	commitCtx, cancel := context.WithTimeout(ctx, (e.lease * unchangedPercent / 100).Duration())
 	defer cancel()
-	version, err := e.table.Commit(ctx, []croft.Op{{Kind: croft.OpPut, Key: Key, Version: expected, Value: encoded}})
+	version, err := e.table.Commit(commitCtx, []croft.Op{{Kind: croft.OpPut, Key: Key, Version: expected, Value: encoded}})
 	if err != nil {
 		version, err = e.resolve(ctx, value, err)
 	}
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -20,11 +20,16 @@
 	commitErr error
 	// applyFailed reports that the commit that returns commitErr is applied nevertheless.
 	applyFailed bool
+	// silent makes commits wait for the end of their contexts.
+	silent bool
 	// beforeAnswer is called once, after the next commit is applied and before it returns.
 	beforeAnswer func()
 }
 
-func (t *fakeTable) Get(context.Context, string) (croft.Row, error) {
+func (t *fakeTable) Get(ctx context.Context, _ string) (croft.Row, error) {
+	if ctx.Err() != nil {
+		return croft.Row{}, &croft.UnavailableError{Reason: ctx.Err().Error()}
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.row, nil
@@ -32,7 +37,10 @@
 
 func (t *fakeTable) Scan(context.Context, croft.Range) ([]croft.Row, error) { return nil, nil }
 
-func (t *fakeTable) Commit(_ context.Context, ops []croft.Op) (uint64, error) {
+func (t *fakeTable) Commit(ctx context.Context, ops []croft.Op) (uint64, error) {
+	if t.silent {
+		<-ctx.Done()
+	}
 	version, beforeAnswer, err := t.commit(ops)
 	if beforeAnswer != nil {
 		beforeAnswer()
@@ -307,3 +315,14 @@
 	advance(c, croft.Second, one, two, far)
 	assert.Assert(t, !one.StandsBy() && two.StandsBy() && !far.StandsBy())
 }
+
+// Guards against a takeover whose answer is lost: with the time for the commit used up, the row was not read back, and the
+// entry waited for its own row to expire.
+func TestTakeoverWithoutAnswerIsReadBackAfterItsTime(t *testing.T) {
+	table, c, one, _ := newCandidates()
+	c.Advance(rankSpacing)
+	one.lease = 100 * croft.Millis(1)
+	table.commitErr, table.applyFailed, table.silent = &croft.LostAnswerError{Reason: "timeout"}, true, true
+	one.write(context.Background(), true)
+	assert.Assert(t, one.Leadership() != nil)
+}
