--- a/sched/planner.go
+++ b/sched/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 
 	"waxwing.example/croft"
@@ -34,6 +35,8 @@
 	vmOrdersFrom croft.Millis
 	// doubtFrom is from when on another entry may have taken over, zero if that is not known.
 	doubtFrom croft.Millis
+	// inDoubt reports that this time had come at the last tick.
+	inDoubt bool
 	// jobsLoaded reports that all jobs that were stored before the term have been read.
 	jobsLoaded bool
 
@@ -94,7 +97,7 @@
 
 // resetLeaderState drops the state that only a leader has; the configuration and the requested waves are kept.
 func (p *Planner) resetLeaderState() {
-	p.leading, p.jobsLoaded, p.doubtFrom = false, false, 0
+	p.leading, p.jobsLoaded, p.doubtFrom, p.inDoubt = false, false, 0, false
 	p.pools = map[croft.PoolID]*pool{}
 	p.workers = map[croft.WorkerID]*worker{}
 	p.sortedPools, p.sortedWorkers = nil, nil
@@ -155,7 +158,7 @@
 func (p *Planner) handleAsLeader(e Event) {
 	switch e := e.(type) {
 	case Ticked:
-		p.doubtFrom = e.DoubtFrom
+		p.recordDoubt(e.DoubtFrom)
 	case WorkersRead:
 		p.handleWorkersRead(e.Changes)
 	case JobsRead:
@@ -223,6 +226,20 @@
 	p.publishLoads()
 }
 
+// recordDoubt records from when on another entry may have taken over, and logs when that time comes or is put off.
+func (p *Planner) recordDoubt(from croft.Millis) {
+	p.doubtFrom = from
+	doubted := p.inDoubt
+	if p.inDoubt = p.mayBeSucceeded(); p.inDoubt == doubted {
+		return
+	}
+	if p.inDoubt {
+		p.log("Doubt", "leader", "Begun", fmt.Sprintf("the leadership was due for renewal %d ms ago and another entry may lead; tasks whose last run was not listed as ended wait", p.now.Elapsed-from))
+		return
+	}
+	p.log("Doubt", "leader", "Ended", "the leadership was renewed")
+}
+
 // mayBeSucceeded reports that another entry may have taken over, as the last renewal of the leadership is too long ago.
 func (p *Planner) mayBeSucceeded() bool { return p.doubtFrom != 0 && p.now.Elapsed >= p.doubtFrom }
 
