--- a/sched/scale_test.go
+++ b/sched/scale_test.go
@@ -23,6 +23,23 @@
 	b.event(FleetRead{RequestedAt: b.now, VMs: vms})
 }
 
+// leadTwoPools begins a term with further pools, the first of which has some of the workers; the others are in testPool.
+func (b *testBench) leadTwoPools(workers, inFirst int, further ...croft.PoolRule) {
+	b.takeLeadership(1, 0)
+	config := testConfig()
+	config.Config.Version = 2
+	config.Config.Pools = append(config.Config.Pools, further...)
+	b.event(config)
+	entries, vms := testWorkers(workers), testFleet(workers)
+	for i := range inFirst {
+		entries[i].Pool, vms[i].Pool = further[0].ID, further[0].ID
+	}
+	b.event(WorkersRead{Changes: croft.WorkerChanges{Entries: entries}}, FleetRead{RequestedAt: b.now, VMs: vms})
+	for i := range workers {
+		b.answerHold(i)
+	}
+}
+
 // When a queue gets several times the work that its pool has capacity for, VMs of the spare pool are moved to it as soon
 // as the work exceeds what the pool completes in backlogTarget.
 func TestHighDemandMovesVMsFromSparePool(t *testing.T) {
@@ -74,19 +91,7 @@
 func TestPoolWithSurplusLendsVMDespiteMargin(t *testing.T) {
 	const other = croft.PoolID("other")
 	b := newTestBench(t)
-	b.takeLeadership(1, 0)
-	config := testConfig()
-	config.Config.Version = 2
-	config.Config.Pools = append(config.Config.Pools, croft.PoolRule{ID: other})
-	b.event(config)
-	entries, vms := testWorkers(7), testFleet(7)
-	for i := range 3 {
-		entries[i].Pool, vms[i].Pool = other, other
-	}
-	b.event(WorkersRead{Changes: croft.WorkerChanges{Entries: entries}}, FleetRead{RequestedAt: b.now, VMs: vms})
-	for i := range 7 {
-		b.answerHold(i)
-	}
+	b.leadTwoPools(7, 3, croft.PoolRule{ID: other})
 	endless := func(count int) croft.Step {
 		s := step(count, 1)
 		s.Endless, s.MostPerWorker = true, 1
@@ -108,19 +113,7 @@
 func TestSurplusVMsGoToAPoolThatIsShort(t *testing.T) {
 	const idle = croft.PoolID("idle")
 	b := newTestBench(t)
-	b.takeLeadership(1, 0)
-	config := testConfig()
-	config.Config.Version = 2
-	config.Config.Pools = append(config.Config.Pools, croft.PoolRule{ID: idle}, croft.PoolRule{ID: sparePool, Spare: true})
-	b.event(config)
-	entries, vms := testWorkers(12), testFleet(12)
-	for i := range 6 {
-		entries[i].Pool, vms[i].Pool = idle, idle
-	}
-	b.event(WorkersRead{Changes: croft.WorkerChanges{Entries: entries}}, FleetRead{RequestedAt: b.now, VMs: vms})
-	for i := range 12 {
-		b.answerHold(i)
-	}
+	b.leadTwoPools(12, 6, croft.PoolRule{ID: idle}, croft.PoolRule{ID: sparePool, Spare: true})
 	b.event(JobsRead{Jobs: testJobs(8, step(60, 16))})
 	moved := 0
 	for range 60 {
