intake, sched: one fake of the store's conflicts, and what a second reading found

The slow table of intake's tests had its own copy of the check that the fake table makes, which now returns all conflicting rows with their keys, as the store does. abandon and drop use isDecided and slices.DeleteFunc. The comment on the delay of commits named the wrong changes. No behaviour changes.

--- a/intake/group.go
+++ b/intake/group.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 
 	"waxwing.example/croft"
@@ -82,10 +83,8 @@
 func (g *groupWriter) abandon(part string, s *submission, cause error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	select {
-	case <-s.decided:
+	if s.isDecided() {
 		return
-	default:
 	}
 	if s.lastErr != nil {
 		cause = s.lastErr
@@ -116,12 +115,7 @@
 
 // drop removes a submission from the waiting ones.
 func (q *partQueue) drop(s *submission) {
-	for i, other := range q.waiting {
-		if other == s {
-			q.waiting = append(q.waiting[:i:i], q.waiting[i+1:]...)
-			return
-		}
-	}
+	q.waiting = slices.DeleteFunc(q.waiting, func(other *submission) bool { return other == s })
 }
 
 // write commits the submissions of a part, group after group, until none waits.
--- a/intake/group_test.go
+++ b/intake/group_test.go
@@ -37,16 +37,6 @@
 			return 0, err
 		}
 	}
-	conflict := &croft.ConflictError{}
-	for _, op := range ops {
-		if row := t.rows[op.Key]; op.Version != croft.AnyVersion && row.Version != op.Version {
-			row.Key = op.Key
-			conflict.Rows = append(conflict.Rows, row)
-		}
-	}
-	if len(conflict.Rows) > 0 {
-		return 0, conflict
-	}
 	return t.fakeTable.Commit(ctx, ops)
 }
 
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -59,11 +59,16 @@
 		}
 		return 0, err
 	}
+	conflict := &croft.ConflictError{}
 	for _, op := range ops {
-		if op.Version != croft.AnyVersion && t.rows[op.Key].Version != op.Version {
-			return 0, &croft.ConflictError{Rows: []croft.Row{t.rows[op.Key]}}
+		if row := t.rows[op.Key]; op.Version != croft.AnyVersion && row.Version != op.Version {
+			row.Key = op.Key
+			conflict.Rows = append(conflict.Rows, row)
 		}
 	}
+	if len(conflict.Rows) > 0 {
+		return 0, conflict
+	}
 	return t.apply(ops), nil
 }
 
--- a/sched/commit.go
+++ b/sched/commit.go
@@ -133,8 +133,8 @@
 func (p *Planner) handleCommitResult(e Committed) {
 	pa := p.partWriter(e.Part)
 	pa.commitPending = false
-	// The changes of jobs that have neither begun nor ended wait as long as a commit takes: while the store is slow, their
-	// commits would delay those of others.
+	// Changes other than announcements and ends wait as long as a commit takes: while the store is slow, their commits would
+	// delay the urgent ones.
 	pa.nextCommit = p.now.Elapsed + max(commitBatchDelay, min(p.now.Elapsed-pa.sentAt, maxBatchDelay))
 	var conflict *croft.ConflictError
 	switch {
