--- a/agent/follow.go
+++ b/agent/follow.go
@@ -22,6 +22,7 @@
 // fails, the calls wait for changes only briefly, so that the end of an outage is noticed soon.
 func (a *Agent) follow(ctx context.Context, name string, after uint64, wait croft.Millis, step func(ctx context.Context, after uint64, wait croft.Millis) (uint64, error)) {
 	failing := false
+	var failedAt croft.Millis
 	for ctx.Err() == nil {
 		patience := wait
 		if failing {
@@ -32,7 +33,7 @@
 		case err == nil:
 			if failing {
 				failing = false
-				a.Log.Log(croft.Decision{Action: "Feed", Subject: name, Choice: "Regained"})
+				a.Log.Log(croft.Decision{Action: "Feed", Subject: name, Choice: "Regained", Reason: fmt.Sprintf("after %d ms", a.Clock.Elapsed()-failedAt)})
 			}
 			a.recordStoreCall(true)
 			a.Stats.RecordFeedResponse(name)
@@ -45,7 +46,7 @@
 		case ctx.Err() == nil:
 			a.recordStoreCall(false)
 			if !failing {
-				failing = true
+				failing, failedAt = true, a.Clock.Elapsed()
 				a.Log.Warn("Feed", name, err.Error())
 			}
 		}
