agent: the operator's rows are read anew after two seconds without an answer

What callers saw: after a cut or a freeze an entry came to a confirmed configuration late, one missed version after another. Cause: the feed returns every version of the configuration row; with 3,050 queues each needs 0.8 s at 10 Mbit/s. Change: a gap of more than 2 s is closed by a read, which returns only the newest rows.

--- a/agent/follow.go
+++ b/agent/follow.go
@@ -56,13 +56,22 @@
 	}
 }
 
+// maxOperatorGap is how long the operator's feed may be without an answer before the rows are read anew: a feed returns
+// every version of the configuration since then, a read only the newest.
+const maxOperatorGap = 2 * croft.Second
+
 // followOperator follows the operator's configuration and waves; every entry does.
 func (a *Agent) followOperator(ctx context.Context) error {
+	answeredAt := a.Clock.Elapsed()
 	a.follow(ctx, "operator", 0, followWait, func(ctx context.Context, after uint64, wait croft.Millis) (uint64, error) {
+		if a.Clock.Elapsed()-answeredAt > maxOperatorGap {
+			after = 0
+		}
 		got, err := a.Directory.FollowOperator(ctx, after, wait)
 		if got.Version == 0 && err != nil {
 			return after, err
 		}
+		answeredAt = a.Clock.Elapsed()
 		if err != nil {
 			a.Log.Warn("Operator", "rows", err.Error())
 		}
