intake, agent: a configuration that cannot be confirmed is not used

What callers saw: 404 for an existing queue, or service for a removed one, from an entry that had been frozen or whose feed of the configuration failed, for as long as that went on; such an entry counted as ready. Cause: an entry went on with its last configuration whatever its age. The store's other calls still answered, so the outage check saw nothing. 404 means that no such queue exists, which the entry cannot know then. Change: each answer of the operator's feed confirms the configuration at the time at which the store sent it at the earliest: a full wait after an empty answer's call, else the call itself, so that an answer from before a pause confirms nothing new. Older than config_apply_ms, it is not used: callers get 503 with Retry-After, the balancer a missed probe. One line is logged when that begins and ends. Tests: TestUnconfirmedConfigurationIsNotUsed, TestAnswerFromBeforeAPauseDoesNotConfirmTheConfiguration.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -29,6 +29,8 @@
 	Log       *logs.Logger
 	Stats     *stats.Stats
 	Planner   sched.Options
+	// ConfigApply is how long after its confirmation a configuration has to be in force.
+	ConfigApply croft.Millis
 }
 
 // Agent runs one entry.
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -62,22 +62,35 @@
 
 // followOperator follows the operator's configuration and waves; every entry does.
 func (a *Agent) followOperator(ctx context.Context) error {
-	answeredAt := a.Clock.Elapsed()
-	a.follow(ctx, "operator", 0, followWait, func(ctx context.Context, after uint64, wait croft.Millis) (uint64, error) {
-		if a.Clock.Elapsed()-answeredAt > maxOperatorGap {
+	answeredAt, changed := a.Clock.Elapsed(), false
+	// Answers confirm the configuration often enough for it to be used throughout.
+	operatorWait := min(followWait, a.ConfigApply/2)
+	a.follow(ctx, "operator", 0, operatorWait, func(ctx context.Context, after uint64, wait croft.Millis) (uint64, error) {
+		began := a.Clock.Elapsed()
+		if began-answeredAt > maxOperatorGap {
 			after = 0
 		}
+		if changed {
+			// When the changes were sent is not known: the next answer confirms that there are no newer ones.
+			wait = probeWait
+		}
 		got, err := a.Directory.FollowOperator(ctx, after, wait)
 		if got.Version == 0 && err != nil {
 			return after, err
 		}
 		answeredAt = a.Clock.Elapsed()
+		changed = after == 0 || got.Config != nil || len(got.Waves) > 0
+		confirmedAt := began
+		if !changed {
+			// The store sends an answer without changes only once it has waited.
+			confirmedAt = min(began+wait, answeredAt)
+		}
+		a.Intake.ConfirmConfig(confirmedAt)
 		if err != nil {
 			a.Log.Warn("Operator", "rows", err.Error())
 		}
 		if got.Config != nil {
-			a.Intake.Configure(*got.Config)
-			a.Stats.SetConfigVersion(a.Intake.Index().Version)
+			a.Stats.SetConfigVersion(a.Intake.Configure(*got.Config))
 			a.post(ctx, sched.ConfigRead{Config: *got.Config})
 		}
 		if len(got.Waves) > 0 {
--- a/agent/operator_test.go
+++ b/agent/operator_test.go
@@ -19,6 +19,7 @@
 // operatorCall is a call of the operator's feed.
 type operatorCall struct {
 	after  uint64
+	wait   croft.Millis
 	answer chan operatorAnswer
 }
 
@@ -33,8 +34,8 @@
 	calls chan operatorCall
 }
 
-func (d *scriptedDirectory) FollowOperator(ctx context.Context, after uint64, _ croft.Millis) (croft.OperatorChanges, error) {
-	call := operatorCall{after: after, answer: make(chan operatorAnswer)}
+func (d *scriptedDirectory) FollowOperator(ctx context.Context, after uint64, wait croft.Millis) (croft.OperatorChanges, error) {
+	call := operatorCall{after: after, wait: wait, answer: make(chan operatorAnswer)}
 	select {
 	case d.calls <- call:
 	case <-ctx.Done():
@@ -48,6 +49,9 @@
 	}
 }
 
+// configValidity is how long a configuration may be used without a confirmation.
+const configValidity = 3 * croft.Second
+
 // operatorFeed is an agent that follows the operator's rows on a manual clock.
 type operatorFeed struct {
 	*Agent
@@ -64,8 +68,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	directory := &scriptedDirectory{calls: make(chan operatorCall)}
-	jobIntake := intake.New(nil, manual, log, func() croft.Millis { return 0 })
-	a := New(Options{Self: "one", Intake: jobIntake, Directory: directory, Clock: manual, Log: log, Stats: stats.New()})
+	jobIntake := intake.New(nil, manual, log, func() croft.Millis { return 0 }, configValidity)
+	a := New(Options{Self: "one", Intake: jobIntake, Directory: directory, Clock: manual, Log: log, Stats: stats.New(), ConfigApply: configValidity})
 	go func() { _ = a.followOperator(ctx) }()
 	return operatorFeed{Agent: a, directory: directory, clock: manual}
 }
@@ -111,3 +115,25 @@
 	assert.Equal(t, f.next(t).after, uint64(20))
 	assert.Equal(t, f.Intake.Index().Version, uint64(9))
 }
+
+// Guards against a paused process that acts on an old configuration: an answer from before the pause, which it finds when it
+// goes on, confirms the configuration only up to the time at which it was sent.
+func TestAnswerFromBeforeAPauseDoesNotConfirmTheConfiguration(t *testing.T) {
+	f := followOperatorRows(t)
+	f.next(t).answer <- operatorAnswer{changes: croft.OperatorChanges{Version: 7, Config: &croft.QueueConfig{Version: 1}}}
+	call := f.next(t)
+	assert.Equal(t, call.wait, probeWait, "the answer after a change is not waited for")
+	call.answer <- operatorAnswer{changes: croft.OperatorChanges{Version: 7}}
+	assert.Assert(t, f.Intake.Index() != nil)
+
+	call = f.next(t)
+	assert.Equal(t, call.wait, followWait)
+	f.clock.Advance(2 * configValidity)
+	assert.Assert(t, f.Intake.Index() == nil)
+	call.answer <- operatorAnswer{changes: croft.OperatorChanges{Version: 8}}
+	call = f.next(t)
+	assert.Assert(t, f.Intake.Index() == nil)
+	call.answer <- operatorAnswer{changes: croft.OperatorChanges{Version: 9}}
+	f.next(t)
+	assert.Equal(t, f.Intake.Index().Version, uint64(1))
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -55,7 +55,13 @@
 	clock       croft.Clock
 	log         croft.DecisionLog
 	storeOutage func() croft.Millis
-	index       atomic.Pointer[Index]
+	// configValidity is how long a configuration is used after it was last confirmed to be the newest one.
+	configValidity croft.Millis
+	index          atomic.Pointer[Index]
+	// confirmedAt is when the configuration was last confirmed, by clock.Elapsed, in milliseconds.
+	confirmedAt atomic.Int64
+	// unconfirmed reports that the configuration has been found to be out of use.
+	unconfirmed atomic.Bool
 	loads       atomic.Pointer[publishedLoads]
 }
 
@@ -66,25 +72,56 @@
 }
 
 // New returns an Intake without a configuration; storeOutage returns for how long the store has not answered, zero if it has
-// answered recently.
-func New(table croft.Table, clock croft.Clock, log croft.DecisionLog, storeOutage func() croft.Millis) *Intake {
+// answered recently. A configuration that has not been confirmed for configValidity is not used.
+func New(table croft.Table, clock croft.Clock, log croft.DecisionLog, storeOutage func() croft.Millis, configValidity croft.Millis) *Intake {
 	return &Intake{
 		table: table, writer: groupWriter{table: table, clock: clock, parts: map[string]*partQueue{}},
-		clock: clock, log: log, storeOutage: storeOutage,
+		clock: clock, log: log, storeOutage: storeOutage, configValidity: configValidity,
 	}
 }
 
-// Configure puts a configuration into use, unless the one in use is as new or newer.
-func (i *Intake) Configure(config croft.QueueConfig) {
+// Configure puts a configuration into use, unless the one in use is as new or newer, and returns the version in use.
+func (i *Intake) Configure(config croft.QueueConfig) uint64 {
 	if old := i.index.Load(); old != nil && old.Version >= config.Version {
-		return
+		return old.Version
 	}
 	i.index.Store(NewIndex(config))
 	i.log.Log(croft.Decision{Action: "Config", Subject: fmt.Sprint(config.Version), Choice: "InForce", Reason: fmt.Sprintf("%d queues", len(config.Queues))})
+	return config.Version
+}
+
+// ConfirmConfig records that the configuration in use was the newest one at an instant of the monotonic clock.
+func (i *Intake) ConfirmConfig(at croft.Millis) {
+	i.confirmedAt.Store(int64(at))
+	if i.unconfirmed.CompareAndSwap(true, false) {
+		i.log.Log(croft.Decision{Action: "Config", Subject: i.configSubject(), Choice: "Confirmed"})
+	}
 }
 
-// Index returns the configuration in use, nil before the first one.
-func (i *Intake) Index() *Index { return i.index.Load() }
+// Index returns the configuration in use. It returns nil before the first one, and while the configuration has not been
+// confirmed for so long that a newer one may have to be in force: a queue that is not in it may exist.
+func (i *Intake) Index() *Index {
+	index := i.index.Load()
+	if index == nil {
+		return nil
+	}
+	age := i.clock.Elapsed() - croft.Millis(i.confirmedAt.Load())
+	if age <= i.configValidity {
+		return index
+	}
+	if i.unconfirmed.CompareAndSwap(false, true) {
+		i.log.Log(croft.Decision{Action: "Config", Subject: i.configSubject(), Choice: "Unconfirmed", Reason: fmt.Sprintf("not confirmed for %d ms; callers are answered 503", age)})
+	}
+	return nil
+}
+
+// configSubject returns the log subject of the configuration in use, its version.
+func (i *Intake) configSubject() string {
+	if index := i.index.Load(); index != nil {
+		return fmt.Sprint(index.Version)
+	}
+	return "none"
+}
 
 // RecordLoads records the loads of the queues that the leader published; encoded is their JSON form.
 func (i *Intake) RecordLoads(encoded []byte) {
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -98,7 +98,7 @@
 func newIntake() (*Intake, *fakeTable, *croft.Millis) {
 	store := &fakeTable{rows: map[string]croft.Row{}}
 	outage := croft.Millis(0)
-	return New(store, clock.NewSystem(), discardLog{}, func() croft.Millis { return outage }), store, &outage
+	return New(store, clock.NewSystem(), discardLog{}, func() croft.Millis { return outage }, croft.Second), store, &outage
 }
 
 // shortContext returns a context that ends after 150 ms.
@@ -221,3 +221,19 @@
 		assert.Equal(t, wait, c.wait, "after %d ms", c.outage)
 	}
 }
+
+// Guards against 404 for a queue that exists: an entry that had been frozen, or whose feed failed, went on with the queues of
+// an old configuration.
+func TestUnconfirmedConfigurationIsNotUsed(t *testing.T) {
+	manual := clock.NewManual(croft.Hour)
+	i := New(nil, manual, discardLog{}, func() croft.Millis { return 0 }, 2*croft.Second)
+	assert.Assert(t, i.Index() == nil)
+	i.Configure(croft.QueueConfig{Version: 3})
+	i.ConfirmConfig(manual.Elapsed())
+	manual.Advance(2 * croft.Second)
+	assert.Equal(t, i.Index().Version, uint64(3))
+	manual.Advance(1)
+	assert.Assert(t, i.Index() == nil)
+	i.ConfirmConfig(manual.Elapsed())
+	assert.Equal(t, i.Index().Version, uint64(3))
+}
