sched: a line for an executor that goes down names the tasks just started on it

Which of the tasks on an executor brings it down shows only in when each was started; the logs named the executor alone. An order, a shutdown or a planned move is no such end.

--- a/sched/fleet.go
+++ b/sched/fleet.go
@@ -134,13 +134,15 @@
 		f.byWorker[vm.Worker] = vm.ID
 		if w, ok := p.workers[vm.Worker]; vm.State == croft.FleetUp && !ok && !p.poolRule(vm.Pool).Spare {
 			f.unregistered = append(f.unregistered, vm)
+		} else if ok && vm.State == croft.FleetDown && !w.verified {
+			p.endUnexpectedly(w, "its VM is "+string(vm.State))
 		} else if ok && vm.State != croft.FleetUp && !w.verified {
 			p.endIncarnation(w, "its VM is "+string(vm.State))
 		}
 	}
 	for _, w := range p.sortedWorkers {
 		if _, ok := f.byWorker[w.ID]; !ok && !w.verified {
-			p.endIncarnation(w, "no VM runs this executor any more")
+			p.endUnexpectedly(w, "no VM runs this executor any more")
 		}
 	}
 	slices.SortFunc(f.unregistered, func(a, b croft.FleetVM) int {
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -68,6 +68,7 @@
 	if e.Err != nil || !w.verified || e.Report.Born != w.born {
 		return
 	}
+	p.recordAnswer(w)
 	p.recordEnds(w, e.Report.Ended)
 	p.reconcileRuns(w, e)
 	p.advanceAcks(w)
@@ -128,9 +129,10 @@
 		if e.Report.Born < w.born {
 			return
 		}
-		p.endIncarnation(w, "the executor answered with a later start time")
+		p.endUnexpectedly(w, "the executor answered with a later start time")
 	}
 	w.born = e.Report.Born
+	p.recordAnswer(w)
 	w.failedHolds = 0
 	w.clockOffset, w.clockKnown = e.Report.Clock-p.now.Elapsed, true
 	if !w.verified {
--- a/sched/order.go
+++ b/sched/order.go
@@ -174,7 +174,7 @@
 		p.stepDown(fmt.Sprintf("executor %s refused fencing token %d: it has seen a higher one", w.ID, p.fencingToken))
 		return true
 	case croft.RefusedIncarnation:
-		p.endIncarnation(w, "another executor answers at its address")
+		p.endUnexpectedly(w, "another executor answers at its address")
 		return true
 	}
 	return false
@@ -187,8 +187,9 @@
 		return
 	}
 	if e.Err == nil {
+		p.recordAnswer(w)
 		p.markJobBegan(r.stage.job, w)
-		r.verifiableFrom = p.now.Elapsed
+		r.verifiableFrom, r.answeredAt = p.now.Elapsed, p.now.Elapsed
 		if r.phase == phaseStarting {
 			r.phase = phaseActive
 		}
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -53,6 +53,8 @@
 	used croft.Resources
 	// endlessRuns and fillerRuns count the runs of endless tasks and of fillers.
 	endlessRuns, fillerRuns int
+	// aliveAt is when the executor last answered.
+	aliveAt croft.Millis
 	// listCount counts the lists of runs that were applied.
 	listCount int
 	// stoppingRuns counts the runs that were ordered to stop.
@@ -101,6 +103,8 @@
 	worker    *worker
 	phase     phase
 	startedAt croft.Millis
+	// answeredAt is when the start was answered, zero before.
+	answeredAt croft.Millis
 	// verifiableFrom is when the last order for the run took effect: a list that is requested later shows whether the
 	// run exists. It is zero while that order is unanswered.
 	verifiableFrom croft.Millis
@@ -197,7 +201,7 @@
 		p.sortedWorkers = insertWorker(p.sortedWorkers, w)
 	}
 	if e.Born != 0 && w.born != 0 && e.Born > w.born {
-		p.endIncarnation(w, "the executor registered with a later start time")
+		p.endUnexpectedly(w, "the executor registered with a later start time")
 		// A former leader may have started runs on the new incarnation.
 		w.leasesEnd = max(w.leasesEnd, p.predecessorLeasesEnd())
 	}
