sched: a test that nothing starts beyond a room that has shrunk

The operators' new rule: a capacity may shrink and grow while an executor runs. It held: rooms are taken from each change of the registry, and runs that are being stopped still count.

--- a/sched/order_test.go
+++ b/sched/order_test.go
@@ -126,3 +126,23 @@
 	effects = b.answerHold(2, croft.EndedRun{Number: 1, Task: starts[0].Order.Task, Run: 2, How: croft.EndDone})
 	assert.Equal(t, len(effectsOf[Commit](append(effects, b.advance(commitBatchDelay)...))), 1)
 }
+
+// The room of an executor may shrink while it runs tasks: nothing is started on it beyond the new one, and what is being
+// stopped still counts.
+func TestNothingStartsBeyondAShrunkRoom(t *testing.T) {
+	b := newTestBench(t)
+	b.takeLeadership(1, 1)
+	starts := startsOf(b.confirm(b.event(JobsRead{Jobs: []JobRow{testJob("first", step(1, 20))}})), "first")
+	b.confirm(b.event(Started{Start: starts[0], Clock: b.now}))
+	entry := testWorkers(1)[0]
+	entry.Room.MilliCores = 30_000
+	b.event(WorkersRead{Changes: croft.WorkerChanges{Entries: []croft.WorkerEntry{entry}}})
+	row := testJob("second", step(1, 20))
+	row.Part = "q.1"
+	assert.Equal(t, len(startsOf(b.confirm(b.event(JobsRead{Jobs: []JobRow{row}})), "second")), 0)
+	b.confirm(b.event(JobsCancelled{IDs: []croft.JobID{"first"}}))
+	assert.Equal(t, len(startsOf(b.confirm(b.advance(50)), "second")), 0)
+	entry.Room.MilliCores = 64_000
+	effects := b.confirm(b.event(WorkersRead{Changes: croft.WorkerChanges{Entries: []croft.WorkerEntry{entry}}}))
+	assert.Equal(t, len(startsOf(effects, "second")), 1)
+}
