--- a/sched/fleet.go
+++ b/sched/fleet.go
@@ -123,6 +123,17 @@
 	}
 }
 
+// applyVMState ends the incarnation of an executor that does not answer and whose VM is not up.
+func (p *Planner) applyVMState(w *worker, state croft.FleetState) {
+	switch {
+	case w.verified || state == croft.FleetUp:
+	case state == croft.FleetDown:
+		p.endUnexpectedly(w, "its VM is "+string(state))
+	default:
+		p.endIncarnation(w, "its VM is "+string(state))
+	}
+}
+
 // handleFleetRead applies a list of VMs.
 func (p *Planner) handleFleetRead(e FleetRead) {
 	f := &p.fleet
@@ -140,12 +151,10 @@
 			continue
 		}
 		f.byWorker[vm.Worker] = vm.ID
-		if w, ok := p.workers[vm.Worker]; vm.State == croft.FleetUp && !ok && !p.poolRule(vm.Pool).Spare {
+		if w, ok := p.workers[vm.Worker]; ok {
+			p.applyVMState(w, vm.State)
+		} else if vm.State == croft.FleetUp && !p.poolRule(vm.Pool).Spare {
 			f.unregistered = append(f.unregistered, vm)
-		} else if ok && vm.State == croft.FleetDown && !w.verified {
-			p.endUnexpectedly(w, "its VM is "+string(vm.State))
-		} else if ok && vm.State != croft.FleetUp && !w.verified {
-			p.endIncarnation(w, "its VM is "+string(vm.State))
 		}
 	}
 	for _, w := range p.sortedWorkers {
