agent: an answer confirms the configuration that it brings, not the one before

Found while reading the change: the answer of the feed was recorded before the configuration in it was put into force, so that for some microseconds after a pause an entry could use the old one. Not shown by a test: the window is between two statements.

--- a/agent/follow.go
+++ b/agent/follow.go
@@ -85,12 +85,15 @@
 			// The store sends an answer without changes only once it has waited.
 			confirmedAt = min(began+wait, answeredAt)
 		}
-		a.Intake.ConfirmConfig(confirmedAt)
 		if err != nil {
 			a.Log.Warn("Operator", "rows", err.Error())
 		}
 		if got.Config != nil {
 			a.Stats.SetConfigVersion(a.Intake.Configure(*got.Config))
+		}
+		// Only after the new one is in force: the answer does not confirm the one before it.
+		a.Intake.ConfirmConfig(confirmedAt)
+		if got.Config != nil {
 			a.post(ctx, sched.ConfigRead{Config: *got.Config})
 		}
 		if len(got.Waves) > 0 {
