sched: a succeeded leader restarts no task of its predecessors whose end it has not read

What callers would see: a task that is done runs once more. Cause: a leader that may have a successor holds back tasks whose last run ended without being listed, but the flag was set only for runs of its own. A task that its predecessor had started, on an executor that was cut off, was started again once the predecessor's leases were over, while the successor had read its end. Change: tasks of inherited jobs count as ended without being listed.

--- a/model/model_test.go
+++ b/model/model_test.go
@@ -99,6 +99,19 @@
 	return options
 }
 
+// Guards against a leader that has been succeeded and restarts a task whose end its successor has read: the task had been started
+// by a leader before both, so that it never had a run of this leader whose end could be missing.
+func TestSucceededLeaderRestartsNoInheritedTask(t *testing.T) {
+	for _, seed := range []uint64{1001173, 1001263, 1001336, 1001436, 1001478} {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			options := smallOptions(seed)
+			options.Faults, options.ZoneCuts, options.Wave = true, true, seed%2 == 0
+			report := Run(options)
+			assert.Check(t, len(report.Broken) == 0, "%v", report.Broken)
+		})
+	}
+}
+
 // TestInvariantsHoldForFormerlyFailingSeeds simulates seeds that once violated an invariant, each with the cause.
 func TestInvariantsHoldForFormerlyFailingSeeds(t *testing.T) {
 	causes := []struct {
--- a/sched/job.go
+++ b/sched/job.go
@@ -102,7 +102,8 @@
 	run *run
 	// liveRuns counts the runs that may still be active on executors, including run.
 	liveRuns int
-	// unlistedEnd reports that the last run ended without being listed: a successor of this leader may know how it ended.
+	// unlistedEnd reports that the last run, which may be a former leader's, ended without being listed: a successor of this
+	// leader may know how it ended.
 	unlistedEnd bool
 	// avoidWorker is the worker on which the last run failed.
 	avoidWorker croft.WorkerID
@@ -220,7 +221,7 @@
 		name := jobs.StageName(occurrence, i)
 		for index := range s.tasks {
 			t := &s.tasks[index]
-			t.runNumber = p.initialRunNumber(j)
+			t.runNumber, t.unlistedEnd = p.initialRunNumber(j), j.inherited
 			t.done = jobs.HasBit(j.progress.Done[name], index)
 			taskName := jobs.TaskName(occurrence, i, index)
 			t.crash = j.progress.Crashed[taskName]
