place: a team's placed jobs are in one row, written by compare-and-set, so that its quota holds over takeovers

Listed as red: a planner that took over by old rows placed jobs above the quota of its team, 41,350 of 40,000 milli-cores (TestQuotaHoldsOverTakeovers). Cause: what a team uses was summed over the rows of jobs that a planner had read; stale reads lack placements of others. Change: the row team/ID lists the team's placed jobs with their run and size. The transaction that places a job or changes its size writes it with the version that the planner knows; a conflict brings the current one. A run leaves the row once a planner knows that it, or a later one, has ended, so old rows only make it count longer. One write of a team's row is in flight at a time. TestJobsRunOnceAtATimeAndAllEnd now asks for the quota in each run, not only in calm ones.

--- a/fleet/jobs_test.go
+++ b/fleet/jobs_test.go
@@ -127,8 +127,7 @@
 		for _, violation := range w.violations {
 			t.Error(violation)
 		}
-		// After a takeover, a planner that has read stale rows may place jobs above the quota until it reads newer ones.
-		if calm && len(w.workers.quotaViolations) > 0 {
+		if len(w.workers.quotaViolations) > 0 {
 			t.Errorf("quota: %v", w.workers.quotaViolations)
 		}
 		w.expectJobs(t, good, croft.JobDone, 0)
--- a/place/reduce.go
+++ b/place/reduce.go
@@ -109,6 +109,8 @@
 	now            croft.Millis
 	reserved       map[croft.VMID]croft.Resources
 	reservedByTeam map[croft.TeamID]croft.Resources
+	// teamUsage has what the teams' placed jobs use, as far as that was needed.
+	teamUsage map[croft.TeamID]croft.Resources
 	// attempted counts the jobs for which a worker was sought, examined all jobs considered.
 	attempted, examined int
 }
@@ -121,6 +123,7 @@
 		now:            now,
 		reserved:       map[croft.VMID]croft.Resources{},
 		reservedByTeam: map[croft.TeamID]croft.Resources{},
+		teamUsage:      map[croft.TeamID]croft.Resources{},
 	}
 	for _, w := range s.writes.All() {
 		for _, j := range w.rows {
@@ -132,7 +135,6 @@
 				more = more.Minus(Size(known.Job))
 			}
 			b.reserved[j.Worker] = b.reserved[j.Worker].Plus(more)
-			b.reservedByTeam[j.Team] = b.reservedByTeam[j.Team].Plus(more)
 		}
 	}
 	return b
@@ -141,12 +143,14 @@
 // decide returns the job's row after its placement or refusal, and false if the job must wait.
 func (b *batch) decide(j croft.Job) (croft.Job, croft.Decision, bool) {
 	size := Size(j)
-	quota := b.quota(j.Team)
+	quota := b.in.quota(j.Team)
 	if !withinQuota(quota, size) {
 		return refusedJob(j, fmt.Sprintf("larger than the quota of team %s", j.Team))
 	}
-	used, _ := b.state.teamUsage.Get(j.Team)
-	if !withinQuota(quota, used.Plus(b.reservedByTeam[j.Team]).Plus(size)) {
+	if b.state.busyTeams.Has(j.Team) {
+		return j, croft.Decision{}, false
+	}
+	if !withinQuota(quota, b.usedBy(j.Team).Plus(b.reservedByTeam[j.Team]).Plus(size)) {
 		return j, croft.Decision{}, false
 	}
 	b.attempted++
@@ -169,6 +173,16 @@
 	return j, d, true
 }
 
+// usedBy returns what the placed jobs of a team use, which counts only for teams with a quota.
+func (b *batch) usedBy(id croft.TeamID) croft.Resources {
+	used, ok := b.teamUsage[id]
+	if !ok && b.in.hasQuota(id) {
+		used = b.state.usedBy(id)
+		b.teamUsage[id] = used
+	}
+	return used
+}
+
 // refusedJob returns the refused row of a job that is larger than its team's quota or than each VM of its pool.
 func refusedJob(j croft.Job, reason string) (croft.Job, croft.Decision, bool) {
 	j.Status = croft.JobRefused
@@ -176,16 +190,6 @@
 	return j, croft.Decision{Action: "Refuse", Subject: string(j.ID), Reason: reason}, true
 }
 
-// quota returns a team's quota; a team that is not declared has the zero quota, which is no limit.
-func (b *batch) quota(id croft.TeamID) croft.Resources {
-	for _, t := range b.in.Config.Teams {
-		if t.ID == id {
-			return t.Quota
-		}
-	}
-	return croft.Resources{}
-}
-
 // withinQuota reports whether the used resources are within a quota; a zero field of the quota is no limit.
 func withinQuota(quota, used croft.Resources) bool {
 	return (quota.MilliCores == 0 || used.MilliCores <= quota.MilliCores) &&
--- a/place/report.go
+++ b/place/report.go
@@ -27,7 +27,8 @@
 			var row croft.Job
 			var changed bool
 			s, row, changed = s.applyReport(j.Job, t, e.Time)
-			if !changed {
+			if !changed || (s.busyTeams.Has(j.Team) && s.changesUsage(row, in)) {
+				// The worker reports again.
 				continue
 			}
 			if rows[j.Pool] == nil {
--- a/place/rows.go
+++ b/place/rows.go
@@ -54,8 +54,6 @@
 	w.used = w.used.Minus(Size(j))
 	w.tasks = w.tasks.Without(j.ID)
 	s.workers = s.workers.With(j.Worker, w)
-	used, _ := s.teamUsage.Get(j.Team)
-	s.teamUsage = s.teamUsage.With(j.Team, used.Minus(Size(j)))
 	t, _ := s.tasks.Get(j.ID)
 	q, _ := s.due.Get(j.Pool)
 	s.due = s.due.With(j.Pool, q.Without(dueKey(t.nextDue, j.ID)))
@@ -76,8 +74,6 @@
 	w.used = w.used.Plus(Size(j))
 	w.tasks = w.tasks.With(j.ID, struct{}{})
 	s.workers = s.workers.With(j.Worker, w)
-	used, _ := s.teamUsage.Get(j.Team)
-	s.teamUsage = s.teamUsage.With(j.Team, used.Plus(Size(j)))
 	t, ok := s.tasks.Get(j.ID)
 	if !ok || t.run != j.Run {
 		t = task{run: j.Run, lastReport: now}
@@ -112,6 +108,7 @@
 		})
 		s.busy = s.busy.With(w.rows[i].ID, token)
 	}
+	s, w = s.withUsage(w, token, in)
 	s.writes = s.writes.With(token, w)
 	return s, []croft.Effect{croft.Commit{Token: token, Ops: w.ops}}
 }
@@ -133,6 +130,9 @@
 		for _, j := range w.rows {
 			s = s.recordRow(croft.Row{Key: croft.JobKey(j.ID), Version: e.Version, Value: encode(j)}, e.Time)
 		}
+		for id, u := range w.teams {
+			s = s.recordTeamRow(id, u, e.Version)
+		}
 	case croft.CommitConflict:
 		refused = "the job was changed by another entry"
 		for _, r := range e.Rows {
@@ -141,6 +141,7 @@
 			}
 			s = s.recordRow(r, e.Time)
 		}
+		s = s.recordTeamRows(e.Rows)
 	default:
 		refused = "the platform is unavailable"
 	}
@@ -172,6 +173,9 @@
 	for _, j := range w.rows {
 		s.busy = s.busy.Without(j.ID)
 	}
+	for id := range w.teams {
+		s.busyTeams = s.busyTeams.Without(id)
+	}
 	return s
 }
 
--- a/place/state.go
+++ b/place/state.go
@@ -70,8 +70,9 @@
 	due     keyed.Map[croft.PoolID, keyed.Map[string, croft.JobID]]
 	tasks   keyed.Map[croft.JobID, task]
 	workers keyed.Map[croft.VMID, workerState]
-	// teamUsage is the resources of each team's placed jobs.
-	teamUsage keyed.Map[croft.TeamID, croft.Resources]
+	// teamRows has the rows of the teams with a quota, and busyTeams the token of the unfinished write of such a row.
+	teamRows  keyed.Map[croft.TeamID, versionedUsage]
+	busyTeams keyed.Map[croft.TeamID, string]
 	writes    keyed.Map[string, write]
 	// busy has the token of the unfinished write of a job's row.
 	busy keyed.Map[croft.JobID, string]
@@ -127,7 +128,9 @@
 // write is an unfinished commit of job rows.
 type write struct {
 	rows []croft.Job
-	ops  []croft.Op
+	// teams has the rows of teams that are written with them.
+	teams map[croft.TeamID]usage
+	ops   []croft.Op
 	// commandToken is the token of a command to submit a job, empty otherwise.
 	commandToken string
 	// cancelToken is the token of a command to cancel jobs, empty otherwise.
--- a/platform.go
+++ b/platform.go
@@ -148,6 +148,7 @@
 	PlanPrefix    = "plan/"
 	ConfPrefix    = "conf/"
 	ClaimPrefix   = "claim/"
+	TeamPrefix    = "team/"
 )
 
 // MemberKey returns the key of a VM's member row.
@@ -156,6 +157,9 @@
 // JobKey returns the key of a job's row.
 func JobKey(id JobID) string { return JobPrefix + string(id) }
 
+// TeamKey returns the key of the row that records what a team's placed jobs use.
+func TeamKey(id TeamID) string { return TeamPrefix + string(id) }
+
 // SessionKey returns the key of an entry's session row.
 func SessionKey(id EntryID) string { return SessionPrefix + string(id) }
 
