place: one encoder of rows; what a batch reserves for a team is added to what the team uses

No behaviour changes. encodeUsage repeated encode; since a team has one write in flight at a time, its reservations are only those of the batch and need no map of their own.

--- a/place/quota.go
+++ b/place/quota.go
@@ -63,15 +63,6 @@
 	return out
 }
 
-// usedBy returns what the placed jobs of a team use.
-func (s State) usedBy(id croft.TeamID) croft.Resources {
-	var used croft.Resources
-	for _, u := range s.placedJobs(id) {
-		used = used.Plus(u.Size)
-	}
-	return used
-}
-
 // changesUsage reports whether a job's row changes what its team's row says.
 func (s State) changesUsage(j croft.Job, in Inputs) bool {
 	if !placed(j) || !in.hasQuota(j.Team) {
@@ -97,7 +88,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(w.teams)) {
 		row, _ := s.teamRows.Get(id)
-		w.ops = append(w.ops, croft.Op{Kind: croft.OpPut, Key: croft.TeamKey(id), Version: row.version, Value: encodeUsage(w.teams[id])})
+		w.ops = append(w.ops, croft.Op{Kind: croft.OpPut, Key: croft.TeamKey(id), Version: row.version, Value: encode(w.teams[id])})
 		s.busyTeams = s.busyTeams.With(id, token)
 	}
 	return s, w
@@ -123,12 +114,3 @@
 	}
 	return s
 }
-
-func encodeUsage(u usage) []byte {
-	body, err := json.Marshal(u)
-	if err != nil {
-		// Unreachable: a struct of strings and numbers always encodes.
-		panic(err)
-	}
-	return body
-}
--- a/place/reduce.go
+++ b/place/reduce.go
@@ -104,12 +104,11 @@
 
 // batch tracks the resources reserved by the placements of one transaction.
 type batch struct {
-	state          State
-	in             Inputs
-	now            croft.Millis
-	reserved       map[croft.VMID]croft.Resources
-	reservedByTeam map[croft.TeamID]croft.Resources
-	// teamUsage has what the teams' placed jobs use, as far as that was needed.
+	state    State
+	in       Inputs
+	now      croft.Millis
+	reserved map[croft.VMID]croft.Resources
+	// teamUsage has what the teams' placed jobs use, those of this batch included, as far as that was needed.
 	teamUsage map[croft.TeamID]croft.Resources
 	// attempted counts the jobs for which a worker was sought, examined all jobs considered.
 	attempted, examined int
@@ -118,12 +117,11 @@
 // newBatch returns a batch in which the resources of job rows still being written are reserved.
 func newBatch(s State, now croft.Millis, in Inputs) *batch {
 	b := &batch{
-		state:          s,
-		in:             in,
-		now:            now,
-		reserved:       map[croft.VMID]croft.Resources{},
-		reservedByTeam: map[croft.TeamID]croft.Resources{},
-		teamUsage:      map[croft.TeamID]croft.Resources{},
+		state:     s,
+		in:        in,
+		now:       now,
+		reserved:  map[croft.VMID]croft.Resources{},
+		teamUsage: map[croft.TeamID]croft.Resources{},
 	}
 	for _, w := range s.writes.All() {
 		for _, j := range w.rows {
@@ -150,7 +148,7 @@
 	if b.state.busyTeams.Has(j.Team) {
 		return j, croft.Decision{}, false
 	}
-	if !withinQuota(quota, b.usedBy(j.Team).Plus(b.reservedByTeam[j.Team]).Plus(size)) {
+	if !withinQuota(quota, b.usedBy(j.Team).Plus(size)) {
 		return j, croft.Decision{}, false
 	}
 	b.attempted++
@@ -164,7 +162,7 @@
 		return j, d, false
 	}
 	b.reserved[vm] = b.reserved[vm].Plus(size)
-	b.reservedByTeam[j.Team] = b.reservedByTeam[j.Team].Plus(size)
+	b.teamUsage[j.Team] = b.usedBy(j.Team).Plus(size)
 	j.Status = croft.JobStarting
 	j.Reason = "the VM with the most room"
 	j.Worker = vm
@@ -177,7 +175,9 @@
 func (b *batch) usedBy(id croft.TeamID) croft.Resources {
 	used, ok := b.teamUsage[id]
 	if !ok && b.in.hasQuota(id) {
-		used = b.state.usedBy(id)
+		for _, u := range b.state.placedJobs(id) {
+			used = used.Plus(u.Size)
+		}
 		b.teamUsage[id] = used
 	}
 	return used
--- a/place/state.go
+++ b/place/state.go
@@ -216,8 +216,8 @@
 	return j, true
 }
 
-func encode(j croft.Job) []byte {
-	body, err := json.Marshal(j)
+func encode(row any) []byte {
+	body, err := json.Marshal(row)
 	if err != nil {
 		// Unreachable: a struct of strings and numbers always encodes.
 		panic(err)
