--- a/intake/intake.go
+++ b/intake/intake.go
@@ -85,8 +85,9 @@
 	if old := i.index.Load(); old != nil && old.Version >= config.Version {
 		return old.Version
 	}
-	i.index.Store(NewIndex(config))
-	i.log.Log(croft.Decision{Action: "Config", Subject: fmt.Sprint(config.Version), Choice: "InForce", Reason: fmt.Sprintf("%d queues", len(config.Queues))})
+	index := NewIndex(config)
+	i.index.Store(index)
+	i.logConfig(index, "InForce", fmt.Sprintf("%d queues", len(config.Queues)))
 	return config.Version
 }
 
@@ -94,7 +95,7 @@
 func (i *Intake) ConfirmConfig(at croft.Millis) {
 	i.confirmedAt.Store(int64(at))
 	if i.unconfirmed.CompareAndSwap(true, false) {
-		i.log.Log(croft.Decision{Action: "Config", Subject: i.configSubject(), Choice: "Confirmed"})
+		i.logConfig(i.index.Load(), "Confirmed", "")
 	}
 }
 
@@ -110,17 +111,14 @@
 		return index
 	}
 	if i.unconfirmed.CompareAndSwap(false, true) {
-		i.log.Log(croft.Decision{Action: "Config", Subject: i.configSubject(), Choice: "Unconfirmed", Reason: fmt.Sprintf("not confirmed for %d ms; callers are answered 503", age)})
+		i.logConfig(index, "Unconfirmed", fmt.Sprintf("not confirmed for %d ms; callers are answered 503", age))
 	}
 	return nil
 }
 
-// configSubject returns the log subject of the configuration in use, its version.
-func (i *Intake) configSubject() string {
-	if index := i.index.Load(); index != nil {
-		return fmt.Sprint(index.Version)
-	}
-	return "none"
+// logConfig logs a decision about a configuration.
+func (i *Intake) logConfig(index *Index, choice, reason string) {
+	i.log.Log(croft.Decision{Action: "Config", Subject: fmt.Sprint(index.Version), Choice: choice, Reason: reason})
 }
 
 // RecordLoads records the loads of the queues that the leader published; encoded is their JSON form.
