sched: crashes without a copy of all jobs each pass, and simpler

A placement pass copied the list of the pool's jobs, as an inherited one may be ended in it; now only inherited jobs with suspects are collected first. One test of survival instead of two, the first unanswered start by its minimum instead of pairwise, and orders for VMs get holder and token in one place.

--- a/sched/crash.go
+++ b/sched/crash.go
@@ -31,22 +31,27 @@
 // recordAnswer records that an executor has just answered, and clears the suspects that it has survived.
 func (p *Planner) recordAnswer(w *worker) {
 	w.aliveAt = p.now.Elapsed
-	for _, r := range slices.Clone(w.suspects) {
+	remaining := w.suspects[:0]
+	for _, r := range w.suspects {
 		if !r.survived() {
+			remaining = append(remaining, r)
 			continue
 		}
-		w.suspects = slices.DeleteFunc(w.suspects, func(other *run) bool { return other == r })
 		r.stage.tasks[r.index].copied = false
 		p.setCrash(r.stage, r.index, jobs.Crash{})
 		p.pool(w.Pool).changed = true
 	}
+	w.suspects = remaining
 }
 
-// survived reports whether the executor of a run is known to have gone on for survivalTime after the run began.
-func (r *run) survived() bool {
-	return r.answeredAt != 0 && r.worker.aliveAt >= r.answeredAt+survivalTime
+// beganLongBefore reports whether a run is known to have begun survivalTime before an instant.
+func (r *run) beganLongBefore(at croft.Millis) bool {
+	return r.answeredAt != 0 && at >= r.answeredAt+survivalTime
 }
 
+// survived reports whether the executor of a run is known to have gone on for survivalTime after the run began.
+func (r *run) survived() bool { return r.beganLongBefore(r.worker.aliveAt) }
+
 // mayHaveCrashed reports whether the executor of a run may have gone down because of the run's start, as far as the times of
 // its last answers tell. An unanswered start counts only on an executor that had answered just before.
 func (r *run) mayHaveCrashed() bool {
@@ -59,20 +64,21 @@
 
 // crashSuspects returns the runs on an executor because of which it may have gone down. Of the unanswered starts only the
 // first ones count: the executor was down already when the others were sent.
-func crashSuspects(w *worker) []*run {
+func (p *Planner) crashSuspects(w *worker) []*run {
 	suspects := filterRuns(w, (*run).mayHaveCrashed)
-	for _, first := range slices.Clone(suspects) {
-		if first.answeredAt == 0 {
-			suspects = slices.DeleteFunc(suspects, func(r *run) bool { return r.answeredAt == 0 && r.startedAt > first.startedAt+crashSpread })
+	firstUnanswered := p.now.Elapsed
+	for _, r := range suspects {
+		if r.answeredAt == 0 {
+			firstUnanswered = min(firstUnanswered, r.startedAt)
 		}
 	}
-	return suspects
+	return slices.DeleteFunc(suspects, func(r *run) bool { return r.answeredAt == 0 && r.startedAt > firstUnanswered+crashSpread })
 }
 
 // checkSuspects requests the lists of the executors that may have survived the start of a suspect.
 func (p *Planner) checkSuspects() {
 	for _, w := range p.sortedWorkers {
-		due := func(r *run) bool { return r.answeredAt != 0 && p.now.Elapsed >= r.answeredAt+survivalTime }
+		due := func(r *run) bool { return r.beganLongBefore(p.now.Elapsed) }
 		if w.verified && !w.checkPending && slices.ContainsFunc(w.suspects, due) {
 			p.sendCheck(w)
 		}
@@ -98,7 +104,7 @@
 func (p *Planner) endUnexpectedly(w *worker, reason string) {
 	var suspects []*run
 	if !w.vmOrdered && !w.Draining {
-		suspects = crashSuspects(w)
+		suspects = p.crashSuspects(w)
 		p.logCrash(w, suspects)
 	}
 	p.endIncarnation(w, reason)
@@ -120,12 +126,20 @@
 	}
 }
 
+// inheritedSuspects returns the inherited jobs of a pool with tasks that may have crashed executors.
+func (po *pool) inheritedSuspects() []*job {
+	var out []*job
+	for _, j := range po.jobs {
+		if j.inherited && len(j.progress.Crashed) > 0 {
+			out = append(out, j)
+		}
+	}
+	return out
+}
+
 // countInheritedStarts counts the next start of each suspect of an inherited job that no executor has. It ends the job if former
 // leaders have made too many of them: each may have crashed an executor without this leader's knowledge.
 func (p *Planner) countInheritedStarts(j *job) {
-	if !j.inherited || len(j.progress.Crashed) == 0 {
-		return
-	}
 	for _, s := range j.stages {
 		for _, index := range s.waiting {
 			t := &s.tasks[index]
--- a/sched/fleet.go
+++ b/sched/fleet.go
@@ -78,8 +78,9 @@
 	p.emit(ListFleet{RequestedAt: p.now.Elapsed})
 }
 
-// orderVM orders the move or the maintenance of a VM.
+// orderVM orders the move or the maintenance of a VM in the name of this leader.
 func (p *Planner) orderVM(order croft.FleetOrder) {
+	order.Holder, order.Fence = p.options.Holder, p.fencingToken
 	if w := p.workerOn(order.VM); w != nil {
 		w.vmOrdered = true
 	}
--- a/sched/place.go
+++ b/sched/place.go
@@ -90,13 +90,17 @@
 // placePool starts the waiting tasks of a pool that fit, by rank.
 func (p *Planner) placePool(po *pool) {
 	var waiting []rankedStage
-	unknownRuns := p.mayHaveUnknownRuns(po)
-	for _, j := range slices.Clone(po.jobs) {
-		if j.inherited && (unknownRuns || !p.jobsLoaded) {
+	unknownRuns := !p.jobsLoaded || p.mayHaveUnknownRuns(po)
+	if !unknownRuns {
+		for _, j := range po.inheritedSuspects() {
+			p.countInheritedStarts(j)
+		}
+	}
+	for _, j := range po.jobs {
+		if j.inherited && unknownRuns {
 			// Its tasks may already run on executors whose runs are not known yet.
 			continue
 		}
-		p.countInheritedStarts(j)
 		for _, s := range j.stages {
 			if s.open && len(s.waiting) > 0 {
 				s.adviceRequired = p.needsAdvice(s)
--- a/sched/scale.go
+++ b/sched/scale.go
@@ -352,7 +352,7 @@
 		case m.orderPending || p.now.Elapsed < m.retryAt:
 		case p.isReadyToMove(id):
 			m.orderPending = true
-			p.orderVM(croft.FleetOrder{VM: id, Pool: m.to, Holder: p.options.Holder, Fence: p.fencingToken})
+			p.orderVM(croft.FleetOrder{VM: id, Pool: m.to})
 		case p.now.Elapsed-m.decidedAt > emptyTimeout:
 			p.cancelMove(id, fmt.Sprintf("its runs did not end within %d ms", emptyTimeout))
 		}
--- a/sched/wave.go
+++ b/sched/wave.go
@@ -276,7 +276,7 @@
 		}
 		w.orderPending[id] = true
 		p.log("Maintain", string(id), "", fmt.Sprintf("wave %d: %d of %d VMs begun, %d unavailable", w.Number, len(w.begun), len(w.VMs), len(w.unavailableSince)))
-		p.orderVM(croft.FleetOrder{VM: id, Wave: w.Number, Holder: p.options.Holder, Fence: p.fencingToken})
+		p.orderVM(croft.FleetOrder{VM: id, Wave: w.Number})
 	}
 }
 
