--- a/model/model_test.go
+++ b/model/model_test.go
@@ -71,11 +71,13 @@
 // Guards against starting tasks twice when a leader is cut off together with executors: it went on renewing their leases
 // after the takeover, and the successor waited only for leases granted before it.
 func TestInvariantsHoldUnderZoneCuts(t *testing.T) {
-	checkSeeds(t, firstFaultSeed, func(seed uint64) Options {
-		options := smallOptions(seed)
-		options.Faults, options.ZoneCuts, options.Wave = true, true, seed%2 == 0
-		return options
-	})
+	checkSeeds(t, firstFaultSeed, zoneCutOptions)
+}
+
+func zoneCutOptions(seed uint64) Options {
+	options := smallOptions(seed)
+	options.Faults, options.ZoneCuts, options.Wave = true, true, seed%2 == 0
+	return options
 }
 
 // Guards against a task that brings down one executor after another, and with them the tasks of other jobs beside it: runs
@@ -104,9 +106,7 @@
 func TestSucceededLeaderRestartsNoInheritedTask(t *testing.T) {
 	for _, seed := range []uint64{1001173, 1001263, 1001336, 1001436, 1001478} {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			options := smallOptions(seed)
-			options.Faults, options.ZoneCuts, options.Wave = true, true, seed%2 == 0
-			report := Run(options)
+			report := Run(zoneCutOptions(seed))
 			assert.Check(t, len(report.Broken) == 0, "%v", report.Broken)
 		})
 	}
