conf: the baseline logs each version that takes effect, so that a scenario need not sample it

The scenario has to show that the baseline, which applies what it last read, goes back to an older version.

Cause: the baseline's entry serves by version 4 from its acceptance until its next poll, 0 to 4 s later, and the scenario sampled its status each 25 ms. A poll that came at once left no sample with version 4. The baseline also logged no version that took effect, unlike the default policy.

TestBaselineRevertsToAStaleRead is new.

--- a/conf/baseline.go
+++ b/conf/baseline.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 
 	"waxwing.example/croft"
 )
@@ -23,8 +24,12 @@
 
 // applyLastRead is the baseline's counterpart of applyConfig: it switches to whatever version was read, even a lower
 // one, and serves requests with it immediately.
-func applyLastRead(s State, e croft.ConfigReceived) State {
+func applyLastRead(s State, e croft.ConfigReceived) (State, []croft.Effect) {
+	previous := s.config.Version
 	s.config = e.Config
 	s.ready = s.config.Version > 0
-	return s
+	if s.config.Version == previous {
+		return s, nil
+	}
+	return s, []croft.Effect{s.inForce(fmt.Sprintf("the last version read, after version %d", previous))}
 }
--- a/conf/reduce.go
+++ b/conf/reduce.go
@@ -75,7 +75,7 @@
 	switch e := e.(type) {
 	case croft.ConfigReceived:
 		if s.options.LastRead {
-			return applyLastRead(s, e), nil
+			return applyLastRead(s, e)
 		}
 		return applyConfig(s, e)
 	case croft.PeerMessageReceived:
@@ -105,12 +105,7 @@
 	if !higher {
 		return s, nil
 	}
-	effects := []croft.Effect{croft.Decision{
-		Action:  "Configure",
-		Subject: fmt.Sprintf("version %d", s.config.Version),
-		Choice:  "in force",
-		Reason:  fmt.Sprintf("received a version higher than the previous version %d", previous),
-	}}
+	effects := []croft.Effect{s.inForce(fmt.Sprintf("received a version higher than the previous version %d", previous))}
 	if e.Accepted {
 		// Only the entry that accepted the version notifies all others. If each receiver did so too, the number of
 		// messages would grow with the square of the number of entries.
@@ -119,6 +114,16 @@
 	return s, effects
 }
 
+// inForce logs that the current version has taken effect.
+func (s State) inForce(reason string) croft.Decision {
+	return croft.Decision{
+		Action:  "Configure",
+		Subject: fmt.Sprintf("version %d", s.config.Version),
+		Choice:  "in force",
+		Reason:  reason,
+	}
+}
+
 // applyPeerMessage requests the highest version that a message names, if it is higher than the current one, from the
 // entry that has it.
 func applyPeerMessage(s State, e croft.PeerMessageReceived) (State, []croft.Effect) {
--- a/conf/reduce_test.go
+++ b/conf/reduce_test.go
@@ -164,3 +164,17 @@
 	}
 	assert.Equal(t, fetches, entries-1)
 }
+
+// The baseline goes back to whatever version a stale read returns, and logs it.
+func TestBaselineRevertsToAStaleRead(t *testing.T) {
+	s := New(Options{LastRead: true})
+	var effects []croft.Effect
+	for _, version := range []uint64{4, 4, 3} {
+		s, effects = Reduce(s, configReceived(1, version, true), Inputs{PlatformReachable: true})
+	}
+	assert.Equal(t, s.Config().Version, uint64(3))
+	assert.Equal(t, len(effects), 1)
+	assert.Equal(t, effects[0], croft.Effect(croft.Decision{
+		Action: "Configure", Subject: "version 3", Choice: "in force", Reason: "the last version read, after version 4",
+	}))
+}
