sched: a suspect starts where all other runs have survived, and only such starts count as crashes

What callers saw: jobs with no such task could be given up beside those that crash executors, and each deadly task took other suspects with it.

Cause: nothing started beside a suspect, but a suspect started beside tasks that had themselves just been started, deadly ones among them; tasks that were started again before their first executor's end was known, and starts that never arrived, were counted too. On a busy pool some start is always recent.

Change: a suspect starts only on an executor that is known to have survived the starts of all its runs. Where there is none, the executor with the least work gets nothing else until the suspect has started, at most one in three of a pool. A task that is a suspect already counts a crash only if it was started that way; an unanswered start makes a suspect, and is no crash.

--- a/sched/crash.go
+++ b/sched/crash.go
@@ -26,11 +26,17 @@
 )
 
 // isSuspect reports whether the last start of a task may have crashed its executor.
-func (t *task) isSuspect() bool { return t.crash.Executors > 0 || t.copied }
+func (t *task) isSuspect() bool { return t.isStoredSuspect() || t.copied }
+
+// isStoredSuspect reports whether an executor went down just after the last start of a task.
+func (t *task) isStoredSuspect() bool { return t.crash.Starts > 0 }
 
 // recordAnswer records that an executor has just answered, and clears the suspects that it has survived.
 func (p *Planner) recordAnswer(w *worker) {
 	w.aliveAt = p.now.Elapsed
+	if w.clearedUntil > p.now.Elapsed {
+		p.pool(w.Pool).changed = true
+	}
 	remaining := w.suspects[:0]
 	for _, r := range w.suspects {
 		if !r.survived() {
@@ -75,11 +81,15 @@
 	return slices.DeleteFunc(suspects, func(r *run) bool { return r.answeredAt == 0 && r.startedAt > firstUnanswered+crashSpread })
 }
 
-// checkSuspects requests the lists of the executors that may have survived the start of a suspect.
+// checkSuspects requests the lists of the executors that may have survived the start of a suspect, or all starts before it.
 func (p *Planner) checkSuspects() {
+	mayHaveSurvived := func(r *run) bool { return r.beganLongBefore(p.now.Elapsed) }
 	for _, w := range p.sortedWorkers {
-		due := func(r *run) bool { return r.beganLongBefore(p.now.Elapsed) }
-		if w.verified && !w.checkPending && slices.ContainsFunc(w.suspects, due) {
+		if !w.verified || w.checkPending {
+			continue
+		}
+		cleared := w.clearedUntil > p.now.Elapsed && !w.allRuns((*run).survived) && w.allRuns(mayHaveSurvived)
+		if cleared || slices.ContainsFunc(w.suspects, mayHaveSurvived) {
 			p.sendCheck(w)
 		}
 	}
@@ -92,11 +102,55 @@
 	return r.survived() || (!t.isSuspect() && t.liveRuns == 1)
 }
 
-// mayStartBeside reports whether a task may be started on a worker as far as crashes are concerned: a suspect starts alone,
-// and nothing else until its executor has survived it, so that a crash shows which task is the reason.
-func mayStartBeside(w *worker, s *stage, index int) bool {
+// mayStartBeside reports whether a task may be started on a worker as far as crashes are concerned: a suspect starts where
+// every other run has survived its start, and nothing else starts until its executor has survived it, so that a crash shows
+// which task is the reason. The members of a gang start together.
+func (p *Planner) mayStartBeside(w *worker, s *stage, index int) bool {
 	t := &s.tasks[index]
-	return len(w.suspects) == 0 && (t.crash.Executors == 0 || (!t.startUncounted && s.job.storedSequence >= t.crashSequence))
+	if len(w.suspects) > 0 {
+		return false
+	}
+	if !t.isStoredSuspect() {
+		return w.clearedUntil <= p.now.Elapsed
+	}
+	return !t.startUncounted && s.job.storedSequence >= t.crashSequence && (s.spec.Gang || w.allRuns((*run).survived))
+}
+
+// allRuns reports whether all runs of an executor match.
+func (w *worker) allRuns(match func(*run) bool) bool {
+	for _, r := range w.runs {
+		if !match(r) {
+			return false
+		}
+	}
+	return true
+}
+
+// Limits of the executors on which nothing starts while a suspect waits to start there alone.
+const (
+	// clearingTime is enough for the last starts to be survived, and for most short tasks to end.
+	clearingTime = 2 * croft.Second
+	// clearedDivisor limits them to one in three of a pool.
+	clearedDivisor = 3
+)
+
+// clearWorker keeps new work from the executor of a pool with the least work, if the pool has few such executors, so that a
+// suspect can start there alone.
+func (p *Planner) clearWorker(po *pool, s *stage) {
+	var best *worker
+	cleared := 0
+	for _, w := range po.workers {
+		switch {
+		case w.clearedUntil > p.now.Elapsed:
+			cleared++
+		case !p.schedulable(w) || len(w.suspects) > 0 || !s.needs().Fits(w.Room) || !p.satisfiesConstraints(w, s):
+		case best == nil || w.used.MilliCores < best.used.MilliCores:
+			best = w
+		}
+	}
+	if best != nil && cleared < max(len(po.workers)/clearedDivisor, 1) {
+		best.clearedUntil = p.now.Elapsed + clearingTime
+	}
 }
 
 // endUnexpectedly ends the incarnation of an executor that no order and no shutdown of its own ended, as far as is known, and
@@ -113,14 +167,20 @@
 	}
 }
 
-// recordCrash counts an executor that went down just after it had started a task, and ends the task's job after maxCrashes.
+// recordCrash records that an executor went down just after a run was started on it, and ends the task's job after maxCrashes.
+// A task that was a suspect before counts only if it was started as one, apart from others; an unanswered start may never have
+// arrived.
 func (p *Planner) recordCrash(r *run) {
 	t := &r.stage.tasks[r.index]
-	if t.done || r.stage.job.ended {
+	if t.done || r.stage.job.ended || (t.isStoredSuspect() && !r.startedAsSuspect) {
 		return
 	}
 	t.copied, t.startUncounted = false, false
-	p.setCrash(r.stage, r.index, jobs.Crash{Executors: t.crash.Executors + 1, Starts: max(t.crash.Starts, 1) + 1})
+	crash := jobs.Crash{Executors: t.crash.Executors, Starts: max(t.crash.Starts, 1) + 1}
+	if r.answeredAt != 0 {
+		crash.Executors++
+	}
+	p.setCrash(r.stage, r.index, crash)
 	if t.crash.Executors >= maxCrashes {
 		p.endJob(r.stage.job, jobs.Failed, fmt.Sprintf("task %s has crashed %d executors, the last one %s", r.stage.id(r.index), t.crash.Executors, r.worker.ID))
 	}
--- a/sched/crash_test.go
+++ b/sched/crash_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"strings"
 	"testing"
 
@@ -119,12 +120,7 @@
 	assert.Equal(t, len(effectsOf[Start](b.confirm(b.event(JobsRead{Jobs: []JobRow{row}})))), 0)
 
 	b.now += survivalTime
-	var check []Hold
-	for _, h := range effectsOf[Hold](b.advance(0)) {
-		if h.Check {
-			check = append(check, h)
-		}
-	}
+	check := checks(b.advance(0))
 	assert.Equal(t, len(check), 1)
 	report := croft.HoldReport{Clock: b.now, Born: 7, Active: []croft.ActiveRun{activeRun(starts[0].Order.Task, starts[0].Order.Run)}}
 	effects := b.confirm(b.event(Held{Hold: check[0], Report: report}))
@@ -132,6 +128,66 @@
 	assert.Equal(t, b.planner.jobs["two"].stages[0].tasks[starts[0].Order.Task.Index].isSuspect(), false)
 }
 
+// startJob adds a job of one task, and has its start answered.
+func (b *testBench) startJob(id croft.JobID, cores int64) []Start {
+	row := testJob(id, step(1, cores))
+	row.Part = "q." + string(id)
+	starts := startsOf(b.confirm(b.event(JobsRead{Jobs: []JobRow{row}})), id)
+	for _, s := range starts {
+		b.confirm(b.event(Started{Start: s, Clock: b.now}))
+	}
+	return starts
+}
+
+// checks returns the holds among effects that ask for the lists at once.
+func checks(effects []Effect) []Hold {
+	return slices.DeleteFunc(effectsOf[Hold](effects), func(h Hold) bool { return !h.Check })
+}
+
+// Guards against giving up a task that others beside it make a suspect again and again, under a load that starts tasks on each
+// executor all the time: a suspect starts only where all other runs have survived, and an executor is kept free for that.
+func TestSuspectWaitsForTheOtherRunsToSurvive(t *testing.T) {
+	b := newTestBench(t)
+	b.takeLeadership(1, 1)
+	assert.Equal(t, b.startJob("deadly", 30)[0].Order.Worker, workerName(0))
+	assert.Equal(t, b.startJob("beside", 30)[0].Order.Worker, workerName(0))
+	b.confirm(b.replaceWorker(1))
+	other := b.startJob("other", 10)
+	assert.Equal(t, other[0].Order.Worker, workerName(1))
+	b.now += 10
+	effects := b.confirm(b.crash(2, 0))
+	effects = append(effects, b.confirm(b.advance(commitBatchDelay))...)
+	assert.Equal(t, len(effectsOf[Start](effects)), 0, "the other task has just been started")
+	assert.Equal(t, len(b.startJob("late", 1)), 0, "the executor is kept for a suspect")
+
+	b.now += survivalTime
+	check := checks(b.advance(0))
+	assert.Equal(t, len(check), 1)
+	report := croft.HoldReport{Clock: b.now, Born: 7, Active: []croft.ActiveRun{activeRun(other[0].Order.Task, other[0].Order.Run)}}
+	effects = b.confirm(b.event(Held{Hold: check[0], Report: report}))
+	assert.Equal(t, len(effectsOf[Start](effects)), 1)
+	assert.Equal(t, len(startsOf(effects, "late")), 0)
+}
+
+// Guards against giving up a task for starts that others were made beside, or that may never have arrived.
+func TestOnlyAnsweredStartsApartFromOthersCountAsCrashes(t *testing.T) {
+	b := newTestBench(t)
+	b.takeLeadership(1, 1)
+	starts := startsOf(b.confirm(b.event(JobsRead{Jobs: []JobRow{testJob("two", step(1, 1))}})), "two")
+	b.now += 10
+	b.confirm(b.crash(1, 0))
+	stage := b.planner.jobs["two"].stages[0]
+	assert.Equal(t, stage.tasks[0].isSuspect(), true)
+	assert.Equal(t, stage.tasks[0].crash.Executors, 0, "the start was not answered")
+
+	r := &run{stage: stage, number: starts[0].Order.Run, answeredAt: b.now, worker: b.planner.workers[workerName(0)]}
+	b.planner.recordCrash(r)
+	assert.Equal(t, stage.tasks[0].crash.Executors, 0, "the run was not started apart from others")
+	r.startedAsSuspect = true
+	b.planner.recordCrash(r)
+	assert.Equal(t, stage.tasks[0].crash.Executors, 1)
+}
+
 // Guards against a count that begins anew with each leader: a start is stored before it is sent, since a successor cannot know of
 // one whose executor went down.
 func TestSuccessorCountsTheStartsOfItsPredecessor(t *testing.T) {
--- a/sched/place.go
+++ b/sched/place.go
@@ -179,6 +179,7 @@
 				p.preempt(po, s, index)
 			}
 			if s.tasks[index].isSuspect() {
+				p.clearWorker(po, s)
 				continue
 			}
 			return
@@ -322,7 +323,7 @@
 	if s.tasks[index].unlistedEnd && p.mayBeSucceeded() {
 		return false
 	}
-	if !mayStartBeside(w, s, index) {
+	if !p.mayStartBeside(w, s, index) {
 		return false
 	}
 	if !p.satisfiesConstraints(w, s) || (s.tasks[index].liveRuns > 0 && w.runs[s.id(index)] != nil) {
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -57,6 +57,8 @@
 	aliveAt croft.Millis
 	// suspects are the runs of tasks that may have crashed other executors, until they have survived.
 	suspects []*run
+	// clearedUntil is until when nothing starts on the executor but a suspect, which waits for the other runs to survive.
+	clearedUntil croft.Millis
 	// listCount counts the lists of runs that were applied.
 	listCount int
 	// stoppingRuns counts the runs that were ordered to stop.
@@ -118,6 +120,9 @@
 	evacuated bool
 	// startUnanswered reports that the outcome of the start is unknown.
 	startUnanswered bool
+	// startedAsSuspect reports that the task had crashed executors before the run was started, so that it was started apart
+	// from others.
+	startedAsSuspect bool
 	// percent is the reported progress, and gauge the reported tail latency of an endless task in milliseconds.
 	percent int
 	gauge   int64
@@ -263,6 +268,7 @@
 	}
 	if r.stage.tasks[r.index].isSuspect() {
 		r.worker.suspects = append(r.worker.suspects, r)
+		r.worker.clearedUntil = 0
 	}
 	if r.stage.runsByWorker == nil {
 		r.stage.runsByWorker = map[croft.WorkerID]int{}
