sched: an executor has survived a start after 100 ms

What callers saw: a job whose task two executors crashed under by chance could be given up; each such suspect kept its executor from other work for 200 ms and more.

Cause: an executor that ends by chance within the time in which its end is put down to the last start; the longer that time, the likelier. In the incident's timeline executors went down 10 and 11 ms after the start.

Change: 100 ms instead of 200 ms. A task that takes longer to bring its executor down is not recognised, as before.

--- a/sched/crash.go
+++ b/sched/crash.go
@@ -12,7 +12,7 @@
 // Limits for tasks that may crash the executors that start them.
 const (
 	// survivalTime is how long an executor must go on after a start for its end not to be put down to that start.
-	survivalTime = 200 * croft.Millis(1)
+	survivalTime = 100 * croft.Millis(1)
 	// crashSpread is how long after the last start that an executor received another one may have been sent.
 	crashSpread = 20 * croft.Millis(1)
 	// maxCrashes is how many executors may go down just after starts of a task, one after another, before the task is given
