sched: the end of an executor just after a takeover is no crash under the runs that were found on it

What callers saw: a job could be given up whose task had run for seconds when its executor went down, 62 ms after a takeover (model, zone cuts).

Cause: a run that a new leader finds on an executor counted as just started.

Change: such a run makes its task a suspect, but counts as no crash. One that did crash its executor is found out by its next starts.

The new check in TestOnlyAnsweredStartsApartFromOthersCountAsCrashes failed before.

--- a/sched/crash.go
+++ b/sched/crash.go
@@ -164,7 +164,7 @@
 
 // recordCrash records that an executor went down just after a run was started on it, and ends the task's job after too many.
 // A task that was a suspect before counts only if it was started as one, apart from others; an unanswered start may never have
-// arrived.
+// arrived, and an adopted run may have begun long before.
 func (p *Planner) recordCrash(r *run) {
 	t := &r.stage.tasks[r.index]
 	if t.done || r.stage.job.ended || (t.suspect && !r.startedAsSuspect) {
@@ -172,7 +172,7 @@
 	}
 	t.copied = false
 	crashes := t.crashes
-	if r.answeredAt != 0 {
+	if r.answeredAt != 0 && !r.adopted {
 		crashes++
 	}
 	p.setSuspicion(r.stage, r.index, true, crashes)
--- a/sched/crash_test.go
+++ b/sched/crash_test.go
@@ -183,7 +183,10 @@
 	r := &run{stage: stage, number: starts[0].Order.Run, answeredAt: b.now, worker: b.planner.workers[workerName(0)]}
 	b.planner.recordCrash(r)
 	assert.Equal(t, stage.tasks[0].crashes, 0, "the run was not started apart from others")
-	r.startedAsSuspect = true
+	r.startedAsSuspect, r.adopted = true, true
+	b.planner.recordCrash(r)
+	assert.Equal(t, stage.tasks[0].crashes, 0, "the run may have begun long before the takeover")
+	r.adopted = false
 	b.planner.recordCrash(r)
 	assert.Equal(t, stage.tasks[0].crashes, 1)
 }
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -308,7 +308,7 @@
 	if old := w.runs[a.Task]; old != nil {
 		p.removeRun(old)
 	}
-	r := &run{stage: s, index: index, number: a.Run, worker: w, phase: phaseActive, startedAt: p.now.Elapsed, answeredAt: p.now.Elapsed, verifiableFrom: p.now.Elapsed, progressedAt: p.now.Elapsed, uncertainUntil: p.now.Elapsed + p.options.Stop, pace: fullPace}
+	r := &run{stage: s, index: index, number: a.Run, worker: w, adopted: true, phase: phaseActive, startedAt: p.now.Elapsed, answeredAt: p.now.Elapsed, verifiableFrom: p.now.Elapsed, progressedAt: p.now.Elapsed, uncertainUntil: p.now.Elapsed + p.options.Stop, pace: fullPace}
 	p.addRun(r)
 	t := &s.tasks[index]
 	if t.run != nil && t.run != r {
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -120,6 +120,8 @@
 	evacuated bool
 	// startUnanswered reports that the outcome of the start is unknown.
 	startUnanswered bool
+	// adopted reports that a former leader, or a delayed order, started the run.
+	adopted bool
 	// startedAsSuspect reports that the task had crashed executors before the run was started, so that it was started apart
 	// from others.
 	startedAsSuspect bool
