stubs: a drain that arrives during the registration of an executor is kept

Cause: the platform's stand-in lists the VM before the executor has its response. The executor then began the boot that it was assigned anew, as after a reboot, and forgot a drain that had arrived in between; the platform sends it only once.

Change: the response only sets the number of the boot, and not below that of a reboot that came first.

--- a/fakes/executor.go
+++ b/fakes/executor.go
@@ -185,6 +185,14 @@
 	e.behaviour.Leave = false
 }
 
+// AssignBoot sets the number of the boot that has begun with the executor, which a registration assigns. It keeps everything
+// else, and the number of a later boot: orders may arrive before the response to the registration.
+func (e *Executor) AssignBoot(boot uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.boot = max(e.boot, boot)
+}
+
 func (e *Executor) postBehave(c *echo.Context) error {
 	b := e.Behaviour() // fields missing from the body keep their values
 	if err := decodeBody(c, &b); err != nil {
--- a/stubs/executor.go
+++ b/stubs/executor.go
@@ -105,8 +105,8 @@
 	return file, nil
 }
 
-// register puts the VM in the platform's list, with retries, starts the boot that the platform assigned and waits until
-// the context ends.
+// register puts the VM in the platform's list, with retries, sets the boot that the platform assigned and waits until the
+// context ends.
 func (c *executorCommand) register(
 	ctx context.Context, network *links.Network, s *server, executor *fakes.Executor, o streams,
 ) error {
@@ -116,7 +116,7 @@
 	for {
 		listed, err := client.PutVM(ctx, c.describeVM(s.listener.Addr().String()))
 		if err == nil {
-			executor.Restart(listed.Boot)
+			executor.AssignBoot(listed.Boot)
 			fmt.Fprintf(o.Out, "executor %s registered as boot %d\n", c.args.VM, listed.Boot)
 			<-ctx.Done()
 			return ctx.Err()
