--- a/scen/kept_test.go
+++ b/scen/kept_test.go
@@ -10,10 +10,17 @@
 )
 
 // classCount counts the offered requests of a class and those answered in time.
-type classCount struct{ offered, answered int }
+type classCount struct {
+	offered, answered int
+	// missed are the other records.
+	missed []record
+}
 
 func (c classCount) share() float64 { return float64(c.answered) / float64(max(c.offered, 1)) }
 
+// maxListedMisses bounds the records listed for a class that lost answers.
+const maxListedMisses = 5
+
 // keptMain compares the share of requests answered in time in each class between two loads, without and with a flood, and
 // exits with 1 if a class falls below the least ratio of the two.
 func keptMain() {
@@ -40,6 +47,9 @@
 		if b.offered != f.offered || b.answered == 0 || ratio < *leastRatio {
 			failed++
 			fmt.Printf("%s: %d of %d, then %d of %d\n", class, b.answered, b.offered, f.answered, f.offered)
+			for _, r := range f.missed[:min(len(f.missed), maxListedMisses)] {
+				fmt.Printf("  %s through %s: %s %d after %d ms, sent at %d: %s\n", r.Key, r.Entry, r.Outcome, r.Status, r.Ended-r.Sent, r.Sent, r.Detail)
+			}
 		}
 	}
 	fmt.Printf("classes compared %d, below %g: %d\n", compared, *leastRatio, failed)
@@ -57,6 +67,8 @@
 		c.offered++
 		if r.Outcome == "Answered" && r.Whole && r.Ended-r.Sent <= deadline {
 			c.answered++
+		} else {
+			c.missed = append(c.missed, r)
 		}
 		counts[r.Class] = c
 	}
