--- a/admit/profile.go
+++ b/admit/profile.go
@@ -1,6 +1,10 @@
 package admit
 
-import "waxwing.example/croft"
+import (
+	"math"
+
+	"waxwing.example/croft"
+)
 
 const (
 	// headroom is the sustained rate that is in profile, as a multiple of the declared mean rate.
@@ -12,6 +16,9 @@
 	peakRate = 5 * headroom
 	// peakBurst is the capacity of the peak-rate bucket, in milliseconds of the mean rate.
 	peakBurst = 1000
+	// shareDeviations is the tolerance of both buckets for an entry's share of a class's requests, which is random, in
+	// standard deviations of the number of requests in the bucket.
+	shareDeviations = 3
 	// maxDebt bounds how far the mean-rate bucket goes below zero, in milliseconds of the mean rate.
 	maxDebt = 1000
 	// minimumRate is the rate that is always in profile, even during a flood of the class, as a fraction of the mean rate.
@@ -64,17 +71,19 @@
 // refill adds to the buckets what they gained since the last refill; the first refill fills those of mean and peak rate.
 func (p *profile) refill(now croft.Millis) {
 	if p.refilledAt == 0 {
-		p.meanLevel = meanBurst
-		p.peakLevel = p.peakCapacity()
+		p.meanLevel = p.capacity(meanBurst)
+		p.peakLevel = p.capacity(peakBurst)
 		p.refilledAt = now
 	}
 	elapsed := float64(max(now-p.refilledAt, 0))
 	p.refilledAt = max(p.refilledAt, now)
-	p.meanLevel = min(p.meanLevel+elapsed*headroom, meanBurst)
-	p.peakLevel = min(p.peakLevel+elapsed*peakRate, p.peakCapacity())
+	p.meanLevel = min(p.meanLevel+elapsed*headroom, p.capacity(meanBurst))
+	p.peakLevel = min(p.peakLevel+elapsed*peakRate, p.capacity(peakBurst))
 	p.minimumLevel = min(p.minimumLevel+elapsed*minimumRate, p.requestCost)
 }
 
-// peakCapacity returns the capacity of the peak-rate bucket, which is at least two requests even for a class with a low
-// rate.
-func (p *profile) peakCapacity() float64 { return max(peakBurst, 2*p.requestCost) }
+// capacity returns the capacity of a bucket for a burst, with the tolerance for a random share of its requests. It is at least
+// two requests even for a class with a low rate.
+func (p *profile) capacity(burst float64) float64 {
+	return max(burst+shareDeviations*math.Sqrt(burst*p.requestCost), 2*p.requestCost)
+}
