sched: an executor is kept free for a suspect only if the advice service permits the suspect there

What callers saw: nothing; found on reading.

Cause: the executor with the least work was kept free, also one that the suspect may never start on, while the permitted ones went on getting other work; one in three of a pool could be kept in vain.

Change: only executors with a valid permit are considered; one function tells that for placement too.

Measured: TestExecutorIsKeptForASuspectOnlyIfItIsPermitted failed before ('true != false: w0').

--- a/sched/advice.go
+++ b/sched/advice.go
@@ -51,6 +51,15 @@
 	return pe, ok && pe.born == w.born && p.now.Elapsed+permitMargin < pe.expires
 }
 
+// isPermitted reports whether tasks of a stage may start on a worker as far as advice is concerned.
+func (p *Planner) isPermitted(s *stage, w *worker) bool {
+	if !s.adviceRequired {
+		return true
+	}
+	_, ok := p.permitFor(s, w)
+	return ok
+}
+
 // requestAdvice requests permits for the workers that have capacity for a task of a stage, those with the best scores
 // first. It does nothing while a request of the stage is pending, after a failed one until retryAt, and while this entry
 // has maxAdviceRequests pending.
--- a/sched/crash.go
+++ b/sched/crash.go
@@ -135,11 +135,12 @@
 	var best *worker
 	cleared := 0
 	for _, w := range po.workers {
-		switch {
-		case w.clearedUntil > p.now.Elapsed:
+		if w.clearedUntil > p.now.Elapsed {
 			cleared++
-		case !p.schedulable(w) || len(w.suspects) > 0 || !s.needs().Fits(w.Room) || !p.satisfiesConstraints(w, s):
-		case best == nil || w.used.MilliCores < best.used.MilliCores:
+			continue
+		}
+		eligible := p.schedulable(w) && len(w.suspects) == 0 && s.needs().Fits(w.Room) && p.satisfiesConstraints(w, s) && p.isPermitted(s, w)
+		if eligible && (best == nil || w.used.MilliCores < best.used.MilliCores) {
 			best = w
 		}
 	}
--- a/sched/crash_test.go
+++ b/sched/crash_test.go
@@ -169,6 +169,22 @@
 	assert.Equal(t, len(startsOf(effects, "late")), 0)
 }
 
+// Guards against keeping executors free for a suspect that it may not start on, while it waits for the ones it may.
+func TestExecutorIsKeptForASuspectOnlyIfItIsPermitted(t *testing.T) {
+	b := newTestBench(t)
+	b.takeLeadership(1, 3)
+	config := testConfig()
+	config.Config.Version, config.Config.Queues[0].NeedsAdvice = 2, true
+	b.event(config)
+	requests := effectsOf[Advise](b.event(JobsRead{Jobs: []JobRow{testJob("j", step(1, 1))}}))
+	b.event(Advised{Advise: requests[0], Tickets: map[croft.WorkerID]string{"w2": "t"}, Valid: 3000})
+	stage := b.planner.jobs["j"].stages[0]
+	b.planner.clearWorker(b.planner.pools[testPool], stage)
+	for i, w := range b.planner.sortedWorkers {
+		assert.Equal(t, w.clearedUntil > b.now, i == 2, "%s", w.ID)
+	}
+}
+
 // Guards against giving up a task for starts that others were made beside, or that may never have arrived.
 func TestOnlyAnsweredStartsApartFromOthersCountAsCrashes(t *testing.T) {
 	b := newTestBench(t)
--- a/sched/place.go
+++ b/sched/place.go
@@ -327,11 +327,7 @@
 	if !p.satisfiesConstraints(w, s) || (s.tasks[index].liveRuns > 0 && w.runs[s.id(index)] != nil) {
 		return false
 	}
-	if s.adviceRequired {
-		_, ok := p.permitFor(s, w)
-		return ok
-	}
-	return true
+	return p.isPermitted(s, w)
 }
 
 // stageRunsOn returns the number of runs of a stage on a worker.
