sched: no executor is kept free for a task that was copied off a lost one

While tasks that may run twice waited for capacity after an executor was lost, up to a third of the pool got no new work for 2 s at a time.

Cause: such tasks count as suspects until one of their runs is known to have been survived, but start anywhere, except on executors that are kept for suspects.

Change: only tasks that start apart from others have an executor kept.

--- a/sched/crash_test.go
+++ b/sched/crash_test.go
@@ -185,6 +185,18 @@
 	}
 }
 
+// Guards against idle executors while tasks that were copied off a lost executor wait for capacity: these may start on any, so
+// that none is kept for them.
+func TestNoExecutorIsKeptForACopiedTask(t *testing.T) {
+	b := newTestBench(t)
+	b.takeLeadership(1, 1)
+	b.startJob("busy", 64)
+	b.startJob("copied", 1)
+	b.planner.jobs["copied"].stages[0].tasks[0].copied = true
+	b.advance(placeInterval)
+	assert.Equal(t, b.planner.sortedWorkers[0].clearedUntil, croft.Millis(0))
+}
+
 // Guards against giving up a task for starts that others were made beside, or that may never have arrived.
 func TestOnlyAnsweredStartsApartFromOthersCountAsCrashes(t *testing.T) {
 	b := newTestBench(t)
--- a/sched/place.go
+++ b/sched/place.go
@@ -176,8 +176,10 @@
 			if s.spec.Endless {
 				p.preempt(po, s, index)
 			}
-			if s.tasks[index].isSuspect() {
+			if s.tasks[index].suspect {
 				p.clearWorker(po, s)
+			}
+			if s.tasks[index].isSuspect() {
 				continue
 			}
 			return
