--- a/sched/advice_test.go
+++ b/sched/advice_test.go
@@ -12,9 +12,7 @@
 func TestStageNeedingAdviceStartsOnlyWithTickets(t *testing.T) {
 	b := newTestBench(t)
 	b.takeLeadership(1, 3)
-	config := testConfig()
-	config.Config.Version, config.Config.Queues[0].NeedsAdvice = 2, true
-	b.event(config)
+	b.requireAdvice()
 	effects := b.event(JobsRead{Jobs: []JobRow{testJob("j1", step(2, 40))}})
 	assert.Equal(t, len(effectsOf[Start](effects)), 0)
 	requests := effectsOf[Advise](effects)
@@ -35,9 +33,7 @@
 func TestRefusedTicketIsRequestedAgain(t *testing.T) {
 	b := newTestBench(t)
 	b.takeLeadership(1, 1)
-	config := testConfig()
-	config.Config.Version, config.Config.Queues[0].NeedsAdvice = 2, true
-	b.event(config)
+	b.requireAdvice()
 	requests := effectsOf[Advise](b.event(JobsRead{Jobs: []JobRow{testJob("j1", step(1, 4))}}))
 	starts := effectsOf[Start](b.event(Advised{Advise: requests[0], Tickets: map[croft.WorkerID]string{"w0": "t1"}, Valid: 3000}))
 	effects := b.event(Started{Start: starts[0], Clock: b.now, Err: &croft.RunRefusedError{Reason: croft.RefusedTicket}})
--- a/sched/crash_test.go
+++ b/sched/crash_test.go
@@ -173,9 +173,7 @@
 func TestExecutorIsKeptForASuspectOnlyIfItIsPermitted(t *testing.T) {
 	b := newTestBench(t)
 	b.takeLeadership(1, 3)
-	config := testConfig()
-	config.Config.Version, config.Config.Queues[0].NeedsAdvice = 2, true
-	b.event(config)
+	b.requireAdvice()
 	requests := effectsOf[Advise](b.event(JobsRead{Jobs: []JobRow{testJob("j", step(1, 1))}}))
 	b.event(Advised{Advise: requests[0], Tickets: map[croft.WorkerID]string{"w2": "t"}, Valid: 3000})
 	stage := b.planner.jobs["j"].stages[0]
--- a/sched/helpers_test.go
+++ b/sched/helpers_test.go
@@ -82,6 +82,13 @@
 	}}
 }
 
+// requireAdvice makes the tasks of the queue start only with permits of the advice service.
+func (b *testBench) requireAdvice() {
+	config := testConfig()
+	config.Config.Version, config.Config.Queues[0].NeedsAdvice = 2, true
+	b.event(config)
+}
+
 func workerName(i int) croft.WorkerID { return croft.WorkerID(fmt.Sprintf("w%d", i)) }
 
 func vmName(i int) croft.VMID { return croft.VMID(fmt.Sprintf("vm%d", i)) }
--- a/stubs/register_test.go
+++ b/stubs/register_test.go
@@ -57,7 +57,7 @@
 	go func() { ended <- executor.run(ctx, o) }()
 	defer func() {
 		cancel()
-		<-ended
+		assert.ErrorIs(t, <-ended, context.Canceled)
 	}()
 	status := awaitStatus(t, address, func(s fakes.Status) bool { return s.Boot == 1 })
 	assert.Equal(t, status, fakes.Status{VM: "vm1", Boot: 1, Leaving: true})
