sched, platform: a run that a cut list of ended runs lacks is not taken as gone

What callers saw: work that was done was done a second time (TWICE). While the store was slow, 640 runs ended on one executor, and 198 or 200 of the 1,200 tasks of a job were started again half a second later.

Cause: an executor lists 500 ended runs at a time and the others once those are acknowledged, which waits for the store. A run that is in neither list was taken as gone, though its end was behind the cut. The same for a new leader, which took the first list of an executor for all that it has, and for may_miss: an endless task that had ended behind the cut counted as available.

Ruled out: ends that the executor forgets (later lists have them), an old list applied after a newer one (the lists follow one another, and a run counts as missing only from a list asked for after its start was answered).

Change: a list of 500 ends or more is marked as cut. Nothing is concluded from what it lacks; jobs that a former leader may have started wait until an executor has listed all its ends once, or its leases have ended. It works since acknowledged ends make room for the next ones, so that each end is recorded before its task can be started again.

--- a/model/executor.go
+++ b/model/executor.go
@@ -47,6 +47,8 @@
 	runs     map[croft.TaskID]*run
 	// endedRuns are the ends that no leader has acknowledged yet.
 	endedRuns []croft.EndedRun
+	// endsPerList is the maximum number of ends in one answer, zero for no limit.
+	endsPerList int
 	// endCount counts all ends so far; each end is numbered by it.
 	endCount int64
 	// highestRun is the highest run number of each task that was stopped or has ended here.
@@ -107,6 +109,7 @@
 	x := &executor{
 		id: croft.WorkerID(fmt.Sprintf("x%03d", w.incarnations)), vm: v, born: int64(startWallTime + w.now), clockStart: w.now - w.between(0, 5000),
 		clockDrift: w.between(-5, 20), runs: map[croft.TaskID]*run{}, highestRun: map[croft.TaskID]int{}, endedAt: map[int64]croft.Millis{},
+		endsPerList: w.options.EndsPerList,
 	}
 	v.executor, v.state = x, croft.FleetUp
 	w.executors[x.id] = x
@@ -403,6 +406,9 @@
 // holdReport returns the answer to a hold order: the ended and the active runs.
 func (x *executor) holdReport(now croft.Millis) croft.HoldReport {
 	report := croft.HoldReport{Clock: x.localTime(now), Born: x.born, Ended: slices.Clone(x.endedRuns)}
+	if x.endsPerList > 0 && len(x.endedRuns) >= x.endsPerList {
+		report.Ended, report.MoreEnds = report.Ended[:x.endsPerList], true
+	}
 	for _, id := range sortedTasks(x.runs) {
 		r := x.runs[id]
 		percent := 0
--- a/model/model_test.go
+++ b/model/model_test.go
@@ -95,6 +95,15 @@
 	return options
 }
 
+// Guards against starting tasks again that have ended: executors list a limited number of ended runs at a time.
+func TestEndsThatListsHaveNoRoomForAreAwaited(t *testing.T) {
+	checkSeeds(t, firstFaultSeed, func(seed uint64) Options {
+		options := smallOptions(seed)
+		options.Faults, options.Wave, options.EndsPerList = true, seed%2 == 0, 2
+		return options
+	})
+}
+
 // moreWaves is how many waves follow the first one where tests ask for several.
 const moreWaves = 2
 
--- a/model/world.go
+++ b/model/world.go
@@ -42,6 +42,8 @@
 	LeavingVMs bool
 	// TakeoversAfterWaves makes the leader fail seconds after a wave was said to be finished.
 	TakeoversAfterWaves bool
+	// EndsPerList is the maximum number of ended runs that an executor lists at a time, zero for no limit.
+	EndsPerList int
 	// Varied draws jobs with gangs, schedules, labels, data racks and per-executor limits; otherwise all steps are plain.
 	Varied bool
 }
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -239,7 +239,7 @@
 }
 
 // reconcileRuns updates the runs of a worker from its list, and abandons those that the list should contain but does
-// not.
+// not. While the list of ended runs is cut, a missing run may be one of those that have ended.
 func (p *Planner) reconcileRuns(w *worker, e Held) {
 	w.listCount++
 	orphansBefore := w.orphanRuns
@@ -250,8 +250,12 @@
 	if w.orphanRuns < orphansBefore {
 		p.pool(w.Pool).changed = true
 	}
+	if w.endsCut = e.Report.MoreEnds; w.endsCut {
+		return
+	}
+	w.allEndsListed = true
 	isMissing := func(r *run) bool {
-		return r.lastList != w.listCount && r.verifiableFrom != 0 && r.verifiableFrom < e.Sent
+		return !r.isListed() && r.verifiableFrom != 0 && r.verifiableFrom < e.Sent
 	}
 	for _, r := range filterRuns(w, isMissing) {
 		p.log("Vanished", r.stage.id(r.index).String(), string(w.ID), fmt.Sprintf("run %d is listed neither as active nor as ended", r.number))
@@ -259,6 +263,9 @@
 	}
 }
 
+// isListed reports whether the last list of the executor showed the run as active.
+func (r *run) isListed() bool { return r.lastList == r.worker.listCount }
+
 // updateActiveRun applies one entry of a list of active runs that was requested at requestedAt.
 func (p *Planner) updateActiveRun(w *worker, a croft.ActiveRun, requestedAt croft.Millis) {
 	s, index := p.findStage(a.Task)
--- a/sched/order.go
+++ b/sched/order.go
@@ -68,14 +68,15 @@
 	p.emit(Stop{Order: p.newRunOrder(w, a.Task, a.Run)})
 }
 
-// retryStops sends unanswered stops again, and requests the lists of executors on which a run should have stopped.
+// retryStops sends unanswered stops again, and requests the lists of executors on which a run should have stopped, unless
+// these lists do not have all ended runs.
 func (p *Planner) retryStops() {
 	for _, w := range p.sortedWorkers {
 		if w.stoppingRuns == 0 || !w.verified {
 			continue
 		}
 		for _, r := range sortedRuns(w) {
-			if r.phase == phaseStopping && r.verifiableFrom != 0 && p.now.Elapsed > r.verifiableFrom && !w.checkPending {
+			if r.phase == phaseStopping && r.verifiableFrom != 0 && p.now.Elapsed > r.verifiableFrom && !w.checkPending && !w.endsCut {
 				p.sendCheck(w)
 			}
 			if r.phase == phaseStopping && r.verifiableFrom == 0 && p.now.Elapsed-r.stopSentAt >= stopRetryInterval && p.mayRepeatStop(r) {
--- a/sched/place.go
+++ b/sched/place.go
@@ -495,7 +495,7 @@
 }
 
 // mayEvict reports whether an endless task may be stopped now: fewer than MayMiss others of its step may be
-// unavailable. One that is not known to serve counts as unavailable.
+// unavailable. One that is not known to serve counts as unavailable, also if only the last list of its executor lacks it.
 func (p *Planner) mayEvict(r *run) bool {
 	s := r.stage
 	if s.spec.MayMiss == 0 {
@@ -507,7 +507,7 @@
 		if i == r.index || t.done {
 			continue
 		}
-		if t.evicted || t.run == nil || t.run.uncertainUntil != 0 || t.run.phase != phaseActive || t.run.percent < servingPercent || !t.run.worker.verified {
+		if t.evicted || t.run == nil || t.run.uncertainUntil != 0 || t.run.phase != phaseActive || t.run.percent < servingPercent || !t.run.worker.verified || !t.run.isListed() {
 			unavailable++
 		}
 	}
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -50,6 +50,11 @@
 	// that the planner has recorded. pendingAcks are those in between.
 	ackedEnd, recordedEnd int64
 	pendingAcks           []pendingAck
+	// allEndsListed reports that a list of this incarnation had all ended runs that were not acknowledged. Before that, the
+	// executor may have ended runs of former leaders that are not known here.
+	allEndsListed bool
+	// endsCut reports that the last list of ended runs may not have had all of them.
+	endsCut bool
 	// runs has the runs that the executor may have, and used the sum of their needs.
 	runs map[croft.TaskID]*run
 	used croft.Resources
@@ -255,6 +260,7 @@
 	}
 	w.verified, w.clockKnown = false, false
 	w.ackedEnd, w.recordedEnd, w.pendingAcks = 0, 0, nil
+	w.allEndsListed, w.endsCut = false, false
 	w.born, w.orphanRuns = 0, 0
 	w.leasesEnd = p.now.Elapsed
 	w.nextHold = p.now.Elapsed
@@ -354,6 +360,9 @@
 // mayHaveUnknownRuns reports whether executors of a pool may have runs that former leaders started and that this
 // planner has not seen yet.
 func (p *Planner) mayHaveUnknownRuns(po *pool) bool {
+	if slices.ContainsFunc(po.workers, p.mayHaveUnknownEnds) {
+		return true
+	}
 	if p.now.Elapsed >= p.predecessorLeasesEnd() {
 		return false
 	}
@@ -368,6 +377,12 @@
 	return slices.ContainsFunc(p.fleet.unregistered, func(vm croft.FleetVM) bool { return vm.Pool == po.id })
 }
 
+// mayHaveUnknownEnds reports whether an executor has listed some ended runs and may have others, which it lists once those are
+// acknowledged. Its runs count until its leases end, also if it does not answer any more.
+func (p *Planner) mayHaveUnknownEnds(w *worker) bool {
+	return w.recordedEnd > 0 && !w.allEndsListed && p.now.Elapsed < w.leasesEnd
+}
+
 // reserve keeps new work from a worker whose VM is to be maintained or moved.
 func (p *Planner) reserve(w *worker) { w.reserved, w.reservedAt = true, p.now.Elapsed }
 
--- a/task.go
+++ b/task.go
@@ -175,6 +175,8 @@
 	Born   int64
 	Active []ActiveRun
 	Ended  []EndedRun
+	// MoreEnds reports that Ended may not be complete: further runs may have ended that a later answer lists.
+	MoreEnds bool
 }
 
 // Runner carries out orders on executors.
