sched: the open occurrences of a schedule are bounded, finished ones are dropped

What callers saw: an accepted schedule with 240 due occurrences took each leader over its memory limit, 15 to 18 times in 30 s; a job of another queue, whose pool was idle, never started (LOST).

Cause: all due occurrences of a job were opened at once and kept until its end. 240 occurrences of 9,600 tasks are 2.3 million tasks of 120 bytes; a schedule that is on time comes to the same after enough hours, and a new leader opened all of them again.

Ruled out: the size of the stored rows (600 bytes) and answers that pile up (the memory is used before the first end).

Change: occurrences are opened in order, as many at a time as have 10,000 tasks together, at least one and at most 256. One counts until its end is stored and no run of it is left, and is dropped then. Since a new leader knows what is stored, it opens at least those that its predecessor had open, and finds the runs of all of them.

--- a/model/model_test.go
+++ b/model/model_test.go
@@ -104,6 +104,17 @@
 	})
 }
 
+// Guards against schedules that are lost or run twice, since their occurrences are opened some at a time.
+func TestSchedulesRunEachOccurrenceOnce(t *testing.T) {
+	checkSeeds(t, firstFaultSeed, scheduleOptions)
+}
+
+func scheduleOptions(seed uint64) Options {
+	options := smallOptions(seed)
+	options.Schedules, options.Faults = true, true
+	return options
+}
+
 // moreWaves is how many waves follow the first one where tests ask for several.
 const moreWaves = 2
 
--- a/model/trace_test.go
+++ b/model/trace_test.go
@@ -14,9 +14,8 @@
 )
 
 // TestTrace simulates the seed in WAXWING_TRACE as the tests of the invariants do, with zone cuts if WAXWING_TRACE_CUTS is
-// set, and tasks that crash executors if WAXWING_TRACE_DEADLY is. WAXWING_TRACE_WAVES names options of waves, such as
-// more,late. It prints the planner's log and orders; if
-// WAXWING_TRACE_JOB is a job's id, it also prints the job's state at the end.
+// set, tasks that crash executors if WAXWING_TRACE_DEADLY is, and schedules if WAXWING_TRACE_SCHEDULES is. WAXWING_TRACE_WAVES
+// names options of waves, such as more,late. It prints the planner's log and orders; if WAXWING_TRACE_JOB is a job's id, it also prints the job's state at the end.
 func TestTrace(t *testing.T) {
 	text := os.Getenv("WAXWING_TRACE")
 	if text == "" {
@@ -33,6 +32,9 @@
 	if os.Getenv("WAXWING_TRACE_DEADLY") != "" {
 		options.DeadlyJobs = true
 	}
+	if os.Getenv("WAXWING_TRACE_SCHEDULES") != "" {
+		options = scheduleOptions(seed)
+	}
 	if names := os.Getenv("WAXWING_TRACE_WAVES"); names != "" {
 		options.Wave = true
 		for _, name := range strings.Split(names, ",") {
--- a/model/workload.go
+++ b/model/workload.go
@@ -42,6 +42,7 @@
 	deadlyJobShare     = 0.05
 	cancelledJobShare  = 0.05
 	maxStepTasks       = 12
+	scheduleShare      = 0.05
 	endlessJobsPerPool = 2
 )
 
@@ -164,6 +165,13 @@
 	if w.options.Varied && w.chance(0.05) {
 		spec.Repeats, spec.First, spec.Interval = 2, startWallTime+w.now+w.between(0, 2000), 1500
 	}
+	if w.options.Schedules && w.chance(scheduleShare) {
+		spec.Repeats, spec.Interval = 100+w.rng.IntN(400), w.between(5, 40)
+		spec.First = startWallTime + w.now - spec.Interval*croft.Millis(w.rng.IntN(spec.Repeats))
+		spec.Steps = spec.Steps[:1]
+		spec.Steps[0].Count = 1 + w.rng.IntN(2)
+		spec.Steps[0].Needs, spec.Steps[0].Gang = croft.Resources{MilliCores: 200, MemoryMB: 200}, false
+	}
 	return spec
 }
 
--- a/model/world.go
+++ b/model/world.go
@@ -44,6 +44,8 @@
 	TakeoversAfterWaves bool
 	// EndsPerList is the maximum number of ended runs that an executor lists at a time, zero for no limit.
 	EndsPerList int
+	// Schedules makes some jobs repeat some hundreds of times within seconds, with occurrences that are due already.
+	Schedules bool
 	// Varied draws jobs with gangs, schedules, labels, data racks and per-executor limits; otherwise all steps are plain.
 	Varied bool
 }
--- a/sched/advice.go
+++ b/sched/advice.go
@@ -97,7 +97,7 @@
 // handleAdviceResult records the permits and refusals in an answer of the advice service.
 func (p *Planner) handleAdviceResult(e Advised) {
 	p.pendingAdvice = max(p.pendingAdvice-1, 0)
-	s, _ := p.findStage(e.Stage)
+	_, s, _ := p.findStage(e.Stage)
 	if s == nil || s.advice == nil {
 		return
 	}
--- a/sched/commit.go
+++ b/sched/commit.go
@@ -187,6 +187,7 @@
 		p.pool(j.record.Pool).changed = true
 	}
 	j.unconfirmedWrites = slices.DeleteFunc(j.unconfirmedWrites, func(w unconfirmedWrite) bool { return w.sequence <= sequence })
+	p.releaseOccurrences(j)
 	p.removeFinishedJob(j)
 }
 
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -171,19 +171,19 @@
 func (p *Planner) recordEnd(w *worker, end croft.EndedRun) {
 	w.recordedEnd = end.Number
 	ack := pendingAck{number: end.Number}
-	s, index := p.findStage(end.Task)
+	j, s, index := p.findStage(end.Task)
 	if r := w.runs[end.Task]; r != nil && r.number == end.Run {
 		if end.How == croft.EndDone {
 			p.recordDuration(r)
 		}
 		p.removeRun(r)
 	}
-	if s != nil {
+	if j != nil {
 		// The executor may forget any end of the job only once the current state is stored: another member of a gang may
 		// have ended the job before.
-		ack.job, ack.sequence = s.job, s.job.sequence
+		ack.job, ack.sequence = j, j.sequence
 	}
-	if s == nil || s.job.ended {
+	if s == nil || j.ended {
 		w.pendingAcks = append(w.pendingAcks, ack)
 		return
 	}
@@ -225,17 +225,18 @@
 	}
 }
 
-// findStage returns the stage and index of a task, or nil if its job or occurrence is not known.
-func (p *Planner) findStage(id croft.TaskID) (*stage, int) {
+// findStage returns the job, stage and index of a task. The stage is nil if its occurrence is not open, the job too if it is
+// not known.
+func (p *Planner) findStage(id croft.TaskID) (*job, *stage, int) {
 	j, ok := p.jobs[id.Job]
 	if !ok {
-		return nil, 0
+		return nil, nil, 0
 	}
 	s := j.stage(id.Occurrence, id.Step)
-	if s == nil || id.Index >= len(s.tasks) {
-		return nil, 0
+	if s == nil || id.Index < 0 || id.Index >= len(s.tasks) {
+		return j, nil, 0
 	}
-	return s, id.Index
+	return j, s, id.Index
 }
 
 // reconcileRuns updates the runs of a worker from its list, and abandons those that the list should contain but does
@@ -268,7 +269,7 @@
 
 // updateActiveRun applies one entry of a list of active runs that was requested at requestedAt.
 func (p *Planner) updateActiveRun(w *worker, a croft.ActiveRun, requestedAt croft.Millis) {
-	s, index := p.findStage(a.Task)
+	_, s, index := p.findStage(a.Task)
 	if s == nil {
 		w.orphanRuns++
 		p.stopUnknownRun(w, a)
--- a/sched/job.go
+++ b/sched/job.go
@@ -17,7 +17,7 @@
 	// inherited reports that a former leader may have started tasks of the job.
 	inherited bool
 	progress  jobs.Progress
-	// stages has the stages of all opened occurrences, by occurrence and then by step.
+	// stages has the stages of the occurrences that are opened and not released, by occurrence and then by step.
 	stages []*stage
 	// criticalPath has, for each step, the estimated length of the longest chain of dependent steps that starts with it.
 	criticalPath []croft.Millis
@@ -26,6 +26,8 @@
 	// openedOccurrences counts the occurrences that have been opened, remainingOccurrences those that are not finished.
 	openedOccurrences    int
 	remainingOccurrences int
+	// finishedOccurrences has the change that ended each occurrence which is finished and not released.
+	finishedOccurrences map[int]uint64
 	// announced reports that the state to store allows starts of the job's tasks, and announcementStored that this state
 	// is stored. No task starts before that, so a successor knows that a job without a stored announcement runs nowhere.
 	announced, announcementStored bool
@@ -73,8 +75,9 @@
 	remainingTasks int
 	// openedAt is when the last predecessor step was done.
 	openedAt croft.Millis
-	// runsByWorker counts the stage's runs on each worker.
+	// runsByWorker counts the stage's runs on each worker, and liveRuns all of them.
 	runsByWorker map[croft.WorkerID]int
+	liveRuns     int
 	advice       *advice
 	// adviceRequired reports whether starts need a permit of the advice service, as of the last placement pass.
 	adviceRequired bool
@@ -115,8 +118,6 @@
 	return croft.TaskID{Job: s.job.id, Occurrence: s.occurrence, Step: s.step, Index: index}
 }
 
-func (j *job) occurrences() int { return max(j.record.Spec.Repeats, 1) }
-
 // handleJobsRead adds the jobs that are neither known nor ended.
 func (p *Planner) handleJobsRead(e JobsRead) {
 	for _, row := range e.Jobs {
@@ -181,64 +182,6 @@
 	return croft.Millis(j.record.Stretch*float64(longest)) + j.record.Latency
 }
 
-// stage returns the stage of a step of an occurrence, or nil if the occurrence is not open.
-func (j *job) stage(occurrence, step int) *stage {
-	steps := len(j.record.Spec.Steps)
-	if step < 0 || step >= steps || occurrence < 0 || occurrence*steps+step >= len(j.stages) {
-		return nil
-	}
-	return j.stages[occurrence*steps+step]
-}
-
-// openDueOccurrences opens the occurrences of all jobs whose start time has come.
-func (p *Planner) openDueOccurrences() {
-	for _, po := range p.sortedPools {
-		for _, j := range po.jobs {
-			if j.openedOccurrences < j.occurrences() {
-				p.openJobOccurrences(j)
-			}
-		}
-	}
-}
-
-// openJobOccurrences opens the occurrences of a job whose start time has come.
-func (p *Planner) openJobOccurrences(j *job) {
-	for !j.ended && j.openedOccurrences < j.occurrences() {
-		if j.record.Spec.Repeats > 0 && p.now.Wall < j.record.Spec.First+croft.Millis(j.openedOccurrences)*j.record.Spec.Interval {
-			return
-		}
-		j.openedOccurrences++
-		p.openOccurrence(j, j.openedOccurrences-1)
-	}
-}
-
-// openOccurrence creates the stages of an occurrence with the stored progress of their tasks.
-func (p *Planner) openOccurrence(j *job, occurrence int) {
-	for i := range j.record.Spec.Steps {
-		s := &stage{job: j, occurrence: occurrence, step: i, spec: &j.record.Spec.Steps[i]}
-		s.tasks = make([]task, s.spec.Count)
-		s.remainingTasks = s.spec.Count
-		name := jobs.StageName(occurrence, i)
-		for index := range s.tasks {
-			t := &s.tasks[index]
-			t.runNumber, t.unlistedEnd = p.initialRunNumber(j), j.inherited
-			t.done = jobs.HasBit(j.progress.Done[name], index)
-			taskName := jobs.TaskName(occurrence, i, index)
-			t.crashes, t.suspect = j.progress.Crashed[taskName]
-			if failed := j.progress.Failed[taskName]; len(failed) > 0 {
-				t.failures = len(failed)
-				t.runNumber = max(t.runNumber, slices.Max(failed))
-			}
-			if t.done {
-				s.remainingTasks--
-			}
-		}
-		j.stages = append(j.stages, s)
-	}
-	p.openReadyStages(j, occurrence)
-	p.finishOccurrenceIfDone(j, occurrence)
-}
-
 // runsPerTerm is assumed to be more than the starts of one task in one leader's term: a successor numbers its runs
 // above all numbers that former leaders may have used.
 const runsPerTerm = 1000
@@ -272,29 +215,13 @@
 // predecessorsDone reports whether all steps that must precede a stage are done.
 func (j *job) predecessorsDone(s *stage) bool {
 	for _, predecessor := range s.spec.After {
-		if other := j.stage(s.occurrence, predecessor); other != nil && other.remainingTasks > 0 {
+		if j.stage(s.occurrence, predecessor).remainingTasks > 0 {
 			return false
 		}
 	}
 	return true
 }
 
-// finishOccurrenceIfDone counts an occurrence as finished once all its tasks are done, and ends the job with the last.
-func (p *Planner) finishOccurrenceIfDone(j *job, occurrence int) {
-	if j.ended {
-		return
-	}
-	for i := range j.record.Spec.Steps {
-		if j.stage(occurrence, i).remainingTasks > 0 {
-			return
-		}
-	}
-	j.remainingOccurrences--
-	if j.remainingOccurrences == 0 {
-		p.endJob(j, jobs.Done, "all tasks are done")
-	}
-}
-
 // endJob gives a job its final status and stops its runs.
 func (p *Planner) endJob(j *job, status jobs.Status, reason string) {
 	if j.ended {
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -284,6 +284,7 @@
 		r.stage.runsByWorker = map[croft.WorkerID]int{}
 	}
 	r.stage.runsByWorker[r.worker.ID]++
+	r.stage.liveRuns++
 	r.stage.tasks[r.index].liveRuns++
 	r.stage.job.liveRuns++
 }
@@ -304,6 +305,7 @@
 	}
 	w.suspects = slices.DeleteFunc(w.suspects, func(other *run) bool { return other == r })
 	r.stage.runsByWorker[w.ID]--
+	r.stage.liveRuns--
 	p.pool(w.Pool).changed = true
 	t := &r.stage.tasks[r.index]
 	if t.run == r {
@@ -311,6 +313,7 @@
 	}
 	t.liveRuns--
 	r.stage.job.liveRuns--
+	p.releaseOccurrences(r.stage.job)
 	p.removeFinishedJob(r.stage.job)
 }
 
