sched: runs of an occurrence that is not due yet by this leader's clock are adopted

What callers would see: tasks of a schedule that were done run a second time (TWICE).

Cause: a leader opens occurrences by its own clock. A successor whose clock is behind stopped the runs of an occurrence that it did not know, acknowledged their ends without noting them, and started the tasks again when the occurrence was due.

Change: a run or an end of an unopened occurrence opens it and those before it, within what a leader may have open.

--- a/model/invariants.go
+++ b/model/invariants.go
@@ -114,7 +114,7 @@
 			}
 		}
 	}
-	if due := t.record.Spec.First + croft.Millis(o.Task.Occurrence)*t.record.Spec.Interval; t.record.Spec.Repeats > 0 && startWallTime+w.now < due {
+	if due := t.record.Spec.First + croft.Millis(o.Task.Occurrence)*t.record.Spec.Interval; t.record.Spec.Repeats > 0 && startWallTime+w.now+w.options.ClockLead < due {
 		w.violation("ORDER", "%s is started before its time", o.Task)
 	}
 }
--- a/model/model_test.go
+++ b/model/model_test.go
@@ -104,14 +104,15 @@
 	})
 }
 
-// Guards against schedules that are lost or run twice, since their occurrences are opened some at a time.
+// Guards against schedules that are lost or run twice, since their occurrences are opened some at a time and leaders whose
+// clocks differ take over from each other.
 func TestSchedulesRunEachOccurrenceOnce(t *testing.T) {
 	checkSeeds(t, firstFaultSeed, scheduleOptions)
 }
 
 func scheduleOptions(seed uint64) Options {
 	options := smallOptions(seed)
-	options.Schedules, options.Faults = true, true
+	options.Schedules, options.ClockLead, options.Faults = true, 2*croft.Second, true
 	return options
 }
 
--- a/model/world.go
+++ b/model/world.go
@@ -46,6 +46,8 @@
 	EndsPerList int
 	// Schedules makes some jobs repeat some hundreds of times within seconds, with occurrences that are due already.
 	Schedules bool
+	// ClockLead is the maximum time by which the clock of a leader is ahead.
+	ClockLead croft.Millis
 	// Varied draws jobs with gangs, schedules, labels, data racks and per-executor limits; otherwise all steps are plain.
 	Varied bool
 }
@@ -280,6 +282,8 @@
 	doubtFrom croft.Millis
 	// vmOrdersFrom is the earliest time at which it may give orders for VMs.
 	vmOrdersFrom croft.Millis
+	// clockLead is by how much its clock is ahead.
+	clockLead croft.Millis
 }
 
 // scheduleTakeover starts a new leader after a delay, with only the state in the store; it may give orders for VMs
@@ -292,6 +296,9 @@
 		w.leader = &leader{alive: true, vmOrdersFrom: lastRenewal + leaderLease, planner: sched.New(sched.Options{
 			Holder: fmt.Sprintf("entry-%d", w.term), Lease: maxLease, Stop: maxStopDuration, Maintain: maintenanceDuration,
 		})}
+		if w.options.ClockLead > 0 {
+			w.leader.clockLead = w.between(0, w.options.ClockLead)
+		}
 		w.schedule(tickInterval, func() { w.tick(w.leader) })
 		w.deliver(sched.LeadershipAcquired{Fence: w.version, Term: w.term, VMOrdersFrom: lastRenewal + leaderLease}, sched.ConfigRead{Config: w.config})
 		if len(w.waves) > 0 {
@@ -341,7 +348,7 @@
 	if l == nil || !l.alive {
 		return
 	}
-	now := sched.Instant{Elapsed: w.now, Wall: startWallTime + w.now}
+	now := sched.Instant{Elapsed: w.now, Wall: startWallTime + w.now + l.clockLead}
 	for _, e := range l.planner.Reduce(now, events...) {
 		w.perform(e)
 	}
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -232,6 +232,9 @@
 	if !ok {
 		return nil, nil, 0
 	}
+	if id.Occurrence >= j.openedOccurrences {
+		p.openLateOccurrences(j, id.Occurrence)
+	}
 	s := j.stage(id.Occurrence, id.Step)
 	if s == nil || id.Index < 0 || id.Index >= len(s.tasks) {
 		return j, nil, 0
--- a/sched/occurrence.go
+++ b/sched/occurrence.go
@@ -168,3 +168,14 @@
 		}
 	}
 }
+
+// openLateOccurrences opens the occurrences up to one of which an executor has runs: a former leader, whose clock may be ahead,
+// has opened them.
+func (p *Planner) openLateOccurrences(j *job, occurrence int) {
+	if j.ended || occurrence >= j.occurrences() || occurrence >= j.openedOccurrences+j.openLimit() {
+		return
+	}
+	for j.openedOccurrences <= occurrence {
+		p.openNextOccurrence(j)
+	}
+}
--- a/sched/occurrence_test.go
+++ b/sched/occurrence_test.go
@@ -128,3 +128,25 @@
 	assert.Equal(t, len(ended), 6)
 	assert.Equal(t, len(b.planner.jobs), 0)
 }
+
+// Guards against starting a task twice after a takeover from a leader whose clock was ahead: what it had started of an
+// occurrence that is not due by the successor's clock was stopped, and its ends were forgotten.
+func TestRunsOfAnOccurrenceThatIsNotDueAreAdopted(t *testing.T) {
+	b := newTestBench(t)
+	row := b.schedule("j", 3, 1, 100_000, step(2, 1))
+	row.Progress = jobs.Progress{Status: jobs.Running}
+	b.takeLeadership(2, 0, row)
+	b.event(WorkersRead{Changes: croft.WorkerChanges{Entries: testWorkers(1)}})
+	early := func(index int) croft.TaskID { return croft.TaskID{Job: "j", Occurrence: 1, Index: index} }
+	effects := b.answerHold(0, doneRun(1, early(0), 1), activeRun(early(1), 1))
+	assert.Equal(t, len(effectsOf[Stop](effects)), 0)
+	assert.Assert(t, b.planner.jobs["j"].stage(1, 0).tasks[0].done)
+	for _, s := range effectsOf[Start](append(effects, b.advance(50)...)) {
+		assert.Equal(t, s.Order.Task.Occurrence, 0)
+	}
+	// One far beyond those that a leader opens at a time is not.
+	far := b.schedule("far", 1000, 1, 100_000, step(maxOpenTasks, 0))
+	b.event(JobsRead{Jobs: []JobRow{far}})
+	b.answerHold(0, activeRun(croft.TaskID{Job: "far", Occurrence: 900}, 1))
+	assert.Equal(t, b.planner.jobs["far"].openedOccurrences, 1)
+}
