jobs, sched: the stored state of a schedule keeps no progress of finished occurrences

Cause: the state of a scheduled job kept a bitmap for each step of each occurrence for the life of the job, 65,748 bytes after 218 occurrences of 20 steps. The store refuses each transaction with a value of more than 65,536 bytes, and all jobs whose states share it wait with it.

Change: a finished occurrence is one number in a list of ranges, and its progress is dropped. With the bound on open occurrences the state does not grow with the age of a schedule. States stored by former versions are read, and compacted when a leader opens the job. A failed run of a task that is done is not counted any more: it would come back into the dropped progress.

--- /dev/null
+++ b/jobs/progress.go
@@ -0,0 +1,102 @@
+package jobs
+
+import (
+	"encoding/json"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Progress is the stored state of a job.
+type Progress struct {
+	Status Status
+	// Announced reports that a leader may have started tasks of the job although its status is Pending.
+	Announced bool `json:",omitempty"`
+	// Fence is the fencing token of the last planner that wrote the row, zero before the first one.
+	Fence uint64 `json:",omitempty"`
+	// Finished has the finished occurrences as ranges in ascending order: the first occurrence of each and the one after its
+	// last. The fields below have nothing of these.
+	Finished []int `json:",omitempty"`
+	// Done has the finished tasks of each stage as a bitmap; the keys are made by StageName.
+	Done map[string][]byte `json:",omitempty"`
+	// Failed has the numbers of the failed runs of each task; the keys are made by TaskName.
+	Failed map[string][]int `json:",omitempty"`
+	// Crashed has the tasks because of which the executor of their last start may have gone down, and for each how many
+	// executors went down just after they had begun it, since one last survived that; the keys are made by TaskName.
+	Crashed map[string]int `json:",omitempty"`
+}
+
+// IsFinished reports whether an occurrence is finished.
+func (p Progress) IsFinished(occurrence int) bool {
+	// The number of bounds up to the occurrence is odd within a range.
+	bounds, _ := slices.BinarySearch(p.Finished, occurrence+1)
+	return bounds%2 == 1
+}
+
+// WithFinished returns a copy in which an occurrence is finished, without the progress of its tasks.
+func (p Progress) WithFinished(occurrence int) Progress {
+	if !p.IsFinished(occurrence) {
+		p.Finished = withRange(p.Finished, occurrence)
+	}
+	prefix := strconv.Itoa(occurrence) + "."
+	p.Done, p.Failed, p.Crashed = withoutPrefix(p.Done, prefix), withoutPrefix(p.Failed, prefix), withoutPrefix(p.Crashed, prefix)
+	return p
+}
+
+// withRange returns a copy of ascending ranges with a number that none of them has. A bound that the number shares with a range
+// next to it vanishes.
+func withRange(ranges []int, number int) []int {
+	ranges = slices.Clone(ranges)
+	for _, bound := range []int{number, number + 1} {
+		at, found := slices.BinarySearch(ranges, bound)
+		if found {
+			ranges = slices.Delete(ranges, at, at+1)
+		} else {
+			ranges = slices.Insert(ranges, at, bound)
+		}
+	}
+	return ranges
+}
+
+// withoutPrefix returns a copy of a map without the keys that begin with a prefix.
+func withoutPrefix[V any](m map[string]V, prefix string) map[string]V {
+	kept := make(map[string]V, len(m))
+	for key, value := range m {
+		if !strings.HasPrefix(key, prefix) {
+			kept[key] = value
+		}
+	}
+	return kept
+}
+
+// StageName returns the key in Done of a stage, that is a step of one occurrence.
+func StageName(occurrence, step int) string {
+	return strconv.Itoa(occurrence) + "." + strconv.Itoa(step)
+}
+
+// TaskName returns the key in Failed and Crashed of a task.
+func TaskName(occurrence, step, index int) string {
+	return StageName(occurrence, step) + "." + strconv.Itoa(index)
+}
+
+// HasBit reports whether the bit of a task is set in a bitmap of finished tasks.
+func HasBit(bits []byte, index int) bool {
+	return index/8 < len(bits) && bits[index/8]&(1<<(index%8)) != 0
+}
+
+// WithBit returns a copy of the bitmap with the bit of a task set.
+func WithBit(bits []byte, index int) []byte {
+	extended := make([]byte, max(len(bits), index/8+1))
+	copy(extended, bits)
+	extended[index/8] |= 1 << (index % 8)
+	return extended
+}
+
+// DecodeProgress decodes the value of a row in StateTable.
+func DecodeProgress(raw []byte) (Progress, error) {
+	var p Progress
+	err := json.Unmarshal(raw, &p)
+	return p, errors.Wrap(err, "state row")
+}
--- a/jobs/rows.go
+++ b/jobs/rows.go
@@ -92,45 +92,6 @@
 // Final reports whether a job with this status has ended.
 func (s Status) Final() bool { return s == Done || s == Failed || s == Canceled }
 
-// Progress is the stored state of a job.
-type Progress struct {
-	Status Status
-	// Announced reports that a leader may have started tasks of the job although its status is Pending.
-	Announced bool `json:",omitempty"`
-	// Fence is the fencing token of the last planner that wrote the row, zero before the first one.
-	Fence uint64 `json:",omitempty"`
-	// Done has the finished tasks of each stage as a bitmap; the keys are made by StageName.
-	Done map[string][]byte `json:",omitempty"`
-	// Failed has the numbers of the failed runs of each task; the keys are made by TaskName.
-	Failed map[string][]int `json:",omitempty"`
-	// Crashed has the tasks because of which the executor of their last start may have gone down, and for each how many
-	// executors went down just after they had begun it, since one last survived that; the keys are made by TaskName.
-	Crashed map[string]int `json:",omitempty"`
-}
-
-// StageName returns the key in Done of a stage, that is a step of one occurrence.
-func StageName(occurrence, step int) string {
-	return strconv.Itoa(occurrence) + "." + strconv.Itoa(step)
-}
-
-// TaskName returns the key in Failed and Crashed of a task.
-func TaskName(occurrence, step, index int) string {
-	return StageName(occurrence, step) + "." + strconv.Itoa(index)
-}
-
-// HasBit reports whether the bit of a task is set in a bitmap of finished tasks.
-func HasBit(bits []byte, index int) bool {
-	return index/8 < len(bits) && bits[index/8]&(1<<(index%8)) != 0
-}
-
-// WithBit returns a copy of the bitmap with the bit of a task set.
-func WithBit(bits []byte, index int) []byte {
-	extended := make([]byte, max(len(bits), index/8+1))
-	copy(extended, bits)
-	extended[index/8] |= 1 << (index % 8)
-	return extended
-}
-
 // Encode encodes the value of a row as JSON.
 func Encode(value any) []byte {
 	encoded, err := json.Marshal(value)
@@ -147,10 +108,3 @@
 	err := json.Unmarshal(raw, &r)
 	return r, errors.Wrap(err, "job row")
 }
-
-// DecodeProgress decodes the value of a row in StateTable.
-func DecodeProgress(raw []byte) (Progress, error) {
-	var p Progress
-	err := json.Unmarshal(raw, &p)
-	return p, errors.Wrap(err, "state row")
-}
--- a/jobs/rows_test.go
+++ b/jobs/rows_test.go
@@ -40,8 +40,41 @@
 	})
 }
 
+func TestFinishedOccurrencesAreRanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		finished := map[int]bool{}
+		p := Progress{Status: Running}
+		for _, occurrence := range rapid.SliceOf(rapid.IntRange(0, 40)).Draw(t, "finished") {
+			finished[occurrence] = true
+			p = p.WithFinished(occurrence)
+		}
+		p, err := DecodeProgress(Encode(p))
+		assert.NilError(t, err)
+		ranges := 0
+		for occurrence := range 42 {
+			assert.Equal(t, p.IsFinished(occurrence), finished[occurrence])
+			if finished[occurrence] && !finished[occurrence-1] {
+				ranges++
+			}
+		}
+		assert.Equal(t, len(p.Finished), 2*ranges)
+	})
+}
+
+func TestProgressOfFinishedOccurrencesIsDropped(t *testing.T) {
+	p := Progress{
+		Done:    map[string][]byte{StageName(1, 0): {1}, StageName(12, 0): {2}},
+		Failed:  map[string][]int{TaskName(1, 0, 3): {1}, TaskName(12, 0, 3): {2}},
+		Crashed: map[string]int{TaskName(1, 0, 3): 1},
+	}
+	got := p.WithFinished(1)
+	assert.DeepEqual(t, got, Progress{Finished: []int{1, 2}, Done: map[string][]byte{"12.0": {2}}, Failed: map[string][]int{"12.0.3": {2}}, Crashed: map[string]int{}})
+	assert.Equal(t, len(p.Done), 2)
+}
+
 func FuzzDecodeRows(f *testing.F) {
 	f.Add(Encode(Progress{Status: Done, Fence: 7, Announced: true}))
+	f.Add(Encode(Progress{Status: Running, Finished: []int{0, 3, 5, 6}}))
 	f.Add(Encode(Record{Queue: "q", Spec: croft.JobSpec{Steps: []croft.Step{{Count: 2, After: []int{0}}}}}))
 	f.Fuzz(func(_ *testing.T, raw []byte) {
 		_, _ = DecodeProgress(raw)
--- a/sched/commit.go
+++ b/sched/commit.go
@@ -251,7 +251,7 @@
 	p.log("Merge", string(j.id), string(progress.Status), "a former leader stored this state after the takeover")
 	for _, s := range j.stages {
 		for index := range s.tasks {
-			if jobs.HasBit(progress.Done[jobs.StageName(s.occurrence, s.step)], index) {
+			if progress.IsFinished(s.occurrence) || jobs.HasBit(progress.Done[jobs.StageName(s.occurrence, s.step)], index) {
 				p.completeTask(s, index)
 			}
 			for _, number := range progress.Failed[jobs.TaskName(s.occurrence, s.step, index)] {
--- a/sched/crash.go
+++ b/sched/crash.go
@@ -219,7 +219,7 @@
 // setSuspicion sets whether a task is a suspect and how many executors it has crashed, and queues that to be stored.
 func (p *Planner) setSuspicion(s *stage, index int, suspect bool, crashes int) {
 	t := &s.tasks[index]
-	if (t.suspect == suspect && t.crashes == crashes) || s.job.ended {
+	if (t.suspect == suspect && t.crashes == crashes) || s.job.ended || (suspect && t.done) {
 		return
 	}
 	t.suspect, t.crashes = suspect, crashes
--- a/sched/job.go
+++ b/sched/job.go
@@ -280,12 +280,12 @@
 	}
 }
 
-// recordTaskFailure counts a failed run of a task, each run number once, and ends the job when the task reaches its
-// queue's limit of attempts.
+// recordTaskFailure counts a failed run of a task that is not done, each run number once, and ends the job when the task
+// reaches its queue's limit of attempts.
 func (p *Planner) recordTaskFailure(s *stage, index, number int, worker croft.WorkerID) {
 	t := &s.tasks[index]
 	t.avoidWorker = worker
-	if s.spec.Endless {
+	if s.spec.Endless || t.done {
 		return
 	}
 	name := jobs.TaskName(s.occurrence, s.step, index)
--- a/sched/occurrence.go
+++ b/sched/occurrence.go
@@ -86,6 +86,7 @@
 	occurrence := j.openedOccurrences
 	j.openedOccurrences++
 	if j.isStoredAsFinished(occurrence) {
+		j.progress = j.progress.WithFinished(occurrence)
 		p.countFinishedOccurrence(j)
 		return
 	}
@@ -95,8 +96,11 @@
 	p.openReadyStages(j, occurrence)
 }
 
-// isStoredAsFinished reports whether the stored progress has all tasks of an occurrence as done.
+// isStoredAsFinished reports whether the stored progress has an occurrence as finished, or all tasks of it as done.
 func (j *job) isStoredAsFinished(occurrence int) bool {
+	if j.progress.IsFinished(occurrence) {
+		return true
+	}
 	for i := range j.record.Spec.Steps {
 		done := j.progress.Done[jobs.StageName(occurrence, i)]
 		for index := range j.record.Spec.Steps[i].Count {
@@ -146,6 +150,7 @@
 		j.finishedOccurrences = map[int]uint64{}
 	}
 	j.finishedOccurrences[occurrence] = j.sequence
+	j.progress = j.progress.WithFinished(occurrence)
 	p.countFinishedOccurrence(j)
 }
 
--- a/sched/occurrence_test.go
+++ b/sched/occurrence_test.go
@@ -86,6 +86,23 @@
 	assert.Equal(t, len(b.planner.jobs), 0)
 }
 
+// Guards against jobs that never start, since the store refuses each transaction with a state that is too large for a row: the
+// state of a schedule had all its finished occurrences.
+func TestStateOfAScheduleFitsARow(t *testing.T) {
+	b := newTestBench(t)
+	b.takeLeadership(1, 1)
+	const repeats, rowBytes = 5000, 65_536
+	effects := b.event(JobsRead{Jobs: []JobRow{b.schedule("j", repeats, repeats, 1000, step(1, 30))}})
+	largest := 0
+	ended := b.runAll(effects, func() {
+		if j, ok := b.planner.jobs["j"]; ok {
+			largest = max(largest, len(jobs.Encode(j.progress)))
+		}
+	})
+	assert.Equal(t, len(ended), repeats)
+	assert.Assert(t, largest <= rowBytes, "%d bytes", largest)
+}
+
 // A finished occurrence counts as open until its end is stored: a new leader has to open the same ones.
 func TestOccurrenceIsReleasedOnceItsEndIsStored(t *testing.T) {
 	b := newTestBench(t)
