jobs: large states of jobs are compressed, failed runs of tasks that are done are dropped from them

A job of 9,984 open tasks in steps of their own has a state of 76,190 bytes without a failed run, and 163,061 with one failed run of each task; the store takes 65,536.

The entry bounds the tasks of a job and not the size of what is stored about them.

Change: states of 2,048 bytes or more are compressed, and the failed runs of a task go once it is done. Up to seven failed runs of each open task fit a row then where half of them are done, four where none is. States that former versions stored are read as before; former versions can't read compressed ones.

Evidence: TestProgressOfTheLargestJobFitsARow failed before (76,190 bytes).

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -184,7 +184,7 @@
 		return croft.Op{Kind: croft.OpPut, Key: jobs.Key(table, part, id), Version: version, Value: value}
 	}
 	return []croft.Op{
-		put(jobs.StateTable, 0, jobs.Encode(jobs.Progress{Status: jobs.Pending})),
+		put(jobs.StateTable, 0, jobs.EncodeProgress(jobs.Progress{Status: jobs.Pending})),
 		put(jobs.JobTable, croft.AnyVersion, jobs.Encode(record)),
 		put(jobs.WaitTable, croft.AnyVersion, jobs.PresenceValue),
 	}
@@ -241,7 +241,7 @@
 		}
 		progress.Status = jobs.Canceled
 		_, err = i.table.Commit(ctx, []croft.Op{
-			{Kind: croft.OpPut, Key: jobs.Key(jobs.StateTable, part, id), Version: version, Value: jobs.Encode(progress)},
+			{Kind: croft.OpPut, Key: jobs.Key(jobs.StateTable, part, id), Version: version, Value: jobs.EncodeProgress(progress)},
 			{Kind: croft.OpPut, Key: jobs.Key(jobs.CancelTable, part, id), Version: croft.AnyVersion, Value: jobs.PresenceValue},
 			{Kind: croft.OpDelete, Key: jobs.Key(jobs.WaitTable, part, id), Version: croft.AnyVersion},
 		})
--- a/jobs/rows_test.go
+++ b/jobs/rows_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 
@@ -30,7 +31,7 @@
 			finished[index] = true
 			bits = WithBit(bits, index)
 		}
-		raw := Encode(Progress{Status: Running, Done: map[string][]byte{StageName(0, 1): bits}, Failed: map[string][]int{TaskName(0, 1, 2): {1, 4}}})
+		raw := EncodeProgress(Progress{Status: Running, Done: map[string][]byte{StageName(0, 1): bits}, Failed: map[string][]int{TaskName(0, 1, 2): {1, 4}}})
 		decoded, err := DecodeProgress(raw)
 		assert.NilError(t, err)
 		for index := range 310 {
@@ -48,7 +49,7 @@
 			finished[occurrence] = true
 			p = p.WithFinished(occurrence)
 		}
-		p, err := DecodeProgress(Encode(p))
+		p, err := DecodeProgress(EncodeProgress(p))
 		assert.NilError(t, err)
 		ranges := 0
 		for occurrence := range 42 {
@@ -72,9 +73,65 @@
 	assert.Equal(t, len(p.Done), 2)
 }
 
+// largestProgress returns the state of a job with as many open tasks as there may be, each in a step of its own: about half of
+// them are done, and the others have failed runs.
+func largestProgress(failures int) Progress {
+	const occurrences, steps = 39, 256
+	p := Progress{Status: Running, Announced: true, Done: map[string][]byte{}}
+	if failures > 0 {
+		p.Failed = map[string][]int{}
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	for occurrence := range occurrences {
+		for step := range steps {
+			if random.IntN(2) == 0 {
+				p.Done[StageName(occurrence, step)] = []byte{1}
+				continue
+			}
+			number := 2001
+			for range failures {
+				name := TaskName(occurrence, step, 0)
+				p.Failed[name] = append(p.Failed[name], number)
+				number += 1 + random.IntN(3)
+			}
+		}
+	}
+	return p
+}
+
+// Guards against jobs that never start, since the store refuses each transaction with a state that is too large for a row: the
+// state of a job with thousands of tasks whose runs fail.
+func TestProgressOfTheLargestJobFitsARow(t *testing.T) {
+	const rowBytes, maxFailures = 65_536, 7
+	for failures := range maxFailures + 1 {
+		p := largestProgress(failures)
+		raw := EncodeProgress(p)
+		assert.Assert(t, len(raw) <= rowBytes, "%d failed runs of each task: %d bytes", failures, len(raw))
+		decoded, err := DecodeProgress(raw)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, decoded, p)
+	}
+}
+
+func TestDamagedCompressedProgressIsAnError(t *testing.T) {
+	raw := EncodeProgress(largestProgress(1))
+	for _, damaged := range [][]byte{nil, {compressedMark}, raw[:len(raw)/2], append([]byte{compressedMark}, raw...)} {
+		_, err := DecodeProgress(damaged)
+		assert.ErrorContains(t, err, "state row")
+	}
+}
+
+func BenchmarkEncodeLargestProgress(b *testing.B) {
+	p := largestProgress(1)
+	for b.Loop() {
+		EncodeProgress(p)
+	}
+}
+
 func FuzzDecodeRows(f *testing.F) {
-	f.Add(Encode(Progress{Status: Done, Fence: 7, Announced: true}))
-	f.Add(Encode(Progress{Status: Running, Finished: []int{0, 3, 5, 6}}))
+	f.Add(EncodeProgress(Progress{Status: Done, Fence: 7, Announced: true}))
+	f.Add(EncodeProgress(Progress{Status: Running, Finished: []int{0, 3, 5, 6}}))
+	f.Add(EncodeProgress(largestProgress(1)))
 	f.Add(Encode(Record{Queue: "q", Spec: croft.JobSpec{Steps: []croft.Step{{Count: 2, After: []int{0}}}}}))
 	f.Fuzz(func(_ *testing.T, raw []byte) {
 		_, _ = DecodeProgress(raw)
--- a/model/model_test.go
+++ b/model/model_test.go
@@ -104,8 +104,8 @@
 	})
 }
 
-// Guards against schedules that are lost or run twice, since their occurrences are opened some at a time and leaders whose
-// clocks differ take over from each other.
+// Guards against schedules that are lost or run twice, since their occurrences are opened some at a time, leaders whose clocks
+// differ take over from each other, and the store refuses states above a size.
 func TestSchedulesRunEachOccurrenceOnce(t *testing.T) {
 	checkSeeds(t, firstFaultSeed, scheduleOptions)
 }
@@ -113,6 +113,7 @@
 func scheduleOptions(seed uint64) Options {
 	options := smallOptions(seed)
 	options.Schedules, options.ClockLead, options.Faults = true, 2*croft.Second, true
+	options.RowBytes = 4096
 	return options
 }
 
--- a/model/perform.go
+++ b/model/perform.go
@@ -152,6 +152,9 @@
 func (w *World) commit(ops []croft.Op) (uint64, error) {
 	conflict := &croft.ConflictError{}
 	for _, op := range ops {
+		if w.options.RowBytes > 0 && len(op.Value) > w.options.RowBytes {
+			return 0, &croft.UnavailableError{Reason: "model: the value is too large"}
+		}
 		if row := w.store[op.Key]; op.Version != croft.AnyVersion && row.Version != op.Version {
 			row.Key = op.Key
 			conflict.Rows = append(conflict.Rows, row)
--- a/model/workload.go
+++ b/model/workload.go
@@ -114,7 +114,7 @@
 		return
 	}
 	version, err := w.commit([]croft.Op{
-		{Kind: croft.OpPut, Key: jobs.Key(jobs.StateTable, t.part, t.id), Value: jobs.Encode(jobs.Progress{Status: jobs.Pending})},
+		{Kind: croft.OpPut, Key: jobs.Key(jobs.StateTable, t.part, t.id), Value: jobs.EncodeProgress(jobs.Progress{Status: jobs.Pending})},
 		{Kind: croft.OpPut, Key: jobs.Key(jobs.JobTable, t.part, t.id), Version: croft.AnyVersion, Value: jobs.Encode(t.record)},
 	})
 	if err != nil {
@@ -136,7 +136,7 @@
 	}
 	progress.Status = jobs.Canceled
 	if _, err := w.commit([]croft.Op{
-		{Kind: croft.OpPut, Key: key, Version: row.Version, Value: jobs.Encode(progress)},
+		{Kind: croft.OpPut, Key: key, Version: row.Version, Value: jobs.EncodeProgress(progress)},
 		{Kind: croft.OpPut, Key: jobs.Key(jobs.CancelTable, t.part, t.id), Version: croft.AnyVersion},
 	}); err != nil {
 		return
--- a/model/world.go
+++ b/model/world.go
@@ -44,6 +44,8 @@
 	TakeoversAfterWaves bool
 	// EndsPerList is the maximum number of ended runs that an executor lists at a time, zero for no limit.
 	EndsPerList int
+	// RowBytes is the maximum size of a value that the store takes, zero for no limit.
+	RowBytes int
 	// Schedules makes some jobs repeat some hundreds of times within seconds, with occurrences that are due already.
 	Schedules bool
 	// ClockLead is the maximum time by which the clock of a leader is ahead.
--- a/sched/commit.go
+++ b/sched/commit.go
@@ -106,7 +106,7 @@
 	for _, j := range pa.dirty[:n] {
 		j.dirty = false
 		j.progress.Fence = p.fencingToken
-		value := jobs.Encode(j.progress)
+		value := jobs.EncodeProgress(j.progress)
 		if n := len(j.unconfirmedWrites); n == 0 || !bytes.Equal(j.unconfirmedWrites[n-1].value, value) {
 			j.unconfirmedWrites = append(j.unconfirmedWrites, unconfirmedWrite{value: value, sequence: j.sequence, announced: j.announced})
 		}
--- a/sched/job.go
+++ b/sched/job.go
@@ -273,6 +273,9 @@
 		s.job.progress.Done = map[string][]byte{}
 	}
 	s.job.progress.Done[name] = jobs.WithBit(s.job.progress.Done[name], index)
+	taskName := jobs.TaskName(s.occurrence, s.step, index)
+	delete(s.job.progress.Failed, taskName)
+	delete(s.job.progress.Crashed, taskName)
 	p.markDirty(s.job)
 	if s.remainingTasks == 0 {
 		p.openReadyStages(s.job, s.occurrence)
--- a/sched/occurrence_test.go
+++ b/sched/occurrence_test.go
@@ -96,7 +96,7 @@
 	largest := 0
 	ended := b.runAll(effects, func() {
 		if j, ok := b.planner.jobs["j"]; ok {
-			largest = max(largest, len(jobs.Encode(j.progress)))
+			largest = max(largest, len(jobs.EncodeProgress(j.progress)))
 		}
 	})
 	assert.Equal(t, len(ended), repeats)
