sched: a job whose announcement is not stored yet keeps no other job of its pool waiting

Cause: its tasks stay in the list of waiting ones though they fit, and a stage with waiting tasks counted as one that fits nowhere, so that no stage after it with the same needs was tried.

Change: only a stage that found no capacity counts. The capacity for the announced tasks stays reserved in the pass.

--- a/sched/place.go
+++ b/sched/place.go
@@ -115,8 +115,7 @@
 		case candidate.stage.spec.Gang:
 			p.placeGang(po, candidate.stage)
 		default:
-			p.placeStage(po, candidate.stage)
-			if candidate.stage.awaitsCapacity() {
+			if !p.placeStage(po, candidate.stage) {
 				unplaceable = unplaceable.with(candidate.stage)
 			}
 		}
@@ -157,13 +156,9 @@
 	return false
 }
 
-// awaitsCapacity reports whether tasks wait that are no suspects: those may wait for an executor without other suspects.
-func (s *stage) awaitsCapacity() bool {
-	return slices.ContainsFunc(s.waiting, func(index int) bool { return !s.tasks[index].isSuspect() })
-}
-
-// placeStage starts as many waiting tasks of a stage as fit.
-func (p *Planner) placeStage(po *pool, s *stage) {
+// placeStage starts as many waiting tasks of a stage as fit, and reports whether all fit. Suspects don't count: they may wait for
+// an executor without other suspects. Tasks that wait for the announcement of their job fit if there is capacity for them.
+func (p *Planner) placeStage(po *pool, s *stage) (allFit bool) {
 	placed := placement{waiting: len(s.waiting)}
 	defer func() { p.logPlacement(s, placed) }()
 	for _, index := range slices.Clone(s.waiting) {
@@ -182,7 +177,7 @@
 			if s.tasks[index].isSuspect() {
 				continue
 			}
-			return
+			return false
 		}
 		if !s.job.announcementStored {
 			// The capacity is reserved for this pass only, so that no more jobs are announced than fit.
@@ -195,6 +190,7 @@
 		p.startRun(s, index, w, s.tasks[index].runNumber+1)
 		placed.add(w)
 	}
+	return true
 }
 
 // placement is what one placement pass started of a stage.
