sched, platform: a state that the store refuses keeps no other job from being stored

What callers saw: of 16 accepted jobs of one task each, those in the same part of the store as a job whose state had become too large never started (LOST).

Cause: up to 24 jobs of a part share a transaction, and each refusal was taken as temporary: the same jobs were sent again for good.

Evidence: TestInvalidStateKeepsNoOtherJobFromBeingStored failed before (none of the other two jobs stored, a refusal each 200 ms).

--- a/platform.go
+++ b/platform.go
@@ -128,7 +128,11 @@
 }
 
 // UnavailableError reports that the platform or an executor did not carry out a request.
-type UnavailableError struct{ Reason string }
+type UnavailableError struct {
+	Reason string
+	// Invalid reports that the request was refused for what it contains: the same request will be refused again.
+	Invalid bool
+}
 
 // Error includes the reason.
 func (e *UnavailableError) Error() string { return "platform: unavailable: " + e.Reason }
--- a/sched/commit.go
+++ b/sched/commit.go
@@ -32,6 +32,8 @@
 	maxBatchDelay = 500 * croft.Millis(1)
 	// commitRetryPause is the pause after a commit that failed.
 	commitRetryPause = 200 * croft.Millis(1)
+	// maxRefusedPause bounds the pause of a job whose state the store refuses, which is commitRetryPause times the refusals.
+	maxRefusedPause = 5 * croft.Second
 	// maxJobsPerCommit keeps a transaction within the store's limit of 100 entries, with up to four for a job: the
 	// expected version, the state, and two deleted rows.
 	maxJobsPerCommit = 24
@@ -84,6 +86,32 @@
 	p.tombstones[j.id] = p.now.Elapsed
 }
 
+// write is the state of a job as it is sent to the store.
+type write struct {
+	job   *job
+	value []byte
+}
+
+// takeWrites removes the jobs of the next commit from those that wait, and returns their states.
+func (p *Planner) takeWrites(pa *partWriter) []write {
+	var taken []write
+	var kept []*job
+	full := false
+	for _, j := range pa.dirty {
+		if full || p.now.Elapsed < j.writeFrom || (j.writtenAlone && len(taken) > 0) {
+			kept = append(kept, j)
+			continue
+		}
+		j.progress.Fence = p.fencingToken
+		value := jobs.EncodeProgress(j.progress)
+		j.dirty = false
+		taken = append(taken, write{job: j, value: value})
+		full = j.writtenAlone || len(taken) == maxJobsPerCommit
+	}
+	pa.dirty = kept
+	return taken
+}
+
 // sendDueCommits sends the commits that are due, in the order of the partitions' names.
 func (p *Planner) sendDueCommits() {
 	names := make([]string, 0, len(p.parts))
@@ -102,11 +130,8 @@
 // commitPart sends a commit with the next states of a partition or, if there are none, its next deletions.
 func (p *Planner) commitPart(name string, pa *partWriter) {
 	commit := Commit{Part: name}
-	n := min(len(pa.dirty), maxJobsPerCommit)
-	for _, j := range pa.dirty[:n] {
-		j.dirty = false
-		j.progress.Fence = p.fencingToken
-		value := jobs.EncodeProgress(j.progress)
+	for _, w := range p.takeWrites(pa) {
+		j, value := w.job, w.value
 		if n := len(j.unconfirmedWrites); n == 0 || !bytes.Equal(j.unconfirmedWrites[n-1].value, value) {
 			j.unconfirmedWrites = append(j.unconfirmedWrites, unconfirmedWrite{value: value, sequence: j.sequence, announced: j.announced})
 		}
@@ -119,12 +144,14 @@
 			commit.Ops = append(commit.Ops, croft.Op{Kind: croft.OpDelete, Key: jobs.Key(jobs.JobTable, name, j.id), Version: croft.AnyVersion})
 		}
 	}
-	pa.dirty = slices.Clone(pa.dirty[n:])
-	if n == 0 {
+	if len(commit.Writes) == 0 {
 		m := min(len(pa.deletions), maxJobsPerCommit)
 		commit.Ops = append(commit.Ops, pa.deletions[:m]...)
 		pa.deletions = slices.Clone(pa.deletions[m:])
 	}
+	if len(commit.Ops) == 0 {
+		return
+	}
 	pa.commitPending, pa.urgent, pa.sentAt = true, false, p.now.Elapsed
 	p.emit(commit)
 }
@@ -141,6 +168,7 @@
 	case e.Err == nil:
 		for _, w := range e.Writes {
 			if j, ok := p.jobs[w.ID]; ok {
+				j.writtenAlone, j.refusals = false, 0
 				j.waitRowDeleted = j.waitRowDeleted || w.Began
 				p.recordStored(j, w.Sequence, e.Version)
 				p.confirmAnnouncement(j, w.Announced)
@@ -151,12 +179,33 @@
 		p.resolveConflict(e, conflict)
 	default:
 		p.log("Unstored", e.Part, "", fmt.Sprintf("commit of %d job states not confirmed: %v", len(e.Writes), e.Err))
-		pa.nextCommit = p.now.Elapsed + commitRetryPause
+		var unavailable *croft.UnavailableError
+		if errors.As(e.Err, &unavailable) && unavailable.Invalid && len(e.Writes) > 0 {
+			p.separateInvalidWrites(e.Writes)
+		} else {
+			pa.nextCommit = p.now.Elapsed + commitRetryPause
+		}
 		pa.urgent = false
 		p.requeueWrites(e)
 	}
 }
 
+// separateInvalidWrites makes the jobs of a commit that was refused for what it contains be written one by one, and one that was
+// refused alone be written again after a pause, so that it keeps no others waiting.
+func (p *Planner) separateInvalidWrites(writes []Write) {
+	for _, w := range writes {
+		j, ok := p.jobs[w.ID]
+		if !ok {
+			continue
+		}
+		if len(writes) == 1 {
+			j.refusals++
+			j.writeFrom = p.now.Elapsed + min(commitRetryPause*croft.Millis(j.refusals), maxRefusedPause)
+		}
+		j.writtenAlone = true
+	}
+}
+
 // requeueWrites queues the writes of a commit that failed, or whose outcome is unknown, for the next commit.
 func (p *Planner) requeueWrites(e Committed) {
 	pa := p.partWriter(e.Part)
--- a/sched/commit_test.go
+++ b/sched/commit_test.go
@@ -117,3 +117,44 @@
 	assert.Equal(t, len(commits), 1)
 	assert.Equal(t, len(commits[0].Writes), 2)
 }
+
+// invalid is the refusal of a transaction for what it contains.
+var invalid = &croft.UnavailableError{Reason: "test", Invalid: true}
+
+// Guards against jobs that never start: the store refused a transaction for the state of one job, and it was repeated with all
+// others of it for good.
+func TestInvalidStateKeepsNoOtherJobFromBeingStored(t *testing.T) {
+	b := newTestBench(t)
+	b.takeLeadership(1, 1)
+	reduce := func(e ...Event) []Effect { return b.planner.Reduce(Instant{Elapsed: b.now}, e...) }
+	commits := effectsOf[Commit](reduce(JobsRead{Jobs: testJobs(3, step(1, 1))}))
+	assert.Equal(t, len(commits), 1)
+	assert.Equal(t, len(commits[0].Writes), 3)
+	stored, refusals := map[croft.JobID]bool{}, 0
+	for range 200 {
+		var events []Event
+		for _, c := range commits {
+			e := Committed{Commit: c, Version: 9}
+			for _, w := range c.Writes {
+				if w.ID == "b" {
+					e.Err = invalid
+				}
+			}
+			if e.Err != nil {
+				refusals++
+			} else {
+				for _, w := range c.Writes {
+					stored[w.ID] = true
+				}
+			}
+			events = append(events, e)
+		}
+		b.now += 50
+		commits = effectsOf[Commit](reduce(append(events, Ticked{})...))
+		if b.now == 1000+8*50 {
+			assert.DeepEqual(t, stored, map[croft.JobID]bool{"a": true, "c": true})
+		}
+	}
+	assert.Assert(t, refusals < 15, "%d refusals in 10 s", refusals)
+	assert.Assert(t, refusals > 4, "%d refusals in 10 s", refusals)
+}
--- a/sched/job.go
+++ b/sched/job.go
@@ -49,8 +49,12 @@
 	storedSequence uint64
 	// unconfirmedWrites are values of commits without a known outcome; any of them may be in the store.
 	unconfirmedWrites []unconfirmedWrite
-	// dirty reports that the job waits for a commit of its partition.
-	dirty bool
+	// dirty reports that the job waits for a commit of its partition, and writtenAlone that this commit has no other job's state.
+	dirty, writtenAlone bool
+	// refusals counts the commits of this job alone that were refused for what they contain, and writeFrom is when the next one
+	// may be sent.
+	refusals  int
+	writeFrom croft.Millis
 }
 
 // unconfirmedWrite is a state that was sent to the store and not confirmed yet.
--- a/sched/place_test.go
+++ b/sched/place_test.go
@@ -13,7 +13,9 @@
 	b.takeLeadership(1, 1)
 	first, second := testJob("first", step(2, 1)), testJob("second", step(2, 1))
 	second.Part = "q.1"
-	reduce := func(e ...Event) []Effect { return b.planner.Reduce(Instant{Elapsed: b.now, Wall: testWallClock + b.now}, e...) }
+	reduce := func(e ...Event) []Effect {
+		return b.planner.Reduce(Instant{Elapsed: b.now, Wall: testWallClock + b.now}, e...)
+	}
 	commits := effectsOf[Commit](reduce(JobsRead{Jobs: []JobRow{first, second}}))
 	assert.Equal(t, len(commits), 2)
 	effects := reduce(Committed{Commit: commits[1], Version: 9})
