sched: transactions with states of jobs stay within the store's limit of bytes

Cause: transactions were bounded by the number of their entries only. 24 large states are 1.8 MB in base64; the store takes 1 MB, refuses the transaction, and it was repeated for good.

Change: the states of a transaction have 512 KB at most.

Evidence: TestCommitsStayWithinTransactionBytes failed before.

--- a/sched/commit.go
+++ b/sched/commit.go
@@ -37,6 +37,8 @@
 	// maxJobsPerCommit keeps a transaction within the store's limit of 100 entries, with up to four for a job: the
 	// expected version, the state, and two deleted rows.
 	maxJobsPerCommit = 24
+	// maxCommitBytes keeps a transaction well below the store's limit of 1 MB, in which values are base64.
+	maxCommitBytes = 512 << 10
 )
 
 // partWriter returns the writer of a partition, which it creates if needed.
@@ -96,7 +98,7 @@
 func (p *Planner) takeWrites(pa *partWriter) []write {
 	var taken []write
 	var kept []*job
-	full := false
+	size, full := 0, false
 	for _, j := range pa.dirty {
 		if full || p.now.Elapsed < j.writeFrom || (j.writtenAlone && len(taken) > 0) {
 			kept = append(kept, j)
@@ -104,7 +106,13 @@
 		}
 		j.progress.Fence = p.fencingToken
 		value := jobs.EncodeProgress(j.progress)
+		if len(taken) > 0 && size+len(value) > maxCommitBytes {
+			full = true
+			kept = append(kept, j)
+			continue
+		}
 		j.dirty = false
+		size += len(value)
 		taken = append(taken, write{job: j, value: value})
 		full = j.writtenAlone || len(taken) == maxJobsPerCommit
 	}
--- a/sched/commit_test.go
+++ b/sched/commit_test.go
@@ -1,7 +1,9 @@
 package sched
 
 import (
+	"encoding/base64"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -158,3 +160,37 @@
 	assert.Assert(t, refusals < 15, "%d refusals in 10 s", refusals)
 	assert.Assert(t, refusals > 4, "%d refusals in 10 s", refusals)
 }
+
+// Guards against commits that the store refuses for ever, since they exceed its limit of bytes.
+func TestCommitsStayWithinTransactionBytes(t *testing.T) {
+	const rowsInLimit, maxTransaction = 24, 1 << 20
+	random := rand.New(rand.NewPCG(1, 2))
+	var rows []JobRow
+	for i := range rowsInLimit {
+		row := testJob(croft.JobID(fmt.Sprintf("%016x", i)), step(10_000, 0))
+		row.Progress = jobs.Progress{Status: jobs.Running, Failed: map[string][]int{}}
+		for index := range 9000 {
+			row.Progress.Failed[jobs.TaskName(0, 0, index)] = []int{random.IntN(1 << 20)}
+		}
+		rows = append(rows, row)
+	}
+	b := newTestBench(t)
+	b.takeLeadership(2, 0, rows...)
+	b.event(WorkersRead{Changes: croft.WorkerChanges{Entries: testWorkers(1)}})
+	var ends []any
+	for i, row := range rows {
+		ends = append(ends, doneRun(int64(i+1), croft.TaskID{Job: row.ID, Index: 9999}, 1))
+	}
+	stored := 0
+	for effects := b.answerHold(0, ends...); stored < rowsInLimit; {
+		commits := effectsOf[Commit](append(effects, b.advance(50)...))
+		assert.Equal(t, len(commits), 1)
+		size := 0
+		for _, op := range commits[0].Ops {
+			size += base64.StdEncoding.EncodedLen(len(op.Value)) + len(op.Key)
+		}
+		assert.Assert(t, size < maxTransaction, "%d bytes", size)
+		stored += len(commits[0].Writes)
+		effects = b.event(Committed{Commit: commits[0], Version: uint64(1000 + stored)})
+	}
+}
