sched: a job whose state does not fit a row of the store ends as failed, alone

Cause: such a state was sent for good. The ends of the job's runs were never acknowledged, and with them, since acknowledgements are cumulative, no later end on the same executors, until their lists of 500 ends were full.

Change: the size of a row is read from the settings. A job whose state exceeds it ends as failed; the state of an ended job has its status only.

Evidence: TestJobWhoseStateDoesNotFitARowEndsAlone failed before (a value of 1,167 bytes where 600 fit).

--- a/model/world.go
+++ b/model/world.go
@@ -297,6 +297,7 @@
 		w.version++
 		w.leader = &leader{alive: true, vmOrdersFrom: lastRenewal + leaderLease, planner: sched.New(sched.Options{
 			Holder: fmt.Sprintf("entry-%d", w.term), Lease: maxLease, Stop: maxStopDuration, Maintain: maintenanceDuration,
+			RowBytes: w.options.RowBytes,
 		})}
 		if w.options.ClockLead > 0 {
 			w.leader.clockLead = w.between(0, w.options.ClockLead)
--- a/sched/commit.go
+++ b/sched/commit.go
@@ -94,10 +94,12 @@
 	value []byte
 }
 
-// takeWrites removes the jobs of the next commit from those that wait, and returns their states.
+// takeWrites removes the jobs of the next commit from those that wait, and returns their states. A job whose state does not fit a
+// row ends as failed: it could neither go on nor end otherwise, and the ends of its runs would keep those of other jobs from being
+// acknowledged.
 func (p *Planner) takeWrites(pa *partWriter) []write {
 	var taken []write
-	var kept []*job
+	var kept, oversized []*job
 	size, full := 0, false
 	for _, j := range pa.dirty {
 		if full || p.now.Elapsed < j.writeFrom || (j.writtenAlone && len(taken) > 0) {
@@ -112,11 +114,18 @@
 			continue
 		}
 		j.dirty = false
+		if p.options.RowBytes > 0 && len(value) > p.options.RowBytes && !j.ended {
+			oversized = append(oversized, j)
+			continue
+		}
 		size += len(value)
 		taken = append(taken, write{job: j, value: value})
 		full = j.writtenAlone || len(taken) == maxJobsPerCommit
 	}
 	pa.dirty = kept
+	for _, j := range oversized {
+		p.endJob(j, jobs.Failed, fmt.Sprintf("its state is larger than a row of the store, which has at most %d bytes", p.options.RowBytes))
+	}
 	return taken
 }
 
--- a/sched/commit_test.go
+++ b/sched/commit_test.go
@@ -194,3 +194,40 @@
 		effects = b.event(Committed{Commit: commits[0], Version: uint64(1000 + stored)})
 	}
 }
+
+// Guards against executors that fill up with ends that can't be acknowledged: the state of a job that does not fit a row was sent
+// for good. The job ends, with a state that fits, and no other job is affected.
+func TestJobWhoseStateDoesNotFitARowEndsAlone(t *testing.T) {
+	b := newTestBench(t)
+	b.planner.options.RowBytes = 600
+	b.takeLeadership(1, 1)
+	large := make([]croft.Step, 100)
+	for i := range large {
+		large[i] = step(1, 0)
+	}
+	starts := effectsOf[Start](b.confirm(b.event(JobsRead{Jobs: []JobRow{testJob("large", large...), testJob("small", step(3, 1))}})))
+	var ends []any
+	for i, s := range starts {
+		b.confirm(b.event(Started{Start: s, Clock: b.now}))
+		if s.Order.Task.Index < 2 && s.Order.Task.Step < 80 {
+			ends = append(ends, doneRun(int64(i+1), s.Order.Task, s.Order.Run))
+		}
+	}
+	effects := append(b.answerHold(0, ends...), b.advance(50)...)
+	values := map[string][]byte{}
+	for commits := effectsOf[Commit](effects); len(commits) > 0; {
+		for _, op := range commits[0].Ops {
+			assert.Assert(t, len(op.Value) <= 600, "%s: %d bytes", op.Key, len(op.Value))
+			if op.Kind == croft.OpPut {
+				values[op.Key] = op.Value
+			}
+		}
+		b.version++
+		commits = effectsOf[Commit](append(b.event(Committed{Commit: commits[0], Version: b.version}), b.advance(50)...))
+	}
+	progress, err := jobs.DecodeProgress(values["state/q.0/large"])
+	assert.NilError(t, err)
+	assert.Equal(t, progress.Status, jobs.Failed)
+	assert.Equal(t, b.planner.jobs["small"].ended, false)
+	assert.Equal(t, len(b.planner.workers[workerName(0)].pendingAcks), 0)
+}
--- a/sched/job.go
+++ b/sched/job.go
@@ -226,13 +226,13 @@
 	return true
 }
 
-// endJob gives a job its final status and stops its runs.
+// endJob gives a job its final status, which is all that is stored of it from then on, and stops its runs.
 func (p *Planner) endJob(j *job, status jobs.Status, reason string) {
 	if j.ended {
 		return
 	}
 	j.ended = true
-	j.progress.Status = status
+	j.progress = jobs.Progress{Status: status}
 	p.log("End", string(j.id), string(status), reason)
 	for _, s := range j.stages {
 		s.waiting = nil
--- a/sched/planner.go
+++ b/sched/planner.go
@@ -18,6 +18,8 @@
 	Stop croft.Millis
 	// Maintain is how long a VM is unavailable for a maintenance.
 	Maintain croft.Millis
+	// RowBytes is the maximum size of the value of a row in the store, zero if it is not known.
+	RowBytes int
 }
 
 // Planner holds the leader's state and decides on each event; only one goroutine may use it.
