sched: stored progress of an occurrence that is not due yet by this leader's clock is merged

Cause: as with the runs of such an occurrence: what a former leader, whose clock was ahead, stored of it after the takeover was passed over, and its tasks would have been started again.

Change: the occurrences up to the last one of which there is stored progress are opened before it is merged.

Evidence: TestStoredProgressOfAnOccurrenceThatIsNotDueIsMerged failed before (1 occurrence opened of 3).

--- a/jobs/progress.go
+++ b/jobs/progress.go
@@ -5,6 +5,8 @@
 	"compress/flate"
 	"encoding/json"
 	"io"
+	"iter"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -38,6 +40,23 @@
 	return bounds%2 == 1
 }
 
+// Occurrences returns the number of occurrences up to the last one of which there is progress.
+func (p Progress) Occurrences() int {
+	n := 0
+	if len(p.Finished) > 0 {
+		n = p.Finished[len(p.Finished)-1]
+	}
+	for _, keys := range []iter.Seq[string]{maps.Keys(p.Done), maps.Keys(p.Failed), maps.Keys(p.Crashed)} {
+		for key := range keys {
+			number, _, _ := strings.Cut(key, ".")
+			if occurrence, err := strconv.Atoi(number); err == nil {
+				n = max(n, occurrence+1)
+			}
+		}
+	}
+	return n
+}
+
 // WithFinished returns a copy in which an occurrence is finished, without the progress of its tasks.
 func (p Progress) WithFinished(occurrence int) Progress {
 	if !p.IsFinished(occurrence) {
--- a/sched/commit.go
+++ b/sched/commit.go
@@ -315,6 +315,7 @@
 		j.inherited, j.announced, j.announcementStored, j.progress.Announced = true, true, true, true
 	}
 	p.log("Merge", string(j.id), string(progress.Status), "a former leader stored this state after the takeover")
+	p.openStoredOccurrences(j, progress)
 	for _, s := range j.stages {
 		for index := range s.tasks {
 			if progress.IsFinished(s.occurrence) || jobs.HasBit(progress.Done[jobs.StageName(s.occurrence, s.step)], index) {
--- a/sched/occurrence.go
+++ b/sched/occurrence.go
@@ -184,3 +184,14 @@
 		p.openNextOccurrence(j)
 	}
 }
+
+// openStoredOccurrences opens the occurrences up to the last one of which a former leader has stored progress, but for those that
+// it has stored as finished.
+func (p *Planner) openStoredOccurrences(j *job, progress jobs.Progress) {
+	for !j.ended && j.openedOccurrences < min(progress.Occurrences(), j.occurrences()) {
+		if progress.IsFinished(j.openedOccurrences) {
+			j.progress = j.progress.WithFinished(j.openedOccurrences)
+		}
+		p.openNextOccurrence(j)
+	}
+}
--- a/sched/occurrence_test.go
+++ b/sched/occurrence_test.go
@@ -167,3 +167,21 @@
 	b.answerHold(0, activeRun(croft.TaskID{Job: "far", Occurrence: 900}, 1))
 	assert.Equal(t, b.planner.jobs["far"].openedOccurrences, 1)
 }
+
+// Guards against starting a task twice after a takeover from a leader whose clock was ahead: what it stored of an occurrence that
+// is not due by the successor's clock was passed over.
+func TestStoredProgressOfAnOccurrenceThatIsNotDueIsMerged(t *testing.T) {
+	b := newTestBench(t)
+	row := b.schedule("j", 4, 1, 100_000, step(2, 1))
+	row.Progress = jobs.Progress{Status: jobs.Running}
+	b.takeLeadership(2, 1, row)
+	stored := jobs.Progress{Status: jobs.Running, Fence: 10, Finished: []int{1, 2}, Done: map[string][]byte{jobs.StageName(2, 0): {1}}}
+	conflict := &croft.ConflictError{Rows: []croft.Row{{Key: "state/q.0/j", Version: 9, Value: jobs.EncodeProgress(stored)}}}
+	b.event(Committed{Commit: Commit{Part: "q.0", Writes: []Write{{ID: "j"}}}, Err: conflict})
+	j := b.planner.jobs["j"]
+	assert.Equal(t, j.openedOccurrences, 3)
+	assert.Equal(t, j.openOccurrences(), 2)
+	assert.Assert(t, j.progress.IsFinished(1))
+	assert.Assert(t, j.stage(2, 0).tasks[0].done)
+	assert.Assert(t, !j.stage(2, 0).tasks[1].done)
+}
