intake, platform: a job that the store does not take is refused at once, and alone

Jobs of other callers that shared its transaction were refused with it.

Submissions whose transaction the store refuses for what it contains are sent one by one, and one that is refused alone is decided at once.

--- a/agent/operator_test.go
+++ b/agent/operator_test.go
@@ -68,7 +68,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	directory := &scriptedDirectory{calls: make(chan operatorCall)}
-	jobIntake := intake.New(nil, manual, log, func() croft.Millis { return 0 }, configValidity)
+	jobIntake := intake.New(nil, manual, log, func() croft.Millis { return 0 }, configValidity, 0)
 	a := New(Options{Self: "one", Intake: jobIntake, Directory: directory, Clock: manual, Log: log, Stats: stats.New(), ConfigApply: configValidity})
 	go func() { _ = a.followOperator(ctx) }()
 	return operatorFeed{Agent: a, directory: directory, clock: manual}
--- a/intake/group.go
+++ b/intake/group.go
@@ -26,7 +26,9 @@
 	began    croft.Millis
 	// sent reports that a transaction with the job was sent, and mayBeStored that the outcome of one is unknown.
 	sent, mayBeStored bool
-	lastErr           error
+	// alone reports that the job shares no transaction, since one of it was refused for what it contained.
+	alone   bool
+	lastErr error
 	// decided is closed once outcome and reason are final.
 	decided chan struct{}
 	outcome Outcome
@@ -153,13 +155,16 @@
 		if len(group) > 0 && (alone || len(group) == maxGroup || bytes+size > maxGroupBytes) {
 			break
 		}
-		if keys[s.stateKey] {
+		if keys[s.stateKey] || (s.alone && len(group) > 0) {
 			continue
 		}
 		keys[s.stateKey] = true
 		bytes += size
 		s.sent = true
 		group = append(group, s)
+		if s.alone {
+			break
+		}
 	}
 	q.writing = len(group) > 0
 	return group
@@ -180,6 +185,9 @@
 		return true, false
 	case errors.As(err, &conflict):
 		return true, q.acceptStored(group, conflict)
+	case errors.As(err, &unavailable) && unavailable.Invalid:
+		q.separateInvalid(group, err)
+		return true, false
 	case errors.As(err, &unavailable):
 		for _, s := range group {
 			s.lastErr = err
@@ -199,6 +207,18 @@
 	return false, false
 }
 
+// separateInvalid makes the submissions of a transaction that was refused for what it contains be sent one by one, and decides
+// one that was refused alone.
+func (q *partQueue) separateInvalid(group []*submission, cause error) {
+	for _, s := range group {
+		s.alone, s.sent = true, s.mayBeStored
+		if len(group) == 1 && !s.isDecided() {
+			s.decide(Invalid, cause.Error())
+			q.drop(s)
+		}
+	}
+}
+
 // accept decides a submission as accepted.
 func (q *partQueue) accept(s *submission, reason string) {
 	if !s.isDecided() {
--- a/intake/group_test.go
+++ b/intake/group_test.go
@@ -22,6 +22,8 @@
 	duration time.Duration
 	// fail returns the error of a transaction, before it is applied, nil for none.
 	fail func(n int) error
+	// invalid is a job whose transactions are refused for what they contain, empty for none.
+	invalid croft.JobID
 	// commits counts the transactions, and most is the largest number of operations in one.
 	commits, most int
 }
@@ -37,6 +39,11 @@
 			return 0, err
 		}
 	}
+	for _, op := range ops {
+		if t.invalid != "" && string(op.Value) == string(t.invalid) {
+			return 0, &croft.UnavailableError{Reason: "test", Invalid: true}
+		}
+	}
 	return t.fakeTable.Commit(ctx, ops)
 }
 
@@ -128,3 +135,15 @@
 	assert.Equal(t, counts[Unavailable], 5)
 	assert.Assert(t, time.Since(began) < 2*refusalTimeout.Duration())
 }
+
+// Guards against callers that are refused for a job of somebody else: one that the store does not take failed all that shared its
+// transaction. It is decided at once, and alone.
+func TestInvalidJobDoesNotFailItsGroup(t *testing.T) {
+	ids := jobIDs(30)
+	store := &slowTable{fakeTable: fakeTable{rows: map[string]croft.Row{}}, duration: 5 * time.Millisecond, invalid: ids[17]}
+	began := time.Now()
+	counts := countOutcomes(submitMany(t, store, ids, time.Minute))
+	assert.Equal(t, counts[Accepted], 29)
+	assert.Equal(t, counts[Invalid], 1)
+	assert.Assert(t, time.Since(began) < 10*time.Second)
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -23,6 +23,8 @@
 	Rejected Outcome = "Rejected"
 	// Unavailable means that the job is not stored because the store accepted no write.
 	Unavailable Outcome = "Unavailable"
+	// Invalid means that the job is not stored because the store does not take what is to be stored of it.
+	Invalid Outcome = "Invalid"
 	// Unknown means that the job may be stored.
 	Unknown Outcome = "Unknown"
 )
@@ -57,7 +59,9 @@
 	storeOutage func() croft.Millis
 	// configValidity is how long a configuration is used after it was last confirmed to be the newest one.
 	configValidity croft.Millis
-	index          atomic.Pointer[Index]
+	// rowBytes is the maximum size of the value of a row in the store, zero if it is not known.
+	rowBytes int
+	index    atomic.Pointer[Index]
 	// confirmedAt is when the configuration was last confirmed, by clock.Elapsed, in milliseconds.
 	confirmedAt atomic.Int64
 	// unconfirmed reports that the configuration has been found to be out of use.
@@ -72,11 +76,12 @@
 }
 
 // New returns an Intake without a configuration; storeOutage returns for how long the store has not answered, zero if it has
-// answered recently. A configuration that has not been confirmed for configValidity is not used.
-func New(table croft.Table, clock croft.Clock, log croft.DecisionLog, storeOutage func() croft.Millis, configValidity croft.Millis) *Intake {
+// answered recently. A configuration that has not been confirmed for configValidity is not used. The value of a row has at most
+// rowBytes, zero for no limit.
+func New(table croft.Table, clock croft.Clock, log croft.DecisionLog, storeOutage func() croft.Millis, configValidity croft.Millis, rowBytes int) *Intake {
 	return &Intake{
 		table: table, writer: groupWriter{table: table, clock: clock, parts: map[string]*partQueue{}},
-		clock: clock, log: log, storeOutage: storeOutage, configValidity: configValidity,
+		clock: clock, log: log, storeOutage: storeOutage, configValidity: configValidity, rowBytes: rowBytes,
 	}
 }
 
@@ -152,11 +157,21 @@
 		return Unavailable, wait
 	}
 	part := jobs.Part(q.ID, id)
-	outcome, reason := i.writer.submit(ctx, part, jobs.Key(jobs.StateTable, part, id), i.submissionOps(q, id, spec))
+	ops := i.submissionOps(q, id, spec)
+	for _, op := range ops {
+		if i.rowBytes > 0 && len(op.Value) > i.rowBytes {
+			i.logDecision("Submit", id, string(Invalid), fmt.Sprintf("queue %s: %d bytes as stored, at most %d", q.ID, len(op.Value), i.rowBytes))
+			return Invalid, 0
+		}
+	}
+	outcome, reason := i.writer.submit(ctx, part, jobs.Key(jobs.StateTable, part, id), ops)
 	i.logDecision("Submit", id, string(outcome), fmt.Sprintf("queue %s: %s", q.ID, reason))
 	return outcome, retryAfter
 }
 
+// RowBytes returns the maximum size of a job as stored, zero if it is not known.
+func (i *Intake) RowBytes() int { return i.rowBytes }
+
 // Times after which callers may retry during an outage of the store. The longer one has lasted, the longer it is likely to
 // last on, and callers retry only a few times.
 const (
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -93,12 +93,15 @@
 // queue is the queue that the tests submit to.
 var queue = croft.Queue{ID: "q", Host: "h", Prefix: "/q/", Pool: "p"}
 
+// testRowBytes is the maximum size of a row in the tests.
+const testRowBytes = 2000
+
 // newIntake returns an Intake, its table, and a pointer to the result of the Intake's storeOutage function, which tests may
 // change.
 func newIntake() (*Intake, *fakeTable, *croft.Millis) {
 	store := &fakeTable{rows: map[string]croft.Row{}}
 	outage := croft.Millis(0)
-	return New(store, clock.NewSystem(), discardLog{}, func() croft.Millis { return outage }, croft.Second), store, &outage
+	return New(store, clock.NewSystem(), discardLog{}, func() croft.Millis { return outage }, croft.Second, testRowBytes), store, &outage
 }
 
 // shortContext returns a context that ends after 150 ms.
@@ -226,7 +229,7 @@
 // an old configuration.
 func TestUnconfirmedConfigurationIsNotUsed(t *testing.T) {
 	manual := clock.NewManual(croft.Hour)
-	i := New(nil, manual, discardLog{}, func() croft.Millis { return 0 }, 2*croft.Second)
+	i := New(nil, manual, discardLog{}, func() croft.Millis { return 0 }, 2*croft.Second, 0)
 	assert.Assert(t, i.Index() == nil)
 	i.Configure(croft.QueueConfig{Version: 3})
 	i.ConfirmConfig(manual.Elapsed())
@@ -237,3 +240,15 @@
 	i.ConfirmConfig(manual.Elapsed())
 	assert.Equal(t, i.Index().Version, uint64(3))
 }
+
+// Guards against callers that are told for ever to come again: a job whose stored form is larger than a row was answered as if the
+// store did not answer.
+func TestJobThatDoesNotFitARowIsInvalid(t *testing.T) {
+	intake, store, _ := newIntake()
+	outcome, wait := intake.Submit(shortContext(t), queue, id, croft.JobSpec{Payload: strings.Repeat("x", testRowBytes)})
+	assert.Equal(t, outcome, Invalid)
+	assert.Equal(t, wait, croft.Millis(0))
+	assert.Equal(t, len(store.rows), 0)
+	outcome, _ = intake.Submit(shortContext(t), queue, id, croft.JobSpec{Payload: strings.Repeat("x", testRowBytes/2)})
+	assert.Equal(t, outcome, Accepted)
+}
