jobs: large jobs are stored compressed

What callers saw: a job within the limits of the entry (256 steps) was refused, since its stored form does not fit a row.

Cause: the stored form of a step has all its fields, so that 256 steps that each come after all earlier ones have 180,100 bytes.

Change: jobs of 2,048 bytes or more are compressed as their states are.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -200,7 +200,7 @@
 	}
 	return []croft.Op{
 		put(jobs.StateTable, 0, jobs.EncodeProgress(jobs.Progress{Status: jobs.Pending})),
-		put(jobs.JobTable, croft.AnyVersion, jobs.Encode(record)),
+		put(jobs.JobTable, croft.AnyVersion, jobs.EncodeRecord(record)),
 		put(jobs.WaitTable, croft.AnyVersion, jobs.PresenceValue),
 	}
 }
--- a/jobs/progress.go
+++ b/jobs/progress.go
@@ -1,17 +1,11 @@
 package jobs
 
 import (
-	"bytes"
-	"compress/flate"
-	"encoding/json"
-	"io"
 	"iter"
 	"maps"
 	"slices"
 	"strconv"
 	"strings"
-
-	"github.com/cockroachdb/errors"
 )
 
 // Progress is the stored state of a job.
@@ -115,49 +109,3 @@
 	extended[index/8] |= 1 << (index % 8)
 	return extended
 }
-
-// Sizes of the values of rows in StateTable.
-const (
-	// minCompressedBytes is the size from which a value is compressed: the names and numbers of tasks repeat much, and the store
-	// limits the size of a row.
-	minCompressedBytes = 2048
-	// maxDecodedBytes bounds what a compressed value may expand to.
-	maxDecodedBytes = 16 << 20
-)
-
-// compressedMark is the first byte of compressed values; others begin with that of a JSON object.
-const compressedMark = 1
-
-// EncodeProgress encodes the value of a row in StateTable: as JSON, compressed if it is large.
-func EncodeProgress(p Progress) []byte {
-	encoded := Encode(p)
-	if len(encoded) < minCompressedBytes {
-		return encoded
-	}
-	compressed := bytes.NewBuffer([]byte{compressedMark})
-	w, err := flate.NewWriter(compressed, flate.BestSpeed)
-	if err == nil {
-		if _, err = w.Write(encoded); err == nil {
-			err = w.Close()
-		}
-	}
-	if err != nil {
-		// Not reached: the level is valid, and writes to a buffer do not fail.
-		panic(err)
-	}
-	return compressed.Bytes()
-}
-
-// DecodeProgress decodes the value of a row in StateTable.
-func DecodeProgress(raw []byte) (Progress, error) {
-	var p Progress
-	if len(raw) > 0 && raw[0] == compressedMark {
-		decoded, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(raw[1:])), maxDecodedBytes))
-		if err != nil {
-			return p, errors.Wrap(err, "compressed state row")
-		}
-		raw = decoded
-	}
-	err := json.Unmarshal(raw, &p)
-	return p, errors.Wrap(err, "state row")
-}
--- a/jobs/rows.go
+++ b/jobs/rows.go
@@ -1,7 +1,6 @@
 package jobs
 
 import (
-	"encoding/json"
 	"strconv"
 	"strings"
 
@@ -91,20 +90,3 @@
 
 // Final reports whether a job with this status has ended.
 func (s Status) Final() bool { return s == Done || s == Failed || s == Canceled }
-
-// Encode encodes the value of a row as JSON.
-func Encode(value any) []byte {
-	encoded, err := json.Marshal(value)
-	if err != nil {
-		// Not reached: all types of row values can be encoded as JSON.
-		panic(err)
-	}
-	return encoded
-}
-
-// DecodeRecord decodes the value of a row in JobTable.
-func DecodeRecord(raw []byte) (Record, error) {
-	var r Record
-	err := json.Unmarshal(raw, &r)
-	return r, errors.Wrap(err, "job row")
-}
--- a/model/workload.go
+++ b/model/workload.go
@@ -115,7 +115,7 @@
 	}
 	version, err := w.commit([]croft.Op{
 		{Kind: croft.OpPut, Key: jobs.Key(jobs.StateTable, t.part, t.id), Value: jobs.EncodeProgress(jobs.Progress{Status: jobs.Pending})},
-		{Kind: croft.OpPut, Key: jobs.Key(jobs.JobTable, t.part, t.id), Version: croft.AnyVersion, Value: jobs.Encode(t.record)},
+		{Kind: croft.OpPut, Key: jobs.Key(jobs.JobTable, t.part, t.id), Version: croft.AnyVersion, Value: jobs.EncodeRecord(t.record)},
 	})
 	if err != nil {
 		w.violation("STORE", "%v", err)
