sched: a job is not given up since executors go down under one of its endless tasks

Cause: an executor that goes down within 100 ms after a start counts against the task, whatever the reason, and three of these ended the job, also one of endless tasks.

Change: an endless task waits from the second such executor on, 0.5 s and at most 4 s, and its job goes on.

--- a/sched/crash.go
+++ b/sched/crash.go
@@ -21,6 +21,10 @@
 	// minCrashes replaces it for tasks that a former leader may have started, which may have crashed more executors than is
 	// stored.
 	minCrashes = 2
+	// baseCrashPause is how long an endless task waits after the second executor that went down just after its start; each
+	// further one doubles it, up to maxCrashPause.
+	baseCrashPause = 500 * croft.Millis(1)
+	maxCrashPause  = 4 * croft.Second
 )
 
 // isSuspect reports whether the last start of a task may have crashed its executor.
@@ -163,8 +167,8 @@
 	}
 }
 
-// recordCrash records that an executor went down just after a run was started on it, and ends the task's job after too many.
-// A task that was a suspect before counts only if it was started as one, apart from others; an unanswered start may never have
+// recordCrash records that an executor went down just after a run was started on it, and ends the task's job after too many. An
+// endless task waits with a growing pause instead: its end would take the job's other tasks out of service, which are sound. A task that was a suspect before counts only if it was started as one, apart from others; an unanswered start may never have
 // arrived, and an adopted run may have begun long before.
 func (p *Planner) recordCrash(r *run) {
 	t := &r.stage.tasks[r.index]
@@ -177,6 +181,14 @@
 		crashes++
 	}
 	p.setSuspicion(r.stage, r.index, true, crashes)
+	if r.stage.spec.Endless {
+		if crashes > 1 {
+			pause := min(baseCrashPause<<min(crashes-2, 4), maxCrashPause)
+			t.startFrom = p.now.Elapsed + pause
+			p.log("Pause", r.stage.id(r.index).String(), string(r.worker.ID), fmt.Sprintf("%d executors went down just after its starts; it is started again in %d ms", crashes, pause))
+		}
+		return
+	}
 	if crashes >= crashLimit(r.stage.job) {
 		p.endJob(r.stage.job, jobs.Failed, fmt.Sprintf("task %s has crashed %d executors, the last one %s", r.stage.id(r.index), crashes, r.worker.ID))
 	}
@@ -200,7 +212,7 @@
 func (j *job) waitingCrasher() string {
 	for _, s := range j.stages {
 		for _, index := range s.waiting {
-			if s.tasks[index].crashes >= crashLimit(j) {
+			if !s.spec.Endless && s.tasks[index].crashes >= crashLimit(j) {
 				return s.id(index).String()
 			}
 		}
--- a/sched/crash_test.go
+++ b/sched/crash_test.go
@@ -265,3 +265,50 @@
 		})
 	}
 }
+
+// Guards against stopping the sound tasks of an endless step, beyond MayMiss, since executors went down just after the starts of
+// another one, whatever the reason: it is started again and again, with pauses.
+func TestEndlessTaskWhoseExecutorsGoDownIsNotGivenUp(t *testing.T) {
+	b := newTestBench(t)
+	b.takeLeadership(1, 1)
+	endless := step(2, 40)
+	endless.Endless, endless.MayMiss, endless.MostPerWorker = true, 1, 1
+	starts := startsOf(b.confirm(b.event(JobsRead{Jobs: []JobRow{testJob("j", endless)}})), "j")
+	b.confirm(b.event(Started{Start: starts[0], Clock: b.now}))
+	const crashes = 8
+	var pauses []croft.Millis
+	for i := range crashes {
+		effects := b.confirm(b.replaceWorker(i + 1))
+		for began := b.now; ; {
+			for _, s := range effectsOf[Stop](effects) {
+				assert.Assert(t, s.Order.Worker != workerName(0), "a sound task is stopped")
+			}
+			b.answerHold(0, activeRun(starts[0].Order.Task, 1))
+			if restarts := startsOf(effects, "j"); len(restarts) > 0 {
+				pauses = append(pauses, b.now-began)
+				assert.Equal(t, restarts[0].Order.Worker, workerName(i+1))
+				b.confirm(b.event(Started{Start: restarts[0], Clock: b.now}))
+				break
+			}
+			assert.Assert(t, b.now-began < maxCrashPause+croft.Second, "not started again")
+			effects = b.confirm(b.advance(50))
+		}
+		b.now += 10
+		b.confirm(b.crash(i+2, i+1))
+	}
+	assert.Equal(t, b.planner.jobs["j"].ended, false)
+	assert.Assert(t, pauses[1] < croft.Second, "%v", pauses)
+	assert.Assert(t, pauses[crashes-1] > maxCrashPause/2, "%v", pauses)
+}
+
+// The same for a new leader that reads how many executors went down just after the starts of an endless task.
+func TestSuccessorStartsEndlessTasksThatMayHaveCrashedExecutors(t *testing.T) {
+	endless := step(1, 1)
+	endless.Endless = true
+	stored := testJob("j", endless)
+	stored.Progress = jobs.Progress{Status: jobs.Running, Crashed: map[string]int{jobs.TaskName(0, 0, 0): 5}}
+	b := newTestBench(t)
+	b.takeLeadership(2, 0, stored)
+	b.replaceWorker(0)
+	assert.Equal(t, len(startsOf(b.confirm(b.advance(b.planner.predecessorLeasesEnd())), "j")), 1)
+}
--- a/sched/job.go
+++ b/sched/job.go
@@ -100,6 +100,8 @@
 	// that went down just after they had begun the task, since one last survived that.
 	suspect bool
 	crashes int
+	// startFrom is when the task may be started again after it may have crashed executors.
+	startFrom croft.Millis
 	// suspicionSequence is the change of the job that contains both. The task is started again only once that is stored.
 	suspicionSequence uint64
 	// copied reports that the task was started again although its run may have crashed the executor, which does not answer.
--- a/sched/place.go
+++ b/sched/place.go
@@ -162,6 +162,9 @@
 	placed := placement{waiting: len(s.waiting)}
 	defer func() { p.logPlacement(s, placed) }()
 	for _, index := range slices.Clone(s.waiting) {
+		if p.now.Elapsed < s.tasks[index].startFrom {
+			continue
+		}
 		w := p.chooseWorker(po, s, index)
 		if w == nil {
 			po.backlogged = true
