--- a/jobs/encode.go
+++ b/jobs/encode.go
@@ -38,7 +38,7 @@
 // EncodeProgress encodes the value of a row in StateTable: as JSON, compressed if it is large.
 func EncodeProgress(p Progress) []byte { return compressLarge(Encode(p)) }
 
-// compressors has idle compressors, each of which takes more than 1 MB.
+// compressors has idle compressors, which are expensive to create.
 var compressors = sync.Pool{New: func() any {
 	w, err := flate.NewWriter(io.Discard, flate.BestSpeed)
 	if err != nil {
--- a/sched/commit.go
+++ b/sched/commit.go
@@ -88,17 +88,17 @@
 	p.tombstones[j.id] = p.now.Elapsed
 }
 
-// write is the state of a job as it is sent to the store.
-type write struct {
+// encodedState is the state of a job as it is sent to the store.
+type encodedState struct {
 	job   *job
 	value []byte
 }
 
-// takeWrites removes the jobs of the next commit from those that wait, and returns their states. A job whose state does not fit a
+// takeStates removes the jobs of the next commit from those that wait, and returns their states. A job whose state does not fit a
 // row ends as failed: it could neither go on nor end otherwise, and the ends of its runs would keep those of other jobs from being
 // acknowledged.
-func (p *Planner) takeWrites(pa *partWriter) []write {
-	var taken []write
+func (p *Planner) takeStates(pa *partWriter) []encodedState {
+	var taken []encodedState
 	var kept, oversized []*job
 	size, full := 0, false
 	for _, j := range pa.dirty {
@@ -119,7 +119,7 @@
 			continue
 		}
 		size += len(value)
-		taken = append(taken, write{job: j, value: value})
+		taken = append(taken, encodedState{job: j, value: value})
 		full = j.writtenAlone || len(taken) == maxJobsPerCommit
 	}
 	pa.dirty = kept
@@ -147,8 +147,8 @@
 // commitPart sends a commit with the next states of a partition or, if there are none, its next deletions.
 func (p *Planner) commitPart(name string, pa *partWriter) {
 	commit := Commit{Part: name}
-	for _, w := range p.takeWrites(pa) {
-		j, value := w.job, w.value
+	for _, state := range p.takeStates(pa) {
+		j, value := state.job, state.value
 		if n := len(j.unconfirmedWrites); n == 0 || !bytes.Equal(j.unconfirmedWrites[n-1].value, value) {
 			j.unconfirmedWrites = append(j.unconfirmedWrites, unconfirmedWrite{value: value, sequence: j.sequence, announced: j.announced})
 		}
