sched: the members of a gang keep to the step's maximum on one executor

Cause: while executors are chosen for a gang, capacity counts for the members chosen before, and the maximum of the step did not.

Change: both count. The VMs that such a gang needs at the same time are asked for, as for endless steps.

Evidence: TestGangKeepsToItsMaximumPerExecutor failed before (4 starts on 3 executors where none is allowed).

--- a/sched/gang_test.go
+++ b/sched/gang_test.go
@@ -95,3 +95,22 @@
 	assert.Equal(t, len(stops), 1)
 	assert.Equal(t, stops[0].Order.Task, croft.TaskID{Job: "g"})
 }
+
+// Guards against members of a gang beyond the step's maximum on one executor: while executors were chosen for them, the members
+// chosen before did not count.
+func TestGangKeepsToItsMaximumPerExecutor(t *testing.T) {
+	b := newTestBench(t)
+	b.takeLeadership(1, 3)
+	spread := gang(4, 1)
+	spread.MostPerWorker = 1
+	assert.Equal(t, len(effectsOf[Start](b.event(JobsRead{Jobs: []JobRow{testJob("g", spread)}}))), 0)
+	assert.Equal(t, b.planner.jobs["g"].stages[0].minVMs(croft.Resources{MilliCores: 64_000, MemoryMB: 262_144}), 4)
+	b.event(WorkersRead{Changes: croft.WorkerChanges{Entries: testWorkers(4)[3:]}})
+	starts := effectsOf[Start](b.answerHold(3))
+	assert.Equal(t, len(starts), 4)
+	used := map[croft.WorkerID]bool{}
+	for _, s := range starts {
+		assert.Assert(t, !used[s.Order.Worker], "two members on %s", s.Order.Worker)
+		used[s.Order.Worker] = true
+	}
+}
--- a/sched/place.go
+++ b/sched/place.go
@@ -256,11 +256,13 @@
 			break
 		}
 		w.used = w.used.Plus(needs)
+		s.countRuns(w.ID, 1)
 		chosen = append(chosen, w)
 		number = max(number, s.tasks[index].runNumber)
 	}
 	for _, w := range chosen {
 		w.used = w.used.Minus(needs)
+		s.countRuns(w.ID, -1)
 	}
 	if len(chosen) < len(s.waiting) {
 		po.backlogged = true
@@ -331,6 +333,14 @@
 	return p.isPermitted(s, w)
 }
 
+// countRuns adds to the number of runs of a stage on a worker.
+func (s *stage) countRuns(id croft.WorkerID, runs int) {
+	if s.runsByWorker == nil {
+		s.runsByWorker = map[croft.WorkerID]int{}
+	}
+	s.runsByWorker[id] += runs
+}
+
 // stageRunsOn returns the number of runs of a stage on a worker.
 func (p *Planner) stageRunsOn(w *worker, s *stage) int { return s.runsByWorker[w.ID] }
 
--- a/sched/scale.go
+++ b/sched/scale.go
@@ -181,7 +181,7 @@
 // minVMs returns how many VMs a stage needs at the same time, regardless of how much work remains.
 func (s *stage) minVMs(capacity croft.Resources) int {
 	n := 0
-	if s.spec.MostPerWorker > 0 && s.spec.Endless {
+	if s.spec.MostPerWorker > 0 && (s.spec.Endless || (s.spec.Gang && s.open)) {
 		n = (s.remainingTasks + s.spec.MostPerWorker - 1) / s.spec.MostPerWorker
 	}
 	if s.spec.Gang && s.open {
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -280,10 +280,7 @@
 		r.worker.suspects = append(r.worker.suspects, r)
 		r.worker.clearedUntil = 0
 	}
-	if r.stage.runsByWorker == nil {
-		r.stage.runsByWorker = map[croft.WorkerID]int{}
-	}
-	r.stage.runsByWorker[r.worker.ID]++
+	r.stage.countRuns(r.worker.ID, 1)
 	r.stage.liveRuns++
 	r.stage.tasks[r.index].liveRuns++
 	r.stage.job.liveRuns++
@@ -304,7 +301,7 @@
 		w.stoppingRuns--
 	}
 	w.suspects = slices.DeleteFunc(w.suspects, func(other *run) bool { return other == r })
-	r.stage.runsByWorker[w.ID]--
+	r.stage.countRuns(w.ID, -1)
 	r.stage.liveRuns--
 	p.pool(w.Pool).changed = true
 	t := &r.stage.tasks[r.index]
