sched: a long task in a queue of short ones does not count as stuck

Cause: a run counts as stuck by the mean duration of its queue's tasks, while the progress of a long one stays at the same percent for longer than that.

Change: the job's own estimate counts if it is longer than the mean.

Evidence: TestLongTaskInAQueueOfShortOnesIsNotStuck failed before (2 stops instead of 1).

--- a/sched/order.go
+++ b/sched/order.go
@@ -88,8 +88,8 @@
 
 // Limits after which a run that makes no progress is stopped.
 const (
-	// stuckFactor times the mean duration of its queue's tasks, and at least minStuckDuration, is how long the progress
-	// of a task may stay unchanged.
+	// stuckFactor times the mean duration of its queue's tasks, or its job's estimate if that is longer, and at least
+	// minStuckDuration, is how long the progress of a task may stay unchanged.
 	stuckFactor      = 4
 	minStuckDuration = 4 * croft.Second
 )
@@ -100,7 +100,7 @@
 		return false
 	}
 	unchanged := p.now.Elapsed - r.progressedAt
-	return unchanged >= minStuckDuration && unchanged >= stuckFactor*p.expectedDuration(r.stage)
+	return unchanged >= minStuckDuration && unchanged >= stuckFactor*max(p.expectedDuration(r.stage), r.stage.spec.Estimate)
 }
 
 // stopStuckRuns stops the runs on a worker that make no progress, so that their tasks run elsewhere.
--- a/sched/order_test.go
+++ b/sched/order_test.go
@@ -146,3 +146,22 @@
 	effects := b.confirm(b.event(WorkersRead{Changes: croft.WorkerChanges{Entries: []croft.WorkerEntry{entry}}}))
 	assert.Equal(t, len(startsOf(effects, "second")), 1)
 }
+
+// Guards against stopping a sound task again and again: a long one in a queue of short ones, whose progress of whole percents stays
+// the same for longer than the others take.
+func TestLongTaskInAQueueOfShortOnesIsNotStuck(t *testing.T) {
+	b := newTestBench(t)
+	b.takeLeadership(1, 1)
+	b.planner.meanDurations["q"] = 200
+	long, stuck := step(1, 1), step(1, 1)
+	long.Estimate, stuck.Estimate = 900*croft.Second, 200
+	starts := effectsOf[Start](b.confirm(b.event(JobsRead{Jobs: []JobRow{testJob("long", long), testJob("stuck", stuck)}})))
+	assert.Equal(t, len(starts), 2)
+	for _, s := range starts {
+		b.confirm(b.event(Started{Start: s, Clock: b.now}))
+	}
+	b.now += minStuckDuration + 100
+	stops := effectsOf[Stop](b.answerHold(0, croft.ActiveRun{Task: starts[0].Order.Task, Run: 1}, croft.ActiveRun{Task: starts[1].Order.Task, Run: 1}))
+	assert.Equal(t, len(stops), 1)
+	assert.Equal(t, stops[0].Order.Task.Job, croft.JobID("stuck"))
+}
