jobs: a queue's name may have slashes

Cause: the keys of rows are joined with slashes, and were split at the first ones, within the name of the queue.

Change: slashes, and the percent signs that mark them, are escaped in the names of the store's parts. Queues with neither keep theirs.

Evidence: TestKeysOfQueuesWithSlashesAreSplitWhereTheyWereJoined failed before.

--- a/jobs/rows.go
+++ b/jobs/rows.go
@@ -36,8 +36,13 @@
 	return partName(queue, int(xxhash.Sum64String(string(id))%partsPerQueue))
 }
 
+// partEscapes are the characters that names of parts must not have, since they divide keys, and the one that marks them.
+var partEscapes = strings.NewReplacer("%", "%25", "/", "%2F")
+
 // partName returns the name of one part of a queue.
-func partName(queue croft.QueueID, n int) string { return string(queue) + "." + strconv.Itoa(n) }
+func partName(queue croft.QueueID, n int) string {
+	return partEscapes.Replace(string(queue)) + "." + strconv.Itoa(n)
+}
 
 // Parts returns the names of all parts of a queue.
 func Parts(queue croft.QueueID) []string {
--- a/jobs/rows_test.go
+++ b/jobs/rows_test.go
@@ -23,6 +23,22 @@
 	assert.ErrorContains(t, err, "want table/part/job")
 }
 
+// Guards against jobs that never start, and tasks that nobody submitted: a queue whose name has a slash had its keys split elsewhere
+// than they were joined.
+func TestKeysOfQueuesWithSlashesAreSplitWhereTheyWereJoined(t *testing.T) {
+	seen := map[string]croft.QueueID{}
+	for _, queue := range []croft.QueueID{"intake/sort", "intake%2Fsort", "/", "a/b/c", "a%b"} {
+		part := Part(queue, "5c0e7a21d94b36f8")
+		assert.Assert(t, slices.Contains(Parts(queue), part))
+		assert.Equal(t, seen[part], croft.QueueID(""), "%s and %s share a part", queue, seen[part])
+		seen[part] = queue
+		gotPart, id, err := SplitKey(Key(StateTable, part, "5c0e7a21d94b36f8"))
+		assert.NilError(t, err)
+		assert.Equal(t, gotPart, part)
+		assert.Equal(t, id, croft.JobID("5c0e7a21d94b36f8"))
+	}
+}
+
 func TestFinishedTaskBitsSurviveEncoding(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		finished := map[int]bool{}
