sched, intake: the jobs of a removed queue get permits as they did when it was there

Cause: whether a start needs a permit was looked up in the newest configuration only.

Change: the need is stored with the job, as the queue's other properties are, and holds while the configuration lacks the queue.

Evidence: TestJobsOfARemovedQueueStillNeedAdvice failed before (1 start without a permit).

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -193,7 +193,7 @@
 	part := jobs.Part(q.ID, id)
 	record := jobs.Record{
 		Queue: q.ID, Pool: q.Pool, Priority: q.Priority, MostAttempts: q.MostAttempts,
-		Stretch: q.Stretch, Latency: q.Latency, Accepted: i.clock.Now(), Spec: spec,
+		Stretch: q.Stretch, Latency: q.Latency, NeedsAdvice: q.NeedsAdvice, Accepted: i.clock.Now(), Spec: spec,
 	}
 	put := func(table string, version uint64, value []byte) croft.Op {
 		return croft.Op{Kind: croft.OpPut, Key: jobs.Key(table, part, id), Version: version, Value: value}
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -257,3 +257,15 @@
 	outcome, _ = intake.Submit(shortContext(t), queue, id, croft.JobSpec{Payload: string(raw[:testRowBytes/2])})
 	assert.Equal(t, outcome, Accepted)
 }
+
+// A job needs advice as its queue did when it was submitted, also once the queue is removed.
+func TestNeedForAdviceIsStoredWithTheJob(t *testing.T) {
+	intake, store, _ := newIntake()
+	advised := queue
+	advised.NeedsAdvice = true
+	outcome, _ := intake.Submit(shortContext(t), advised, id, croft.JobSpec{})
+	assert.Equal(t, outcome, Accepted)
+	record, err := jobs.DecodeRecord(store.rows[jobs.Key(jobs.JobTable, jobs.Part(queue.ID, id), id)].Value)
+	assert.NilError(t, err)
+	assert.Assert(t, record.NeedsAdvice)
+}
--- a/jobs/rows.go
+++ b/jobs/rows.go
@@ -69,13 +69,14 @@
 // Record is the stored form of a submitted job.
 type Record struct {
 	Queue croft.QueueID
-	// Pool, Priority, MostAttempts, Stretch and Latency are copied from the queue at submission, since
-	// the queue may be removed before its jobs end.
+	// Pool, Priority, MostAttempts, Stretch, Latency and NeedsAdvice are copied from the queue at submission, since the queue
+	// may be removed before its jobs end.
 	Pool         croft.PoolID
 	Priority     int
 	MostAttempts int
 	Stretch      float64
 	Latency      croft.Millis
+	NeedsAdvice  bool `json:",omitempty"`
 	// Accepted is when the job was submitted, by the wall clock of the entry that accepted it.
 	Accepted croft.Millis
 	Spec     croft.JobSpec
--- a/sched/advice.go
+++ b/sched/advice.go
@@ -39,8 +39,14 @@
 	permitMargin = 200 * croft.Millis(1)
 )
 
-// needsAdvice reports whether the tasks of a stage start only with permits of the advice service.
-func (p *Planner) needsAdvice(s *stage) bool { return p.queues[s.job.record.Queue].NeedsAdvice }
+// needsAdvice reports whether the tasks of a stage start only with permits of the advice service. The jobs of a queue that was
+// removed need them as they did when they were submitted.
+func (p *Planner) needsAdvice(s *stage) bool {
+	if q, ok := p.queues[s.job.record.Queue]; ok {
+		return q.NeedsAdvice
+	}
+	return s.job.record.NeedsAdvice
+}
 
 // permitFor returns the permit of a stage for a worker, if it has one that is still valid.
 func (p *Planner) permitFor(s *stage, w *worker) (permit, bool) {
--- a/sched/advice_test.go
+++ b/sched/advice_test.go
@@ -39,3 +39,23 @@
 	effects := b.event(Started{Start: starts[0], Clock: b.now, Err: &croft.RunRefusedError{Reason: croft.RefusedTicket}})
 	assert.Equal(t, len(effectsOf[Advise](effects)), 1)
 }
+
+// Guards against jobs that never go on: once their queue was removed, the starts of their next steps had no permits, and executors
+// refused them.
+func TestJobsOfARemovedQueueStillNeedAdvice(t *testing.T) {
+	b := newTestBench(t)
+	b.takeLeadership(1, 1)
+	b.requireAdvice()
+	removed := testConfig()
+	removed.Config.Version, removed.Config.Queues = 3, nil
+	b.event(removed)
+	row := testJob("j", step(1, 1))
+	row.Record.NeedsAdvice = true
+	effects := append(b.event(JobsRead{Jobs: []JobRow{row}}), b.advance(placeInterval)...)
+	assert.Equal(t, len(effectsOf[Start](effects)), 0)
+	requests := effectsOf[Advise](effects)
+	assert.Equal(t, len(requests), 1)
+	starts := effectsOf[Start](b.confirm(b.event(Advised{Advise: requests[0], Tickets: map[croft.WorkerID]string{"w0": "t"}, Valid: 3000})))
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Order.Ticket, "t")
+}
