sched: one VM whose executor goes down again and again does not end a job

Cause: an executor that goes down just after a start counts against the task, and each life of one executor counted as one more.

Change: a VM counts once, until the task has survived a start. The task is kept from that VM for 5 s, so that it starts elsewhere if it can; one that does bring executors down still meets three VMs.

--- a/sched/crash.go
+++ b/sched/crash.go
@@ -15,12 +15,15 @@
 	survivalTime = 100 * croft.Millis(1)
 	// crashSpread is how long after the last start that an executor received another one may have been sent.
 	crashSpread = 20 * croft.Millis(1)
-	// maxCrashes is how many executors may go down just after starts of a task, one after another, before the task is given
-	// up. The platform allows two more starts then, which leaves room for crashes that a lost leader has not stored.
+	// maxCrashes is on how many VMs executors may go down just after starts of a task, one after another, before the task is
+	// given up: one VM whose executor goes down again and again says nothing about the task. The platform allows two more starts then, which leaves room for crashes that a lost leader has not stored.
 	maxCrashes = 3
 	// minCrashes replaces it for tasks that a former leader may have started, which may have crashed more executors than is
 	// stored.
 	minCrashes = 2
+	// sameVMPause is how long a task that is not endless is kept from the VMs whose executors went down just after its starts,
+	// unless it has survived another start since.
+	sameVMPause = 5 * croft.Second
 	// baseCrashPause is how long an endless task waits after the second executor that went down just after its start; each
 	// further one doubles it, up to maxCrashPause.
 	baseCrashPause = 500 * croft.Millis(1)
@@ -112,6 +115,9 @@
 	if !t.suspect {
 		return w.clearedUntil <= p.now.Elapsed
 	}
+	if !s.spec.Endless && p.now.Elapsed < t.sameVMFrom && slices.Contains(t.crashedOn, p.vmOf(w)) {
+		return false
+	}
 	return s.job.storedSequence >= t.suspicionSequence && (s.spec.Gang || w.allRuns((*run).survived))
 }
 
@@ -177,9 +183,12 @@
 	}
 	t.copied = false
 	crashes := t.crashes
-	if r.answeredAt != 0 && !r.adopted {
+	vm := p.vmOf(r.worker)
+	if repeated := slices.Contains(t.crashedOn, vm); r.answeredAt != 0 && !r.adopted && (!repeated || r.stage.spec.Endless) {
 		crashes++
+		t.crashedOn = append(t.crashedOn, vm)
 	}
+	t.sameVMFrom = p.now.Elapsed + sameVMPause
 	p.setSuspicion(r.stage, r.index, true, crashes)
 	if r.stage.spec.Endless {
 		if crashes > 1 {
@@ -235,6 +244,9 @@
 		return
 	}
 	t.suspect, t.crashes = suspect, crashes
+	if !suspect {
+		t.crashedOn = nil
+	}
 	name := jobs.TaskName(s.occurrence, s.step, index)
 	if s.job.progress.Crashed == nil {
 		s.job.progress.Crashed = map[string]int{}
--- a/sched/crash_test.go
+++ b/sched/crash_test.go
@@ -312,3 +312,33 @@
 	b.replaceWorker(0)
 	assert.Equal(t, len(startsOf(b.confirm(b.advance(b.planner.predecessorLeasesEnd())), "j")), 1)
 }
+
+// Guards against a job that is shown as failed without a failed run: an executor went down and up by turns, and each of its lives
+// counted as one more executor that the task had brought down. Elsewhere the task starts at once, on that VM after a pause.
+func TestCrashesOfOneVMDoNotEndAJob(t *testing.T) {
+	b := newTestBench(t)
+	b.takeLeadership(1, 1)
+	effects := b.confirm(b.event(JobsRead{Jobs: []JobRow{testJob("j", step(1, 1))}}))
+	for life := range int64(6) {
+		began := b.now
+		for len(startsOf(effects, "j")) == 0 {
+			assert.Assert(t, b.now-began < sameVMPause+croft.Second, "not started again")
+			effects = b.confirm(append(b.answerHold(0), b.advance(50)...))
+		}
+		assert.Assert(t, life == 0 || b.now-began > sameVMPause/2, "started after %d ms", b.now-began)
+		b.confirm(b.event(Started{Start: startsOf(effects, "j")[0], Clock: b.now}))
+		b.now += 10
+		entry := testWorkers(1)[0]
+		entry.Born = 8 + life
+		effects = b.confirm(b.event(WorkersRead{Changes: croft.WorkerChanges{Entries: []croft.WorkerEntry{entry}}}))
+		b.planner.workers[workerName(0)].born = 0
+		effects = append(effects, b.confirm(b.answerHold(0))...)
+	}
+	assert.Equal(t, b.planner.jobs["j"].ended, false)
+	b.event(FleetRead{RequestedAt: b.now, VMs: testFleet(2)})
+	entries := testWorkers(2)
+	b.event(WorkersRead{Changes: croft.WorkerChanges{Entries: entries[1:]}})
+	starts := startsOf(append(b.confirm(b.answerHold(1)), b.confirm(b.advance(placeInterval))...), "j")
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Order.Worker, workerName(1))
+}
--- a/sched/fleet.go
+++ b/sched/fleet.go
@@ -201,6 +201,14 @@
 	p.completeMoves(e)
 }
 
+// vmOf returns the VM that runs an executor, or one of its own if no list has had it.
+func (p *Planner) vmOf(w *worker) croft.VMID {
+	if id, ok := p.fleet.lastVM[w.ID]; ok {
+		return id
+	}
+	return croft.VMID(w.ID)
+}
+
 // forgetEndedExecutors drops what was known of VMs that the list lacks and whose executors are gone too.
 func (p *Planner) forgetEndedExecutors() {
 	f := &p.fleet
--- a/sched/job.go
+++ b/sched/job.go
@@ -102,6 +102,9 @@
 	crashes int
 	// startFrom is when the task may be started again after it may have crashed executors.
 	startFrom croft.Millis
+	// crashedOn are the VMs of these executors, which the task is kept from until sameVMFrom.
+	crashedOn  []croft.VMID
+	sameVMFrom croft.Millis
 	// suspicionSequence is the change of the job that contains both. The task is started again only once that is stored.
 	suspicionSequence uint64
 	// copied reports that the task was started again although its run may have crashed the executor, which does not answer.
