--- a/jobs/rows.go
+++ b/jobs/rows.go
@@ -36,8 +36,13 @@
 	return partName(queue, int(xxhash.Sum64String(string(id))%partsPerQueue))
 }
 
+// partEscapes are the characters that names of parts must not have, since they divide keys, and the one that marks them.
+var partEscapes = strings.NewReplacer("%", "%25", "/", "%2F")
+
 // partName returns the name of one part of a queue.
-func partName(queue croft.QueueID, n int) string { return string(queue) + "." + strconv.Itoa(n) }
+func partName(queue croft.QueueID, n int) string {
+	return partEscapes.Replace(string(queue)) + "." + strconv.Itoa(n)
+}
 
 // Parts returns the names of all parts of a queue.
 func Parts(queue croft.QueueID) []string {
@@ -64,13 +69,14 @@
 // Record is the stored form of a submitted job.
 type Record struct {
 	Queue croft.QueueID
-	// Pool, Priority, MostAttempts, Stretch and Latency are copied from the queue at submission, since
-	// the queue may be removed before its jobs end.
+	// Pool, Priority, MostAttempts, Stretch, Latency and NeedsAdvice are copied from the queue at submission, since the queue
+	// may be removed before its jobs end.
 	Pool         croft.PoolID
 	Priority     int
 	MostAttempts int
 	Stretch      float64
 	Latency      croft.Millis
+	NeedsAdvice  bool `json:",omitempty"`
 	// Accepted is when the job was submitted, by the wall clock of the entry that accepted it.
 	Accepted croft.Millis
 	Spec     croft.JobSpec
