sched: a job that is being announced keeps its place for 1 s

Change: for 1 s things are as before. After that, the part of the store does not answer: the job is passed over until it does, so that it keeps neither others waiting nor capacity.

--- a/sched/commit_test.go
+++ b/sched/commit_test.go
@@ -129,7 +129,8 @@
 	b := newTestBench(t)
 	b.takeLeadership(1, 1)
 	reduce := func(e ...Event) []Effect { return b.planner.Reduce(Instant{Elapsed: b.now}, e...) }
-	commits := effectsOf[Commit](reduce(JobsRead{Jobs: testJobs(3, step(1, 1))}))
+	rows := []JobRow{testJob("a", step(1, 3)), testJob("b", step(1, 2)), testJob("c", step(1, 1))}
+	commits := effectsOf[Commit](reduce(JobsRead{Jobs: rows}))
 	assert.Equal(t, len(commits), 1)
 	assert.Equal(t, len(commits[0].Writes), 3)
 	stored, refusals := map[croft.JobID]bool{}, 0
--- a/sched/job.go
+++ b/sched/job.go
@@ -31,6 +31,8 @@
 	// announced reports that the state to store allows starts of the job's tasks, and announcementStored that this state
 	// is stored. No task starts before that, so a successor knows that a job without a stored announcement runs nowhere.
 	announced, announcementStored bool
+	// announcedAt is when this planner announced the job.
+	announcedAt croft.Millis
 	// began reports that an executor has begun a task, and waitRowDeleted that the job's row in WaitTable is deleted.
 	began, waitRowDeleted bool
 	// ended reports that the job has its final status, which may not be stored yet.
--- a/sched/place.go
+++ b/sched/place.go
@@ -87,6 +87,10 @@
 	p.emit(Wake{After: after})
 }
 
+// announcementPatience is how long the capacity for a job is held while the announcement of the job is being stored: longer than
+// that takes while the store is slow.
+const announcementPatience = 1 * croft.Second
+
 // placePool starts the waiting tasks of a pool that fit, by rank.
 func (p *Planner) placePool(po *pool) {
 	var waiting []rankedStage
@@ -99,6 +103,10 @@
 			// Its tasks may already run on executors whose runs are not known yet.
 			continue
 		}
+		if j.announced && !j.announcementStored && p.now.Elapsed-j.announcedAt >= announcementPatience {
+			// Its part of the store does not answer; it neither holds capacity nor keeps others waiting until it does.
+			continue
+		}
 		for _, s := range j.stages {
 			if s.open && len(s.waiting) > 0 {
 				s.adviceRequired = p.needsAdvice(s)
@@ -115,7 +123,8 @@
 		case candidate.stage.spec.Gang:
 			p.placeGang(po, candidate.stage)
 		default:
-			if !p.placeStage(po, candidate.stage) {
+			p.placeStage(po, candidate.stage)
+			if candidate.stage.awaitsCapacity() {
 				unplaceable = unplaceable.with(candidate.stage)
 			}
 		}
@@ -156,9 +165,13 @@
 	return false
 }
 
-// placeStage starts as many waiting tasks of a stage as fit, and reports whether all fit. Suspects don't count: they may wait for
-// an executor without other suspects. Tasks that wait for the announcement of their job fit if there is capacity for them.
-func (p *Planner) placeStage(po *pool, s *stage) (allFit bool) {
+// awaitsCapacity reports whether tasks wait that are no suspects: those may wait for an executor without other suspects.
+func (s *stage) awaitsCapacity() bool {
+	return slices.ContainsFunc(s.waiting, func(index int) bool { return !s.tasks[index].isSuspect() })
+}
+
+// placeStage starts as many waiting tasks of a stage as fit.
+func (p *Planner) placeStage(po *pool, s *stage) {
 	placed := placement{waiting: len(s.waiting)}
 	defer func() { p.logPlacement(s, placed) }()
 	for _, index := range slices.Clone(s.waiting) {
@@ -180,7 +193,7 @@
 			if s.tasks[index].isSuspect() {
 				continue
 			}
-			return false
+			return
 		}
 		if !s.job.announcementStored {
 			// The capacity is reserved for this pass only, so that no more jobs are announced than fit.
@@ -193,7 +206,6 @@
 		p.startRun(s, index, w, s.tasks[index].runNumber+1)
 		placed.add(w)
 	}
-	return true
 }
 
 // placement is what one placement pass started of a stage.
@@ -229,7 +241,7 @@
 // announce records in the state of a job that its tasks may be started, and queues the commit of that state.
 func (p *Planner) announce(j *job) {
 	if !j.announced {
-		j.announced, j.progress.Announced = true, true
+		j.announced, j.progress.Announced, j.announcedAt = true, true, p.now.Elapsed
 		p.markDirty(j)
 	}
 }
