--- a/sched/place.go
+++ b/sched/place.go
@@ -88,8 +88,8 @@
 }
 
 // announcementPatience is how long the capacity for a job is held while the announcement of the job is being stored: longer than
-// that takes while the store is slow.
-const announcementPatience = 1 * croft.Second
+// that takes while the store is slow or the leader is overloaded, which more jobs to place would prolong.
+const announcementPatience = 5 * croft.Second
 
 // placePool starts the waiting tasks of a pool that fit, by rank.
 func (p *Planner) placePool(po *pool) {
