--- a/sched/place.go
+++ b/sched/place.go
@@ -87,24 +87,26 @@
 	p.emit(Wake{After: after})
 }
 
+// awaitsSilentPart reports whether the announcement of a job has not been stored for so long that its part of the store does not
+// answer. Until it does, the job neither holds capacity nor keeps others waiting.
+func (p *Planner) awaitsSilentPart(j *job) bool {
+	return j.announced && !j.announcementStored && p.now.Elapsed-j.announcedAt >= announcementPatience
+}
+
 // announcementPatience is how long the capacity for a job is held while the announcement of the job is being stored: longer than
 // that takes while the store is slow or the leader is overloaded, which more jobs to place would prolong.
 const announcementPatience = 5 * croft.Second
 
 // placePool starts the waiting tasks of a pool that fit, by rank.
 func (p *Planner) placePool(po *pool) {
-	var waiting []rankedStage
 	unknownRuns := !p.jobsLoaded || p.mayHaveUnknownRuns(po)
 	if !unknownRuns {
 		p.giveUpInheritedSuspects(po)
 	}
+	var waiting []rankedStage
 	for _, j := range po.jobs {
-		if j.inherited && unknownRuns {
-			// Its tasks may already run on executors whose runs are not known yet.
-			continue
-		}
-		if j.announced && !j.announcementStored && p.now.Elapsed-j.announcedAt >= announcementPatience {
-			// Its part of the store does not answer; it neither holds capacity nor keeps others waiting until it does.
+		// The tasks of an inherited job may already run on executors whose runs are not known yet.
+		if (j.inherited && unknownRuns) || p.awaitsSilentPart(j) {
 			continue
 		}
 		for _, s := range j.stages {
