--- a/sched/worker.go
+++ b/sched/worker.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 
 	"waxwing.example/croft"
 )
@@ -253,7 +254,7 @@
 // endIncarnation records that an executor's incarnation and all its runs have ended, and requeues their tasks.
 func (p *Planner) endIncarnation(w *worker, reason string) {
 	if len(w.runs) > 0 || w.verified {
-		p.log("IncarnationEnded", string(w.ID), "", reason)
+		p.log("IncarnationEnded", string(w.ID), fmt.Sprint(w.born), reason+describeUnlisted(w))
 	}
 	for _, r := range sortedRuns(w) {
 		p.abandonRun(r)
@@ -266,6 +267,26 @@
 	w.nextHold = p.now.Elapsed
 }
 
+// describeUnlisted names the runs of an executor that no list has shown, with what is known of their starts: any of them may be
+// in another lifetime than the one that is known.
+func describeUnlisted(w *worker) string {
+	var unlisted []string
+	for _, r := range filterRuns(w, func(r *run) bool { return r.lastList == 0 }) {
+		start := "on its way"
+		switch {
+		case r.answeredAt != 0:
+			start = "answered"
+		case r.startUnanswered:
+			start = "without an answer"
+		}
+		unlisted = append(unlisted, fmt.Sprintf("%s run %d (start %s)", r.stage.id(r.index), r.number, start))
+	}
+	if len(unlisted) == 0 {
+		return ""
+	}
+	return fmt.Sprintf("; no list has shown %d of its %d runs: %s", len(unlisted), len(w.runs), strings.Join(unlisted[:min(len(unlisted), maxLoggedRuns)], ", "))
+}
+
 // addRun adds a run to its worker, stage, task and job.
 func (p *Planner) addRun(r *run) {
 	r.worker.runs[r.stage.id(r.index)] = r
