--- /dev/null
+++ b/sched/lifetime_test.go
@@ -0,0 +1,161 @@
+package sched
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"waxwing.example/croft"
+)
+
+// lifetimeBench has two executors, one of which has been ordered to start the only task of a job.
+type lifetimeBench struct {
+	*testBench
+	start Start
+	// busy is the place of that executor.
+	busy int
+	// holds are the holds of that executor that are not answered yet.
+	holds []Hold
+	// restarts are the starts since the first one.
+	restarts []Start
+}
+
+func newLifetimeBench(t *testing.T) *lifetimeBench {
+	t.Helper()
+	b := &lifetimeBench{testBench: newTestBench(t)}
+	b.takeLeadership(1, 2)
+	b.event(WaveRowsRead{})
+	starts := effectsOf[Start](b.event(JobsRead{Jobs: []JobRow{testJob("j", step(1, 60))}}))
+	assert.Equal(t, len(starts), 1)
+	b.start = starts[0]
+	for workerName(b.busy) != b.start.Order.Worker {
+		b.busy++
+	}
+	pending := croft.HoldOrder{Worker: b.start.Order.Worker, Fence: b.start.Order.Fence, Wait: holdWait}
+	b.holds = []Hold{{Order: pending, Sent: b.now}}
+	return b
+}
+
+// apply confirms the commits among effects and records the holds and starts.
+func (b *lifetimeBench) apply(effects []Effect) {
+	effects = b.confirm(effects)
+	for _, h := range effectsOf[Hold](effects) {
+		if h.Order.Worker == b.start.Order.Worker {
+			b.holds = append(b.holds, h)
+		}
+	}
+	b.restarts = append(b.restarts, effectsOf[Start](effects)...)
+}
+
+// pass lets time pass, in which the executor answers nothing.
+func (b *lifetimeBench) pass(duration croft.Millis) {
+	for end := b.now + duration; b.now < end; {
+		b.apply(b.advance(50))
+	}
+}
+
+// register has the executor register with a start time.
+func (b *lifetimeBench) register(born int64) {
+	entry := testWorkers(2)[b.busy]
+	entry.Born = born
+	b.apply(b.event(WorkersRead{Changes: croft.WorkerChanges{Entries: []croft.WorkerEntry{entry}}}))
+}
+
+// answer has a lifetime of the executor that has these runs answer all holds for a second.
+func (b *lifetimeBench) answer(born int64, runs ...croft.ActiveRun) {
+	for range 20 {
+		pending := b.holds
+		b.holds = nil
+		for _, h := range pending {
+			b.apply(b.event(Held{Hold: h, Report: croft.HoldReport{Clock: b.now, Born: born, Active: runs}}))
+		}
+		b.pass(50)
+	}
+}
+
+// loseHold has the pending hold of the executor fail, as the executor is down.
+func (b *lifetimeBench) loseHold() {
+	lost := b.holds[0]
+	b.holds = nil
+	b.apply(b.event(Held{Hold: lost, Err: &croft.LostAnswerError{Reason: "test"}}))
+}
+
+// The start times of two lifetimes of the executor; testBench.answerHold answers as the first one.
+const firstLifetime, secondLifetime = 7, 99
+
+func (b *lifetimeBench) run() croft.ActiveRun {
+	return activeRun(b.start.Order.Task, b.start.Order.Run)
+}
+
+// Guards against running a task twice: an executor was back under its id and had registered while the start of a task was on
+// its way to it. The task was started elsewhere, and the new lifetime carried out the first start too.
+func TestStartOnItsWayMayReachTheNextLifetime(t *testing.T) {
+	b := newLifetimeBench(t)
+	b.register(secondLifetime)
+	b.pass(300)
+	assert.Equal(t, len(b.restarts), 0)
+	b.apply(b.event(Started{Start: b.start, Clock: b.now}))
+	b.answer(secondLifetime, b.run())
+	assert.Equal(t, len(b.restarts), 0)
+	assert.Assert(t, b.planner.jobs["j"].stages[0].tasks[0].run != nil)
+}
+
+// Guards against running a task twice: a start was answered by the new lifetime of an executor before its registration was read,
+// which was taken as the end of that run.
+func TestAnsweredStartMayBeInTheNextLifetime(t *testing.T) {
+	b := newLifetimeBench(t)
+	b.apply(b.event(Started{Start: b.start, Clock: b.now}))
+	b.register(secondLifetime)
+	b.answer(secondLifetime, b.run())
+	assert.Equal(t, len(b.restarts), 0)
+}
+
+// Guards against running a task twice: the hold that first showed a later lifetime ended all runs, also those it listed.
+func TestHoldThatShowsTheNextLifetimeEndsOnlyRunsOfTheFormerOne(t *testing.T) {
+	b := newLifetimeBench(t)
+	b.apply(b.event(Started{Start: b.start, Clock: b.now}))
+	b.pass(survivalTime)
+	// Another start is answered, so that the executor counts as having survived the first one.
+	row := testJob("other", step(1, 1))
+	row.Part = "q.1"
+	others := effectsOf[Start](b.event(JobsRead{Jobs: []JobRow{row}}))
+	assert.Equal(t, others[0].Order.Worker, b.start.Order.Worker)
+	b.apply(b.event(Started{Start: others[0], Clock: b.now}))
+	b.pass(50)
+	b.answer(secondLifetime, b.run(), activeRun(others[0].Order.Task, 1))
+	assert.Equal(t, len(b.restarts), 0)
+}
+
+// Guards against running a task twice: its start was on its way to an executor whose VM was listed as down, and which was back
+// under its id when the start arrived.
+func TestStartOnItsWayToAVMThatIsDownMayReachTheNextLifetime(t *testing.T) {
+	b := newLifetimeBench(t)
+	b.loseHold()
+	vms := testFleet(2)
+	vms[b.busy].State = croft.FleetDown
+	b.apply(b.event(FleetRead{RequestedAt: b.now, VMs: vms}))
+	b.pass(300)
+	assert.Equal(t, len(b.restarts), 0)
+	b.apply(b.event(Started{Start: b.start, Err: &croft.LostAnswerError{Reason: "test"}}))
+	b.pass(croft.Second)
+	assert.Equal(t, len(b.restarts), 0)
+}
+
+// A task that the former lifetime of an executor has listed is started again as soon as the next one has answered.
+func TestTaskOfTheFormerLifetimeStartsAgainAtOnce(t *testing.T) {
+	b := newLifetimeBench(t)
+	b.apply(b.event(Started{Start: b.start, Clock: b.now}))
+	b.pass(50)
+	b.apply(b.answerHold(b.busy, b.run()))
+	b.answer(secondLifetime)
+	assert.Equal(t, len(b.restarts), 1)
+}
+
+// A start that the next lifetime has not received, and cannot receive any more, is repeated.
+func TestStartThatTheNextLifetimeLacksIsRepeated(t *testing.T) {
+	b := newLifetimeBench(t)
+	b.register(secondLifetime)
+	b.pass(50)
+	b.answer(secondLifetime)
+	assert.Equal(t, len(b.restarts), 1)
+}
