sched: fencing tokens separate the lifetimes of an executor

Cause: the end of a lifetime was taken for the end of the orders to it. Once the leader learned that an executor had started again, by its registration, by a hold that showed another start time or by a list with its VM down, it gave up all runs that it knew there and started their tasks elsewhere. Orders name only the id, so that the new lifetime carries out those that were still on their way, and keeps those that it had carried out before the leader noticed.

Change: a run ends with a lifetime only if that lifetime is known to have had it: a list of it has shown the run, or the run was shown before a list of VMs was requested on which the VM runs nothing. The others are kept. The first hold to the next lifetime has a higher fencing token than all orders before, so that whatever is late is refused from then on, and a run that its list lacks can't begin any more. Each renewal of the leadership brings such a token: the version of the leader row, which is lower than that of any successor's. A refusal of an order with a former token, or of one to a former address, shows nothing about the present lifetime. Leases of an executor that was found down count as over only if no former leader could give orders any more. Checks acknowledge no ends, since another lifetime numbers its own anew. A start time that goes back is another lifetime too: holds are sent one after another.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -167,7 +167,7 @@
 		case e := <-a.events:
 			batch = append(batch, e)
 		case <-ticks:
-			batch = append(batch, sched.Ticked{DoubtFrom: a.Election.DoubtFrom()})
+			batch = append(batch, sched.Ticked{DoubtFrom: a.Election.DoubtFrom(), Fence: a.Election.RenewedFence()})
 		}
 		for more := true; more && len(batch) < maxBatchEvents; {
 			select {
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -115,6 +115,8 @@
 	leadership *Leadership
 	validUntil croft.Millis
 	renewedAt  croft.Millis
+	// renewedFence is the version of the row after the last renewal by this entry.
+	renewedFence uint64
 }
 
 // New returns an Election for the entry named self; candidates of a higher rank take over later.
@@ -163,6 +165,17 @@
 	return renewed + e.lease*doubtPercent/100
 }
 
+// RenewedFence returns a fencing token that only this entry has and that is higher after each renewal; zero if this entry does not
+// lead. It is lower than that of any successor, whose takeover is a later write of the row.
+func (e *Election) RenewedFence() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.leadership == nil {
+		return 0
+	}
+	return e.renewedFence
+}
+
 // Leadership returns the current term of this entry, nil if it does not lead.
 func (e *Election) Leadership() *Leadership {
 	e.mu.Lock()
@@ -335,6 +348,7 @@
 	e.recordGap(value.Holder, now)
 	e.row, e.value, e.unchangedSince = croft.Row{Key: Key, Version: version, Value: encoded}, value, now
 	e.renewedAt, e.validUntil = sentAt, sentAt+e.lease-e.lease/marginDivisor
+	e.renewedFence = version
 	e.ownEarlierRow = false
 	if takeover {
 		e.leadership = &Leadership{Fence: version, Term: value.Term, VMOrdersFrom: vmsFrom}
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -326,3 +326,20 @@
 	one.write(context.Background(), true)
 	assert.Assert(t, one.Leadership() != nil)
 }
+
+// Guards against an executor that is back under its id and carries out orders to its former lifetime: the fencing token that
+// separates them has to rise with each renewal and stay below that of a successor.
+func TestRenewalsBringRisingFencingTokens(t *testing.T) {
+	_, c, one, two := newCandidates()
+	advance(c, 5*croft.Second, one, two)
+	first := one.RenewedFence()
+	assert.Assert(t, first > one.Leadership().Fence)
+	assert.Equal(t, two.RenewedFence(), uint64(0))
+	advance(c, lease/renewDivisor+stepInterval, one, two)
+	assert.Assert(t, one.RenewedFence() > first)
+	last := one.RenewedFence()
+	advance(c, 2*lease, two)
+	assert.Assert(t, two.Leadership().Fence > last)
+	one.Observe(one.table.changes(), false)
+	assert.Equal(t, one.RenewedFence(), uint64(0))
+}
--- a/model/world.go
+++ b/model/world.go
@@ -282,6 +282,9 @@
 	listsVMs bool
 	// doubtFrom is from when on it has to assume that it has a successor, zero while it renews its leadership.
 	doubtFrom croft.Millis
+	// renewedAt is when it last renewed its leadership, and renewedFence the fencing token that this brought.
+	renewedAt    croft.Millis
+	renewedFence uint64
 	// vmOrdersFrom is the earliest time at which it may give orders for VMs.
 	vmOrdersFrom croft.Millis
 	// clockLead is by how much its clock is ahead.
@@ -340,7 +343,11 @@
 
 func (w *World) tick(l *leader) {
 	if l.alive {
-		w.runAs(l, func() { w.deliver(sched.Ticked{DoubtFrom: l.doubtFrom}) })
+		if !l.storeUnreachable && w.now >= w.storeDownUntil && w.now-l.renewedAt >= renewInterval {
+			w.version++
+			l.renewedAt, l.renewedFence = w.now, w.version
+		}
+		w.runAs(l, func() { w.deliver(sched.Ticked{DoubtFrom: l.doubtFrom, Fence: l.renewedFence}) })
 		w.schedule(tickInterval, func() { w.tick(l) })
 	}
 }
--- a/sched/crash.go
+++ b/sched/crash.go
@@ -161,13 +161,13 @@
 
 // endUnexpectedly ends the incarnation of an executor that no order and no shutdown of its own ended, as far as is known, and
 // counts that for the tasks that had just been started on it.
-func (p *Planner) endUnexpectedly(w *worker, reason string) {
+func (p *Planner) endUnexpectedly(w *worker, reason string, hasEnded func(*run) bool) {
 	var suspects []*run
-	if !w.vmOrdered && !w.Draining {
+	if !w.ended && !w.vmOrdered && !w.Draining {
 		suspects = p.crashSuspects(w)
 		p.logCrash(w, suspects)
 	}
-	p.endIncarnation(w, reason)
+	p.endIncarnation(w, reason, hasEnded)
 	for _, r := range suspects {
 		p.recordCrash(r)
 	}
--- a/sched/events.go
+++ b/sched/events.go
@@ -40,6 +40,8 @@
 	eventMarker
 	// DoubtFrom is from when on another entry may have taken over, by Instant.Elapsed; zero if that is not known.
 	DoubtFrom croft.Millis
+	// Fence is the fencing token that the last renewal of the leadership has brought, zero if there is none.
+	Fence uint64
 }
 
 // Woken is sent when the duration of a Wake has passed.
--- a/sched/fleet.go
+++ b/sched/fleet.go
@@ -134,22 +134,26 @@
 			p.log("Stays", string(id), string(d.vm), "the platform had carried out the order earlier; the executor has restarted since and keeps running")
 			continue
 		}
-		p.endIncarnation(w, fmt.Sprintf("the platform carried out our order to move or maintain its VM %s", d.vm))
+		p.endIncarnation(w, fmt.Sprintf("the platform carried out our order to move or maintain its VM %s", d.vm), wasShownBefore(e.RequestedAt))
+		p.endLeases(w, e.RequestedAt)
 		w.listed = false
 	}
 }
 
-// applyVMState ends the incarnation of an executor that does not answer and whose VM is known not to run it.
-func (p *Planner) applyVMState(w *worker, state croft.FleetState) {
+// applyVMState ends the incarnation of an executor that does not answer and whose VM did not run it when the list was requested.
+func (p *Planner) applyVMState(w *worker, state croft.FleetState, requestedAt croft.Millis) {
 	if w.verified {
 		return
 	}
 	switch {
 	case state == croft.FleetDown:
-		p.endUnexpectedly(w, "its VM is "+string(state))
+		p.endUnexpectedly(w, "its VM is "+string(state), wasShownBefore(requestedAt))
 	case endsExecutor(state):
-		p.endIncarnation(w, "its VM is "+string(state))
+		p.endIncarnation(w, "its VM is "+string(state), wasShownBefore(requestedAt))
+	default:
+		return
 	}
+	p.endLeases(w, requestedAt)
 }
 
 // endsExecutor reports whether nothing runs on a VM in a state.
@@ -182,7 +186,7 @@
 		}
 		f.byWorker[vm.Worker], f.lastVM[vm.Worker] = vm.ID, vm.ID
 		if w, ok := p.workers[vm.Worker]; ok {
-			p.applyVMState(w, vm.State)
+			p.applyVMState(w, vm.State, e.RequestedAt)
 		} else if vm.State == croft.FleetUp && !p.poolRule(vm.Pool).Spare {
 			f.unregistered = append(f.unregistered, vm)
 		}
@@ -241,10 +245,15 @@
 		if w.verified {
 			continue
 		}
-		if _, listed := f.vms[f.lastVM[w.ID]]; listed {
-			p.endUnexpectedly(w, "its VM does not run this executor any more")
+		if vm, listed := f.vms[f.lastVM[w.ID]]; listed && vm.Worker != "" {
+			p.endUnexpectedly(w, "its VM runs another executor", (*run).isAny)
+			p.endLeases(w, p.now.Elapsed)
+		} else if listed {
+			p.endUnexpectedly(w, "its VM does not run this executor", wasShownBefore(e.RequestedAt))
+			p.endLeases(w, e.RequestedAt)
 		} else if !w.listed && e.RequestedAt-w.missingSince >= missingConfirmation {
-			p.endUnexpectedly(w, fmt.Sprintf("its registration is gone, and lists have lacked its VM for %d ms", e.RequestedAt-w.missingSince))
+			p.endUnexpectedly(w, fmt.Sprintf("its registration is gone, and lists have lacked its VM for %d ms", e.RequestedAt-w.missingSince), wasShownBefore(e.RequestedAt))
+			p.endLeases(w, e.RequestedAt)
 		}
 	}
 }
--- a/sched/helpers_test.go
+++ b/sched/helpers_test.go
@@ -15,6 +15,8 @@
 	now     croft.Millis
 	// version is the version of the last commit that was confirmed automatically.
 	version uint64
+	// fence is the fencing token of the last renewal of the leadership.
+	fence uint64
 }
 
 func newTestBench(t *testing.T) *testBench {
@@ -57,14 +59,16 @@
 // advance lets time pass and sends a tick.
 func (b *testBench) advance(by croft.Millis) []Effect {
 	b.now += by
-	return b.event(Ticked{})
+	b.fence++
+	return b.event(Ticked{Fence: b.fence})
 }
 
 const testPool = croft.PoolID("pool")
 
 // takeLeadership begins a term with workers of 64 cores and the jobs in the store, and has all lists read.
 func (b *testBench) takeLeadership(term, workers int, stored ...JobRow) {
-	b.event(LeadershipAcquired{Fence: uint64(term * 10), Term: term})
+	b.fence = uint64(term * 1_000_000)
+	b.event(LeadershipAcquired{Fence: b.fence, Term: term})
 	b.event(testConfig())
 	b.event(WorkersRead{Changes: croft.WorkerChanges{Version: 1, Whole: true, Entries: testWorkers(workers)}})
 	b.event(FleetRead{RequestedAt: b.now, VMs: testFleet(workers)})
@@ -127,10 +131,18 @@
 		}
 	}
 	w := b.planner.workers[workerName(i)]
+	if w != nil && w.needsFence {
+		// The hold that is answered has a higher fencing token.
+		w.holdPending = false
+		b.advance(0)
+	}
 	order := croft.HoldOrder{Worker: workerName(i)}
 	if w != nil && w.verified {
 		order.Seen, order.Wait = w.ackedEnd, holdWait
 	}
+	if w != nil {
+		order.Fence = w.fence
+	}
 	return b.event(Held{Hold: Hold{Order: order, Sent: b.now}, Report: report})
 }
 
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -40,6 +40,13 @@
 	if w.holdPending || p.now.Elapsed < w.nextHold || w.Address == "" {
 		return
 	}
+	if w.needsFence {
+		if p.newestFence <= w.fence {
+			// The next renewal of the leadership brings a higher one.
+			return
+		}
+		w.fence, w.needsFence, w.checkPending = p.newestFence, false, false
+	}
 	if !w.verified && !w.listed && p.now.Elapsed >= w.leasesEnd {
 		return
 	}
@@ -49,17 +56,18 @@
 
 // sendHold sends a hold. The first one to an incarnation asks for an answer at once and acknowledges no ended runs.
 func (p *Planner) sendHold(w *worker) {
-	order := croft.HoldOrder{Worker: w.ID, Address: w.Address, Fence: p.fencingToken, Until: p.grantLease(w)}
+	order := croft.HoldOrder{Worker: w.ID, Address: w.Address, Fence: w.fence, Until: p.grantLease(w)}
 	if w.verified {
 		order.Seen, order.Wait = w.ackedEnd, w.holdWaitAt(p.now.Elapsed)
 	}
 	p.emit(Hold{Order: order, Sent: p.now.Elapsed})
 }
 
-// sendCheck requests the lists of a worker at once, beside the pending hold.
+// sendCheck requests the lists of a worker at once, beside the pending hold. It acknowledges no ended runs: it may reach an
+// incarnation whose ends, numbered anew, are not known yet.
 func (p *Planner) sendCheck(w *worker) {
 	w.checkPending = true
-	p.emit(Hold{Order: croft.HoldOrder{Worker: w.ID, Address: w.Address, Fence: p.fencingToken, Seen: w.ackedEnd}, Sent: p.now.Elapsed, Check: true})
+	p.emit(Hold{Order: croft.HoldOrder{Worker: w.ID, Address: w.Address, Fence: w.fence}, Sent: p.now.Elapsed, Check: true})
 }
 
 // handleCheckResult applies the lists of a check. Everything else in the answer also comes with the pending hold.
@@ -81,11 +89,17 @@
 		return
 	}
 	if e.Check {
-		p.handleCheckResult(w, e)
+		if e.Order.Fence == w.fence {
+			p.handleCheckResult(w, e)
+		}
 		return
 	}
 	w.holdPending = false
 	p.holdCandidates = append(p.holdCandidates, w)
+	if w.needsFence {
+		w.nextHold = p.now.Elapsed
+		return
+	}
 	if e.Err != nil {
 		p.handleHoldFailure(w, e)
 		return
@@ -95,7 +109,7 @@
 
 // handleHoldFailure marks a worker as not verified and schedules the next attempt.
 func (p *Planner) handleHoldFailure(w *worker, e Held) {
-	if p.handleWorkerRefusal(w, e.Err) && !p.leading {
+	if p.handleWorkerRefusal(w, e.Order.Fence, e.Order.Address, e.Err) && !p.leading {
 		return
 	}
 	if w.verified {
@@ -126,13 +140,14 @@
 
 // handleHoldReport applies the answer of an executor to a hold.
 func (p *Planner) handleHoldReport(w *worker, e Held) {
-	if w.born != 0 && e.Report.Born != w.born {
-		if e.Report.Born < w.born {
-			return
-		}
-		p.endUnexpectedly(w, "the executor answered with a later start time")
+	if w.born != 0 && e.Report.Born != w.born && !w.ended {
+		// Holds are sent one after another, so this incarnation is later than the one that answered the last one.
+		p.endUnexpectedly(w, fmt.Sprintf("the executor answered with another start time, %d", e.Report.Born), (*run).wasListed)
+		w.leasesEnd = max(w.leasesEnd, p.latestLeaseEnd())
+		w.born = e.Report.Born
+		return
 	}
-	w.born = e.Report.Born
+	w.born, w.ended = e.Report.Born, false
 	p.recordAnswer(w)
 	w.failedHolds = 0
 	w.clockOffset, w.clockKnown = e.Report.Clock-p.now.Elapsed, true
@@ -258,8 +273,9 @@
 		return
 	}
 	w.allEndsListed = true
+	// The executor refuses starts with a lower fencing token than it has seen.
 	isMissing := func(r *run) bool {
-		return !r.isListed() && r.verifiableFrom != 0 && r.verifiableFrom < e.Sent
+		return !r.isListed() && (r.fence < e.Order.Fence || (r.verifiableFrom != 0 && r.verifiableFrom < e.Sent))
 	}
 	for _, r := range filterRuns(w, isMissing) {
 		p.log("Vanished", r.stage.id(r.index).String(), string(w.ID), fmt.Sprintf("run %d is listed neither as active nor as ended", r.number))
@@ -285,7 +301,7 @@
 	if r == nil || r.number < a.Run {
 		r = p.adoptRun(w, s, index, a)
 	}
-	r.lastList = w.listCount
+	r.lastList, r.shownAt = w.listCount, p.now.Elapsed
 	if r.number != a.Run {
 		return
 	}
@@ -322,7 +338,7 @@
 	if w.listCount > 1 {
 		p.log("Adopt", a.Task.String(), string(w.ID), fmt.Sprintf("run %d is listed by lifetime %d, earlier lists lacked it", a.Run, w.born))
 	}
-	r := &run{stage: s, index: index, number: a.Run, worker: w, adopted: true, phase: phaseActive, startedAt: p.now.Elapsed, answeredAt: p.now.Elapsed, verifiableFrom: p.now.Elapsed, progressedAt: p.now.Elapsed, uncertainUntil: p.now.Elapsed + p.options.Stop, pace: fullPace}
+	r := &run{stage: s, index: index, number: a.Run, worker: w, fence: w.fence, adopted: true, phase: phaseActive, startedAt: p.now.Elapsed, answeredAt: p.now.Elapsed, verifiableFrom: p.now.Elapsed, progressedAt: p.now.Elapsed, uncertainUntil: p.now.Elapsed + p.options.Stop, pace: fullPace}
 	p.addRun(r)
 	t := &s.tasks[index]
 	if t.run != nil && t.run != r {
--- a/sched/order.go
+++ b/sched/order.go
@@ -13,14 +13,14 @@
 
 // newRunOrder returns an order about a run with the fields that every order needs.
 func (p *Planner) newRunOrder(w *worker, id croft.TaskID, number int) croft.RunOrder {
-	return croft.RunOrder{Worker: w.ID, Address: w.Address, Task: id, Run: number, Fence: p.fencingToken}
+	return croft.RunOrder{Worker: w.ID, Address: w.Address, Task: id, Run: number, Fence: w.fence}
 }
 
 // startRun adds a run of a task with this run number and sends its start.
 func (p *Planner) startRun(s *stage, index int, w *worker, number int) {
 	t := &s.tasks[index]
 	t.runNumber = number
-	r := &run{stage: s, index: index, number: number, worker: w, startedAt: p.now.Elapsed, progressedAt: p.now.Elapsed, pace: fullPace}
+	r := &run{stage: s, index: index, number: number, worker: w, fence: w.fence, startedAt: p.now.Elapsed, progressedAt: p.now.Elapsed, pace: fullPace}
 	id := s.id(index)
 	r.startedAsSuspect = t.suspect
 	t.run, t.unlistedEnd = r, false
@@ -115,7 +115,7 @@
 // handleStopResult records from when on a list shows whether a stopped run has ended.
 func (p *Planner) handleStopResult(e Stopped) {
 	w, r := p.findRun(e.Order)
-	if r == nil || p.handleWorkerRefusal(w, e.Err) || e.Err != nil {
+	if r == nil || p.handleWorkerRefusal(w, e.Order.Fence, e.Order.Address, e.Err) || e.Err != nil || e.Order.Fence < w.fence || w.needsFence {
 		return
 	}
 	// From now on the run cannot begin any more. Once it has had time to stop, a new list shows whether it is gone.
@@ -165,18 +165,20 @@
 	return w, r
 }
 
-// handleWorkerRefusal handles refusals that concern more than one run, and reports whether err is one.
-func (p *Planner) handleWorkerRefusal(w *worker, err error) bool {
+// handleWorkerRefusal handles refusals that concern more than one run, and reports whether err is one. An order that was sent with
+// a lower fencing token, or to another address, than the executor has now shows nothing about it.
+func (p *Planner) handleWorkerRefusal(w *worker, fence uint64, address string, err error) bool {
 	var refused *croft.RunRefusedError
-	if !errors.As(err, &refused) {
+	if !errors.As(err, &refused) || fence < w.fence {
 		return false
 	}
-	switch refused.Reason {
-	case croft.RefusedFence:
-		p.stepDown(fmt.Sprintf("executor %s refused fencing token %d: it has seen a higher one", w.ID, p.fencingToken))
+	switch {
+	case refused.Reason == croft.RefusedFence:
+		p.stepDown(fmt.Sprintf("executor %s refused fencing token %d: it has seen a higher one", w.ID, fence))
 		return true
-	case croft.RefusedIncarnation:
-		p.endUnexpectedly(w, "another executor answers at its address")
+	case refused.Reason == croft.RefusedIncarnation && address == w.Address:
+		p.endUnexpectedly(w, "another executor answers at its address", (*run).isAny)
+		p.endLeases(w, p.now.Elapsed)
 		return true
 	}
 	return false
@@ -185,17 +187,19 @@
 // handleStartResult records that a run has begun, or handles the failure of its start.
 func (p *Planner) handleStartResult(e Started) {
 	w, r := p.findRun(e.Order)
-	if r == nil || p.handleWorkerRefusal(w, e.Err) {
+	if r == nil || p.handleWorkerRefusal(w, e.Order.Fence, e.Order.Address, e.Err) {
 		return
 	}
 	if e.Err == nil {
-		p.recordAnswer(w)
 		p.markJobBegan(r.stage.job, w)
-		r.verifiableFrom, r.answeredAt = p.now.Elapsed, p.now.Elapsed
+		r.verifiableFrom, r.answeredAt, r.shownAt = p.now.Elapsed, p.now.Elapsed, p.now.Elapsed
 		if r.phase == phaseStarting {
 			r.phase = phaseActive
 		}
-		w.clockOffset, w.clockKnown = e.Clock-p.now.Elapsed, true
+		if e.Order.Fence == w.fence && !w.needsFence {
+			p.recordAnswer(w)
+			w.clockOffset, w.clockKnown = e.Clock-p.now.Elapsed, true
+		}
 		return
 	}
 	p.handleStartFailure(w, r, e.Err)
@@ -217,9 +221,12 @@
 	switch {
 	case errors.As(err, &refused):
 		p.log("Refused", id, string(w.ID), fmt.Sprintf("run %d: %s", r.number, refused.Reason))
-		if refused.Reason == croft.RefusedTicket && r.stage.advice != nil {
+		switch {
+		case r.fence < w.fence:
+			// The start was sent to a former incarnation.
+		case refused.Reason == croft.RefusedTicket && r.stage.advice != nil:
 			delete(r.stage.advice.permits, w.ID)
-		} else {
+		default:
 			w.quarantinedUntil = max(w.quarantinedUntil, p.now.Elapsed+noCapacityPause)
 		}
 		p.withdrawRun(r)
@@ -232,8 +239,9 @@
 		if r.phase == phaseStopping {
 			return
 		}
-		// The executor may still receive the start, unless a stop of the same run reaches it first.
+		// The executor may still receive the start, unless a stop of the same run reaches it first, and extend its leases then.
 		r.startUnanswered = true
+		w.leasesEnd = max(w.leasesEnd, p.latestLeaseEnd())
 		p.stopRun(r, "its start was not answered")
 	}
 }
--- a/sched/planner.go
+++ b/sched/planner.go
@@ -29,7 +29,10 @@
 	now          Instant
 	leading      bool
 	fencingToken uint64
-	term         int
+	// newestFence is the highest fencing token that this leader may use for executors. Each renewal of the leadership brings a
+	// higher one, and all are lower than that of a successor.
+	newestFence uint64
+	term        int
 	// leaderSince is when the current term began.
 	leaderSince croft.Millis
 	// vmOrdersFrom is when VMs may first be ordered to move or to be maintained; until then a former leader may do so, and
@@ -165,6 +168,7 @@
 	switch e := e.(type) {
 	case Ticked:
 		p.recordDoubt(e.DoubtFrom)
+		p.newestFence = max(p.newestFence, e.Fence)
 	case WorkersRead:
 		p.handleWorkersRead(e.Changes)
 	case JobsRead:
@@ -196,6 +200,7 @@
 func (p *Planner) startTerm(e LeadershipAcquired) {
 	p.resetLeaderState()
 	p.leading, p.fencingToken, p.term, p.leaderSince, p.vmOrdersFrom = true, e.Fence, e.Term, p.now.Elapsed, e.VMOrdersFrom
+	p.newestFence = e.Fence
 	p.requestFleet()
 }
 
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -37,10 +37,19 @@
 	missingSince croft.Millis
 	// verified reports that this incarnation has answered a hold in this term, so that its runs are known.
 	verified bool
+	// fence is the fencing token of orders to this incarnation. It is higher than that of any order to a former one, which a
+	// new incarnation under the same ID would carry out if it arrived late.
+	fence uint64
+	// needsFence reports that a former incarnation may have ended since fence was chosen: the next hold has a higher one, and
+	// answers to earlier holds show nothing about the present incarnation.
+	needsFence bool
+	// ended reports that the incarnation that answered last has ended, and no other one has answered since.
+	ended bool
 	// holdPending and checkPending report that a hold, or a check beside it, is not answered yet.
 	holdPending  bool
 	checkPending bool
-	// born is the start time of the incarnation, which identifies it; zero if it is not known.
+	// born is the start time of the incarnation that answered last, which identifies it; zero if none has answered. It may be
+	// earlier than that of a former one, since the time of day may be set back.
 	born int64
 	// clockOffset is the executor's clock minus the planner's, if clockKnown.
 	clockOffset croft.Millis
@@ -112,13 +121,17 @@
 type run struct {
 	stage *stage
 	// index is the index of the task in the stage, and number the run number.
-	index     int
-	number    int
-	worker    *worker
+	index  int
+	number int
+	worker *worker
+	// fence is the fencing token of the start.
+	fence     uint64
 	phase     phase
 	startedAt croft.Millis
 	// answeredAt is when the start was answered or a list first showed the run, zero before.
 	answeredAt croft.Millis
+	// shownAt is when an answer or a list last showed that the run had begun, zero if none has.
+	shownAt croft.Millis
 	// verifiableFrom is when the last order for the run took effect: a list that is requested later shows whether the
 	// run exists. It is zero while that order is unanswered.
 	verifiableFrom croft.Millis
@@ -138,7 +151,8 @@
 	gauge   int64
 	// progressedAt is when percent last changed.
 	progressedAt croft.Millis
-	// lastList is the number of the worker's last list that showed the run.
+	// lastList is the number of the worker's last list that showed the run, zero if none has. Such a run has begun in the
+	// incarnation that listed it; any other one may begin, or have begun, in a later one.
 	lastList int
 	// uncertainUntil is set for an adopted run, which lists show as active although a former leader may have stopped it:
 	// a list that is requested at this time or later shows whether the run continues. It is zero once such a list has shown
@@ -214,13 +228,13 @@
 	w, ok := p.workers[e.ID]
 	if !ok {
 		// The executor may have runs that a former leader or a delayed order started, until their leases end.
-		w = &worker{runs: map[croft.TaskID]*run{}, leasesEnd: max(p.latestLeaseEnd(), p.predecessorLeasesEnd()), pace: fullPace}
+		w = &worker{runs: map[croft.TaskID]*run{}, fence: p.newestFence, leasesEnd: max(p.latestLeaseEnd(), p.predecessorLeasesEnd()), pace: fullPace}
 		w.WorkerEntry = e
 		p.workers[e.ID] = w
 		p.sortedWorkers = insertWorker(p.sortedWorkers, w)
 	}
-	if e.Born != 0 && w.born != 0 && e.Born > w.born {
-		p.endUnexpectedly(w, "the executor registered with a later start time")
+	if e.Born != 0 && w.born != 0 && e.Born > w.born && e.Born != w.WorkerEntry.Born {
+		p.endUnexpectedly(w, "the executor registered with a later start time", (*run).wasListed)
 		// A former leader may have started runs on the new incarnation.
 		w.leasesEnd = max(w.leasesEnd, p.predecessorLeasesEnd())
 	}
@@ -251,27 +265,60 @@
 	return slices.DeleteFunc(workers, func(other *worker) bool { return other == w })
 }
 
-// endIncarnation records that an executor's incarnation and all its runs have ended, and requeues their tasks.
-func (p *Planner) endIncarnation(w *worker, reason string) {
+// endIncarnation records that an executor's incarnation has ended, together with those of its runs for which hasEnded holds, and
+// requeues their tasks. The others may be in the next incarnation, or begin there, since orders name only the executor's ID: they
+// are kept until a list that answers a higher fencing token lacks them, or until all leases have ended.
+func (p *Planner) endIncarnation(w *worker, reason string, hasEnded func(*run) bool) {
+	if w.ended && len(filterRuns(w, hasEnded)) == 0 {
+		return
+	}
 	if len(w.runs) > 0 || w.verified {
 		p.log("IncarnationEnded", string(w.ID), fmt.Sprint(w.born), reason+describeUnlisted(w))
 	}
-	for _, r := range sortedRuns(w) {
+	for _, r := range filterRuns(w, hasEnded) {
 		p.abandonRun(r)
 	}
-	w.verified, w.clockKnown = false, false
+	for _, r := range sortedRuns(w) {
+		// The next incarnation knows nothing of a stop.
+		r.lastList, r.verifiableFrom = 0, 0
+		if r.stage.spec.Gang {
+			p.stopGang(r.stage)
+		}
+	}
+	w.verified, w.clockKnown, w.needsFence, w.ended = false, false, true, true
 	w.ackedEnd, w.recordedEnd, w.pendingAcks = 0, 0, nil
 	w.allEndsListed, w.endsCut = false, false
-	w.born, w.orphanRuns = 0, 0
-	w.leasesEnd = p.now.Elapsed
+	w.orphanRuns = 0
 	w.nextHold = p.now.Elapsed
 }
 
+// endLeases records that no order to an executor that ran nothing at an instant can begin a run any more, neither one of this
+// leader nor one of a former leader, so that nothing has to wait for the end of its leases.
+func (p *Planner) endLeases(w *worker, at croft.Millis) {
+	if w.ended && len(w.runs) == 0 && at >= p.vmOrdersFrom {
+		w.leasesEnd = min(w.leasesEnd, p.now.Elapsed)
+	}
+}
+
+// The runs that have ended with an incarnation of their executor, by what shows its end.
+
+// wasListed reports that a list has shown the run, so that it ends with the incarnation that had it.
+func (r *run) wasListed() bool { return r.lastList != 0 }
+
+// wasShownBefore returns a function that reports that a run was last shown to have begun before an instant, at which its executor
+// ran nothing.
+func wasShownBefore(at croft.Millis) func(*run) bool {
+	return func(r *run) bool { return r.shownAt != 0 && r.shownAt <= at }
+}
+
+// isAny matches the runs of an executor that carries out no order any more, as another one has taken its place.
+func (r *run) isAny() bool { return true }
+
 // describeUnlisted names the runs of an executor that no list has shown, with what is known of their starts: any of them may be
 // in another lifetime than the one that is known.
 func describeUnlisted(w *worker) string {
 	var unlisted []string
-	for _, r := range filterRuns(w, func(r *run) bool { return r.lastList == 0 }) {
+	for _, r := range filterRuns(w, func(r *run) bool { return !r.wasListed() }) {
 		start := "on its way"
 		switch {
 		case r.answeredAt != 0:
@@ -367,7 +414,7 @@
 			continue
 		}
 		if len(w.runs) > 0 {
-			p.endIncarnation(w, "its leases expired without an answer")
+			p.endIncarnation(w, "its leases expired without an answer", (*run).isAny)
 		}
 		if !w.listed && !w.holdPending {
 			delete(p.workers, id)
