sched: a gang is stopped with the member whose start got no answer

The members of a gang waited alone for 3 s (GANG) while it was being found out whether the unanswered start of one of them had been carried out; that takes as long as its executor does not answer. A start without an answer is stopped at once, so the gang can't be complete any more, and the others are stopped with it now.

Traced of TestTasksThatCrashExecutorsAreGivenUp: the executor of one member had gone down, and its VM was missing from lists. The new test of sched failed before, with 1 stop instead of 2.

--- a/sched/gang_test.go
+++ b/sched/gang_test.go
@@ -114,3 +114,14 @@
 		used[s.Order.Worker] = true
 	}
 }
+
+// Guards against members that wait for 3 s and end alone: the start of one member got no answer and was stopped, and the others went
+// on waiting until it was known whether that start had been carried out.
+func TestGangIsStoppedWhenAStartOfAMemberGetsNoAnswer(t *testing.T) {
+	b := newTestBench(t)
+	b.takeLeadership(1, 2)
+	starts := effectsOf[Start](b.event(JobsRead{Jobs: []JobRow{testJob("g", gang(2, 40))}}))
+	b.event(Started{Start: starts[0], Clock: b.now})
+	stops := effectsOf[Stop](b.event(Started{Start: starts[1], Err: &croft.LostAnswerError{Reason: "test"}}))
+	assert.Equal(t, len(stops), 2)
+}
--- a/sched/order.go
+++ b/sched/order.go
@@ -243,5 +243,8 @@
 		r.startUnanswered = true
 		w.leasesEnd = max(w.leasesEnd, p.latestLeaseEnd())
 		p.stopRun(r, "its start was not answered")
+		if r.stage.spec.Gang {
+			p.stopGang(r.stage)
+		}
 	}
 }
