sched: an answer that was under way when a lifetime ended shows nothing about the next one

Callers could see TWICE: a lifetime of an executor answered a hold without the run whose start was still on its way, and had ended when that answer was read. The list was taken as proof that the start can't be carried out any more, but the next lifetime has seen no fencing token. The same with the first answer at a takeover, and with an answer to a hold of a former term of the entry.

Change: whatever shows that a lifetime has ended or that another one has registered asks for a hold with a higher token again, also if the end was known already; answers to holds with another token than the present one are ignored. The tests' holds carry the token that the planner has given them.

--- a/sched/crash_test.go
+++ b/sched/crash_test.go
@@ -16,7 +16,7 @@
 	fleet := testFleet(workers)
 	var effects []Effect
 	for _, i := range down {
-		effects = append(effects, b.event(Held{Hold: Hold{Order: croft.HoldOrder{Worker: workerName(i)}, Sent: b.now}, Err: &croft.LostAnswerError{Reason: "closed"}})...)
+		effects = append(effects, b.event(Held{Hold: Hold{Order: b.holdOrder(workerName(i)), Sent: b.now}, Err: &croft.LostAnswerError{Reason: "closed"}})...)
 		fleet[i].State = croft.FleetDown
 	}
 	return append(effects, b.event(FleetRead{RequestedAt: b.now, VMs: fleet})...)
--- a/sched/fleet_test.go
+++ b/sched/fleet_test.go
@@ -23,7 +23,7 @@
 		busy++
 	}
 	b.now += 1000
-	b.event(Held{Hold: Hold{Order: croft.HoldOrder{Worker: workerName(busy)}, Sent: b.now}, Err: &croft.LostAnswerError{Reason: "test"}})
+	b.event(Held{Hold: Hold{Order: b.holdOrder(workerName(busy)), Sent: b.now}, Err: &croft.LostAnswerError{Reason: "test"}})
 	assert.Assert(t, !b.planner.workers[workerName(busy)].verified)
 	return b, busy
 }
--- a/sched/helpers_test.go
+++ b/sched/helpers_test.go
@@ -59,10 +59,18 @@
 // advance lets time pass and sends a tick.
 func (b *testBench) advance(by croft.Millis) []Effect {
 	b.now += by
+	return b.event(b.renewed())
+}
+
+// renewed returns a tick after a renewal of the leadership.
+func (b *testBench) renewed() Ticked {
 	b.fence++
-	return b.event(Ticked{Fence: b.fence})
+	return Ticked{Fence: b.fence}
 }
 
+// errLost is the outcome of an order without an answer.
+var errLost = &croft.LostAnswerError{Reason: "test"}
+
 const testPool = croft.PoolID("pool")
 
 // takeLeadership begins a term with workers of 64 cores and the jobs in the store, and has all lists read.
@@ -119,6 +127,15 @@
 	return out
 }
 
+// holdOrder returns the order of a hold that a worker may answer now.
+func (b *testBench) holdOrder(id croft.WorkerID) croft.HoldOrder {
+	order := croft.HoldOrder{Worker: id}
+	if w := b.planner.workers[id]; w != nil {
+		order.Fence = w.fence
+	}
+	return order
+}
+
 // answerHold answers a hold of a worker with the runs it has, a croft.ActiveRun or croft.EndedRun each.
 func (b *testBench) answerHold(i int, runs ...any) []Effect {
 	report := croft.HoldReport{Clock: b.now, Born: 7}
@@ -136,13 +153,10 @@
 		w.holdPending = false
 		b.advance(0)
 	}
-	order := croft.HoldOrder{Worker: workerName(i)}
+	order := b.holdOrder(workerName(i))
 	if w != nil && w.verified {
 		order.Seen, order.Wait = w.ackedEnd, holdWait
 	}
-	if w != nil {
-		order.Fence = w.fence
-	}
 	return b.event(Held{Hold: Hold{Order: order, Sent: b.now}, Report: report})
 }
 
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -88,23 +88,24 @@
 	if !ok {
 		return
 	}
+	if e.Order.Fence != w.fence {
+		// It was sent to a former incarnation or in a former term.
+		return
+	}
 	if e.Check {
-		if e.Order.Fence == w.fence {
-			p.handleCheckResult(w, e)
-		}
+		p.handleCheckResult(w, e)
 		return
 	}
 	w.holdPending = false
 	p.holdCandidates = append(p.holdCandidates, w)
-	if w.needsFence {
-		w.nextHold = p.now.Elapsed
-		return
-	}
-	if e.Err != nil {
+	switch {
+	case e.Err != nil:
 		p.handleHoldFailure(w, e)
-		return
+	case w.needsFence:
+		w.nextHold = p.now.Elapsed
+	default:
+		p.handleHoldReport(w, e)
 	}
-	p.handleHoldReport(w, e)
 }
 
 // handleHoldFailure marks a worker as not verified and schedules the next attempt.
@@ -120,6 +121,10 @@
 	w.verified = false
 	w.failedHolds++
 	w.nextHold = p.now.Elapsed + min(holdRetryPause*croft.Millis(w.failedHolds), maxHoldRetryPause)
+	if w.needsFence {
+		// This was a hold to the former incarnation.
+		w.nextHold = p.now.Elapsed
+	}
 }
 
 // requeueDuplicable requeues the tasks on a lost worker that may run twice; the other tasks wait until their runs have
--- a/sched/hold_test.go
+++ b/sched/hold_test.go
@@ -12,7 +12,7 @@
 // answerCutHold answers a hold of a worker with a list of ended runs that does not have all of them.
 func (b *testBench) answerCutHold(i int, ends ...croft.EndedRun) []Effect {
 	w := b.planner.workers[workerName(i)]
-	order := croft.HoldOrder{Worker: workerName(i)}
+	order := b.holdOrder(workerName(i))
 	if w.verified {
 		order.Seen, order.Wait = w.ackedEnd, holdWait
 	}
@@ -62,7 +62,8 @@
 		effects = append(effects, b.answerCutHold(0, end)...)
 		effects = append(effects, b.advance(unstoredEndsPause)...)
 	}
-	hold := Hold{Order: croft.HoldOrder{Worker: workerName(0), Wait: holdWait}, Sent: b.now}
+	hold := Hold{Order: b.holdOrder(workerName(0)), Sent: b.now}
+	hold.Order.Wait = holdWait
 	effects = append(effects, b.event(Held{Hold: hold, Err: &croft.LostAnswerError{}})...)
 	effects = append(effects, b.advance(50)...)
 	assert.Equal(t, len(effectsOf[Start](effects)), 0)
--- a/sched/lifetime_test.go
+++ b/sched/lifetime_test.go
@@ -77,11 +77,11 @@
 func (b *lifetimeBench) loseHold() {
 	lost := b.holds[0]
 	b.holds = nil
-	b.apply(b.event(Held{Hold: lost, Err: &croft.LostAnswerError{Reason: "test"}}))
+	b.apply(b.event(Held{Hold: lost, Err: errLost}))
 }
 
-// The start times of two lifetimes of the executor; testBench.answerHold answers as the first one.
-const firstLifetime, secondLifetime = 7, 99
+// The start times of lifetimes of the executor; testBench.answerHold answers as the first one.
+const firstLifetime, secondLifetime, thirdLifetime = 7, 99, 150
 
 func (b *lifetimeBench) run() croft.ActiveRun {
 	return activeRun(b.start.Order.Task, b.start.Order.Run)
@@ -136,7 +136,7 @@
 	b.apply(b.event(FleetRead{RequestedAt: b.now, VMs: vms}))
 	b.pass(300)
 	assert.Equal(t, len(b.restarts), 0)
-	b.apply(b.event(Started{Start: b.start, Err: &croft.LostAnswerError{Reason: "test"}}))
+	b.apply(b.event(Started{Start: b.start, Err: errLost}))
 	b.pass(croft.Second)
 	assert.Equal(t, len(b.restarts), 0)
 }
@@ -159,3 +159,100 @@
 	b.answer(secondLifetime)
 	assert.Equal(t, len(b.restarts), 1)
 }
+
+// pendingHold returns the hold with a higher fencing token that is sent after the one to the former lifetime has failed.
+func (b *lifetimeBench) pendingHold() Hold {
+	b.loseHold()
+	b.pass(50)
+	assert.Equal(b.t, len(b.holds), 1)
+	hold := b.holds[0]
+	b.holds = nil
+	return hold
+}
+
+// Guards against running a task twice: a lifetime lacked the run and had ended when its answer was read; the next one, which had seen
+// no fencing token, carried the start out.
+func TestAnswerOfALifetimeThatHasEndedSinceShowsNothing(t *testing.T) {
+	ends := map[string]func(b *lifetimeBench){
+		"by its registration": func(b *lifetimeBench) { b.register(thirdLifetime) },
+		"by a list of VMs": func(b *lifetimeBench) {
+			vms := testFleet(2)
+			vms[b.busy].State = croft.FleetDown
+			b.apply(b.event(FleetRead{RequestedAt: b.now, VMs: vms}))
+		},
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			b := newLifetimeBench(t)
+			b.apply(b.event(Started{Start: b.start, Err: errLost}))
+			b.register(secondLifetime)
+			hold := b.pendingHold()
+			b.now += 20
+			end(b)
+			b.now += 20
+			b.apply(b.event(Held{Hold: hold, Report: croft.HoldReport{Clock: b.now, Born: secondLifetime}}))
+			b.pass(100)
+			assert.Equal(t, len(b.restarts), 0)
+		})
+	}
+}
+
+// Guards against running a task twice: at a takeover, an executor had registered again when the first answer of its former lifetime
+// was read, and the new one still carried out a start of the former leader.
+func TestFirstAnswerOfALifetimeThatHasEndedSinceShowsNothing(t *testing.T) {
+	b := newTestBench(t)
+	b.fence = 2_000_000
+	b.event(LeadershipAcquired{Fence: b.fence, Term: 2})
+	b.event(testConfig())
+	entries := testWorkers(2)
+	entries[0].Born, entries[1].Born = firstLifetime, firstLifetime
+	b.event(WorkersRead{Changes: croft.WorkerChanges{Version: 1, Whole: true, Entries: entries}})
+	b.event(FleetRead{RequestedAt: b.now, VMs: testFleet(2)})
+	row := testJob("j", step(1, 60))
+	row.Progress.Announced = true
+	b.event(JobsRead{Whole: true, Jobs: []JobRow{row}})
+	b.event(WaveRowsRead{})
+	b.answerHold(1)
+	entries[0].Born = secondLifetime
+	b.event(WorkersRead{Changes: croft.WorkerChanges{Version: 2, Entries: entries[:1]}})
+	first := Hold{Order: b.holdOrder(workerName(0)), Sent: b.now - 5}
+	effects := b.confirm(b.event(Held{Hold: first, Report: croft.HoldReport{Clock: b.now, Born: firstLifetime}}))
+	for range 5 {
+		effects = append(effects, b.confirm(b.advance(50))...)
+	}
+	assert.Equal(t, len(effectsOf[Start](effects)), 0)
+}
+
+// Guards against taking the answer to a hold of an earlier term of this entry, whose fencing token others may have passed, for one of
+// the present term.
+func TestHoldOfAFormerTermShowsNothing(t *testing.T) {
+	b := newTestBench(t)
+	b.event(LeadershipAcquired{Fence: 2_000_000, Term: 2})
+	b.event(testConfig())
+	b.event(WorkersRead{Changes: croft.WorkerChanges{Version: 1, Whole: true, Entries: testWorkers(1)}})
+	b.event(JobsRead{Whole: true})
+	former := croft.HoldOrder{Worker: workerName(0), Fence: 1_000_000}
+	b.event(Held{Hold: Hold{Order: former, Sent: b.now}, Report: croft.HoldReport{Clock: b.now, Born: firstLifetime}})
+	assert.Assert(t, !b.planner.workers[workerName(0)].verified)
+}
+
+// Guards against holds that are sent in a loop: start times that went back were ignored, and the next hold was sent at once.
+func TestLifetimesThatAnswerInTurnAreNotSentHoldsInALoop(t *testing.T) {
+	b := newLifetimeBench(t)
+	holds := 0
+	for end := b.now + croft.Second; b.now < end; b.now++ {
+		for range 3 {
+			pending := b.holds
+			b.holds = nil
+			for _, h := range pending {
+				holds++
+				born := int64(secondLifetime - holds%2)
+				b.apply(b.event(Held{Hold: h, Report: croft.HoldReport{Clock: b.now, Born: born}}))
+			}
+		}
+		if b.now%375 == 0 {
+			b.apply(b.event(b.renewed()))
+		}
+	}
+	assert.Assert(t, holds < 20, "%d holds in a second", holds)
+}
--- a/sched/load_test.go
+++ b/sched/load_test.go
@@ -55,7 +55,8 @@
 	wakes, started := 0, 0
 	for i, s := range starts[:10] {
 		ended := croft.EndedRun{Number: int64(i + 1), Task: s.Order.Task, Run: s.Order.Run, How: croft.EndDone}
-		hold := Hold{Order: croft.HoldOrder{Worker: workerName(0), Wait: holdWait}, Sent: b.now}
+		hold := Hold{Order: b.holdOrder(workerName(0)), Sent: b.now}
+		hold.Order.Wait = holdWait
 		effects := b.planner.Reduce(now, Held{Hold: hold, Report: croft.HoldReport{Clock: b.now, Born: 7, Ended: []croft.EndedRun{ended}}})
 		wakes += len(effectsOf[Wake](effects))
 		started += len(effectsOf[Start](effects))
--- a/sched/order_test.go
+++ b/sched/order_test.go
@@ -116,7 +116,8 @@
 	b.event(WorkersRead{Changes: croft.WorkerChanges{Entries: entries[2:]}})
 	b.answerHold(2)
 	for _, worker := range workerOf {
-		hold := Hold{Order: croft.HoldOrder{Worker: worker, Wait: holdWait}, Sent: b.now}
+		hold := Hold{Order: b.holdOrder(worker), Sent: b.now}
+		hold.Order.Wait = holdWait
 		effects = append(effects, b.event(Held{Hold: hold, Err: &croft.LostAnswerError{}})...)
 	}
 	starts = effectsOf[Start](effects)
--- a/sched/takeover_test.go
+++ b/sched/takeover_test.go
@@ -173,7 +173,7 @@
 			b.answerHold(i, activeRun(starts[0].Order.Task, 1))
 		}
 	}
-	b.event(Held{Hold: Hold{Order: croft.HoldOrder{Worker: lost}}, Err: &croft.LostAnswerError{Reason: "test"}})
+	b.event(Held{Hold: Hold{Order: b.holdOrder(lost)}, Err: &croft.LostAnswerError{Reason: "test"}})
 	vms := testFleet(2)
 	for i := range vms {
 		if vms[i].Worker == lost {
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -233,10 +233,8 @@
 		p.workers[e.ID] = w
 		p.sortedWorkers = insertWorker(p.sortedWorkers, w)
 	}
-	if e.Born != 0 && w.born != 0 && e.Born > w.born && e.Born != w.WorkerEntry.Born {
-		p.endUnexpectedly(w, "the executor registered with a later start time", (*run).wasListed)
-		// A former leader may have started runs on the new incarnation.
-		w.leasesEnd = max(w.leasesEnd, p.predecessorLeasesEnd())
+	if e.Born != w.WorkerEntry.Born && e.Born != w.born && e.Born != 0 {
+		p.handleNewRegistration(w, e.Born)
 	}
 	if ok && w.Pool != e.Pool {
 		po := p.pool(w.Pool)
@@ -251,6 +249,17 @@
 	po.workers, po.changed = insertWorker(po.workers, w), true
 }
 
+// handleNewRegistration applies the registration of an incarnation that has not answered yet. It may be older than the one that
+// has answered last, if its start time is earlier: only its own answer to a new hold shows which one is present.
+func (p *Planner) handleNewRegistration(w *worker, born int64) {
+	if w.born != 0 && born > w.born {
+		p.endUnexpectedly(w, "the executor registered with a later start time", (*run).wasListed)
+	}
+	w.verified, w.needsFence = false, true
+	// A former leader may have started runs on the new incarnation.
+	w.leasesEnd = max(w.leasesEnd, p.predecessorLeasesEnd())
+}
+
 // insertWorker adds a worker to a list that is sorted by ID, unless the list already has it.
 func insertWorker(workers []*worker, w *worker) []*worker {
 	i, found := slices.BinarySearchFunc(workers, w, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
@@ -269,6 +278,8 @@
 // requeues their tasks. The others may be in the next incarnation, or begin there, since orders name only the executor's ID: they
 // are kept until a list that answers a higher fencing token lacks them, or until all leases have ended.
 func (p *Planner) endIncarnation(w *worker, reason string, hasEnded func(*run) bool) {
+	// A hold that is pending may be answered by the incarnation that has ended.
+	w.needsFence = w.needsFence || !w.ended || w.holdPending
 	if w.ended && len(filterRuns(w, hasEnded)) == 0 {
 		return
 	}
@@ -278,18 +289,25 @@
 	for _, r := range filterRuns(w, hasEnded) {
 		p.abandonRun(r)
 	}
+	if len(w.runs) > 0 {
+		p.keepRuns(w)
+	}
+	w.verified, w.clockKnown, w.ended = false, false, true
+	w.ackedEnd, w.recordedEnd, w.pendingAcks = 0, 0, nil
+	w.allEndsListed, w.endsCut = false, false
+	w.orphanRuns = 0
+	w.nextHold = p.now.Elapsed
+}
+
+// keepRuns keeps the runs on an executor that may begin, or have begun, in its next incarnation, which knows nothing of the stops
+// that the former one has accepted.
+func (p *Planner) keepRuns(w *worker) {
 	for _, r := range sortedRuns(w) {
-		// The next incarnation knows nothing of a stop.
 		r.lastList, r.verifiableFrom = 0, 0
 		if r.stage.spec.Gang {
 			p.stopGang(r.stage)
 		}
 	}
-	w.verified, w.clockKnown, w.needsFence, w.ended = false, false, true, true
-	w.ackedEnd, w.recordedEnd, w.pendingAcks = 0, 0, nil
-	w.allEndsListed, w.endsCut = false, false
-	w.orphanRuns = 0
-	w.nextHold = p.now.Elapsed
 }
 
 // endLeases records that no order to an executor that ran nothing at an instant can begin a run any more, neither one of this
