sched: leases may begin with the next lifetime of an executor

Callers could see TWICE: a start without an answer was carried out seconds later by the next lifetime of its executor, whose clock had begun anew, so that the run held the longest possible lease from then on. The executor was cut off, and the leader waited only for the lease that it had granted with the start.

Change: leases of kept runs are counted from when the end of the lifetime is noticed.

Evidence: the new test failed before (started elsewhere 7,450 ms after the late start, 10,000 asked for) and passes now.

--- a/sched/lifetime_test.go
+++ b/sched/lifetime_test.go
@@ -256,3 +256,23 @@
 	}
 	assert.Assert(t, holds < 20, "%d holds in a second", holds)
 }
+
+// Guards against running a task twice: its start was carried out seconds late by a lifetime whose clock had begun anew, so that its
+// lease lasted longer than the leader had granted, on an executor that was cut off.
+func TestLeasesMayBeginWithTheNextLifetime(t *testing.T) {
+	b := newLifetimeBench(t)
+	b.apply(b.event(Started{Start: b.start, Err: errLost}))
+	b.pass(3 * croft.Second)
+	b.register(secondLifetime)
+	carriedOut := b.now
+	for len(b.restarts) == 0 && b.now < carriedOut+20*croft.Second {
+		pending := b.holds
+		b.holds = nil
+		for _, h := range pending {
+			b.apply(b.event(Held{Hold: h, Err: errLost}))
+		}
+		b.pass(50)
+	}
+	assert.Equal(t, len(b.restarts), 1)
+	assert.Assert(t, b.now >= carriedOut+10*croft.Second, "started elsewhere %d ms after the late start", b.now-carriedOut)
+}
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -300,8 +300,9 @@
 }
 
 // keepRuns keeps the runs on an executor that may begin, or have begun, in its next incarnation, which knows nothing of the stops
-// that the former one has accepted.
+// that the former one has accepted and whose leases would begin anew.
 func (p *Planner) keepRuns(w *worker) {
+	w.leasesEnd = max(w.leasesEnd, p.latestLeaseEnd())
 	for _, r := range sortedRuns(w) {
 		r.lastList, r.verifiableFrom = 0, 0
 		if r.stage.spec.Gang {
