sched: a crash counts once it is known that the run did not begin in the next lifetime

A task that crashes executors was never given up where these start again under their ids: the run was kept until the next lifetime listed its runs, and the first answer of that lifetime was taken for a sign that the executor had survived the start, which cleared the count. The other way round, a run that the next lifetime had begun counted as the reason for the end of the former one.

Change: a crash is recorded when the run is given up, not when the lifetime ends; kept runs are not cleared by answers of the next one.

The test of unanswered starts lets the executor answer first, since the task is not started again before; what it asks is unchanged.

--- a/sched/crash.go
+++ b/sched/crash.go
@@ -162,14 +162,21 @@
 // endUnexpectedly ends the incarnation of an executor that no order and no shutdown of its own ended, as far as is known, and
 // counts that for the tasks that had just been started on it.
 func (p *Planner) endUnexpectedly(w *worker, reason string, hasEnded func(*run) bool) {
-	var suspects []*run
 	if !w.ended && !w.vmOrdered && !w.Draining {
-		suspects = p.crashSuspects(w)
+		suspects := p.crashSuspects(w)
 		p.logCrash(w, suspects)
+		for _, r := range suspects {
+			r.crashSuspect = true
+		}
 	}
 	p.endIncarnation(w, reason, hasEnded)
-	for _, r := range suspects {
-		p.recordCrash(r)
+}
+
+// recordSuspect lists a run of a suspect task that is kept from new work beside it until its executor has survived it.
+func (r *run) recordSuspect() {
+	if w := r.worker; r.stage.tasks[r.index].isSuspect() && !slices.Contains(w.suspects, r) {
+		w.suspects = append(w.suspects, r)
+		w.clearedUntil = 0
 	}
 }
 
--- a/sched/crash_test.go
+++ b/sched/crash_test.go
@@ -202,6 +202,8 @@
 	starts := startsOf(b.confirm(b.event(JobsRead{Jobs: []JobRow{testJob("two", step(1, 1))}})), "two")
 	b.now += 10
 	b.confirm(b.crash(1, 0))
+	// The executor is back and lacks the run.
+	b.confirm(b.answerHold(0))
 	stage := b.planner.jobs["two"].stages[0]
 	assert.Equal(t, stage.tasks[0].isSuspect(), true)
 	assert.Equal(t, stage.tasks[0].crashes, 0, "the start was not answered")
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -306,6 +306,10 @@
 	if r == nil || r.number < a.Run {
 		r = p.adoptRun(w, s, index, a)
 	}
+	if !r.wasListed() {
+		r.crashSuspect = false
+		r.recordSuspect()
+	}
 	r.lastList, r.shownAt = w.listCount, p.now.Elapsed
 	if r.number != a.Run {
 		return
--- /dev/null
+++ b/sched/restart_test.go
@@ -0,0 +1,63 @@
+package sched
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"waxwing.example/croft"
+)
+
+// Guards against a task that crashes executors for ever: each executor was back under its id, and its first answer was taken for a
+// sign that the former lifetime had survived the start.
+func TestCrashesCountWhenExecutorsRestartUnderTheirIDs(t *testing.T) {
+	for _, registers := range []bool{true, false} {
+		b := newTestBench(t)
+		const workers = 8
+		b.takeLeadership(1, workers)
+		b.event(WaveRowsRead{})
+		born := map[croft.WorkerID]int64{}
+		effects := b.confirm(b.event(JobsRead{Jobs: []JobRow{testJob("j", step(1, 4))}}))
+		starts := 0
+		var next []Effect
+		apply := func(events ...Event) { next = append(next, b.confirm(b.event(events...))...) }
+		for range 400 {
+			for _, s := range effectsOf[Start](effects) {
+				starts++
+				apply(Started{Start: s, Clock: b.now})
+				b.now += 700
+				born[s.Order.Worker] += 1000
+				if registers {
+					entry := *b.planner.workers[s.Order.Worker]
+					entry.Born = born[s.Order.Worker]
+					apply(WorkersRead{Changes: croft.WorkerChanges{Entries: []croft.WorkerEntry{entry.WorkerEntry}}})
+					b.now += 50
+					apply(b.renewed())
+				}
+			}
+			for i := range workers {
+				id := workerName(i)
+				hold := Hold{Order: b.holdOrder(id), Sent: b.now}
+				if b.planner.workers[id].verified {
+					hold.Order.Wait = holdWait
+				}
+				apply(Held{Hold: hold, Report: croft.HoldReport{Clock: b.now, Born: max(born[id], firstLifetime)}})
+			}
+			b.now += 50
+			apply(b.renewed())
+			effects, next = next, nil
+		}
+		assert.Equal(t, starts, maxCrashes)
+	}
+}
+
+// Guards against a job that is shown as failed without a failed run: a run that the next lifetime of an executor had begun counted as
+// the reason for the end of the former one.
+func TestCrashOfTheFormerLifetimeIsNotPutDownToARunOfTheNext(t *testing.T) {
+	b := newLifetimeBench(t)
+	b.apply(b.event(Started{Start: b.start, Clock: b.now}))
+	b.register(secondLifetime)
+	b.answer(secondLifetime, b.run())
+	assert.Equal(t, b.planner.jobs["j"].stages[0].tasks[0].crashes, 0)
+	assert.Equal(t, b.planner.jobs["j"].stages[0].tasks[0].suspect, false)
+}
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -143,6 +143,9 @@
 	startUnanswered bool
 	// adopted reports that a former leader, or a delayed order, started the run.
 	adopted bool
+	// crashSuspect reports that an incarnation of the executor went down just after the run was started, unless the run began in the
+	// next one.
+	crashSuspect bool
 	// startedAsSuspect reports that the task had crashed executors before the run was started, so that it was started apart
 	// from others.
 	startedAsSuspect bool
@@ -303,6 +306,7 @@
 // that the former one has accepted and whose leases would begin anew.
 func (p *Planner) keepRuns(w *worker) {
 	w.leasesEnd = max(w.leasesEnd, p.latestLeaseEnd())
+	w.suspects = nil
 	for _, r := range sortedRuns(w) {
 		r.lastList, r.verifiableFrom = 0, 0
 		if r.stage.spec.Gang {
@@ -363,10 +367,7 @@
 	if r.stage.spec.Filler {
 		r.worker.fillerRuns++
 	}
-	if r.stage.tasks[r.index].isSuspect() {
-		r.worker.suspects = append(r.worker.suspects, r)
-		r.worker.clearedUntil = 0
-	}
+	r.recordSuspect()
 	r.stage.countRuns(r.worker.ID, 1)
 	r.stage.liveRuns++
 	r.stage.tasks[r.index].liveRuns++
@@ -405,6 +406,9 @@
 func (p *Planner) abandonRun(r *run) {
 	r.stage.tasks[r.index].unlistedEnd = true
 	p.withdrawRun(r)
+	if r.crashSuspect {
+		p.recordCrash(r)
+	}
 }
 
 // withdrawRun removes a run that has not begun and requeues its task.
