sched: tasks that may run twice are copied when their executor has restarted

A task with copies allowed waited for the leases of an executor that had registered again and was cut off then: it was copied only when a hold to an executor that had answered before failed. It is copied with the end of the lifetime now. The new test failed before, with no start in 3 s.

--- a/sched/restart_test.go
+++ b/sched/restart_test.go
@@ -61,3 +61,24 @@
 	assert.Equal(t, b.planner.jobs["j"].stages[0].tasks[0].crashes, 0)
 	assert.Equal(t, b.planner.jobs["j"].stages[0].tasks[0].suspect, false)
 }
+
+// Guards against a task that may run twice and that waits for the leases of its executor all the same, since that had registered
+// again before it was cut off.
+func TestTaskThatMayRunTwiceIsCopiedWhenItsExecutorHasRestarted(t *testing.T) {
+	b := newTestBench(t)
+	b.takeLeadership(1, 2)
+	b.event(WaveRowsRead{})
+	duplicable := step(1, 60)
+	duplicable.Duplicates = true
+	starts := effectsOf[Start](b.confirm(b.event(JobsRead{Jobs: []JobRow{testJob("j", duplicable)}})))
+	assert.Equal(t, len(starts), 1)
+	b.confirm(b.event(Started{Start: starts[0], Clock: b.now}))
+	b.now += 200
+	entry := b.planner.workers[starts[0].Order.Worker].WorkerEntry
+	entry.Born = secondLifetime
+	effects := b.confirm(b.event(WorkersRead{Changes: croft.WorkerChanges{Entries: []croft.WorkerEntry{entry}}}))
+	for range 60 {
+		effects = append(effects, b.confirm(b.advance(50))...)
+	}
+	assert.Equal(t, len(effectsOf[Start](effects)), 1)
+}
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -313,6 +313,7 @@
 			p.stopGang(r.stage)
 		}
 	}
+	p.requeueDuplicable(w)
 }
 
 // endLeases records that no order to an executor that ran nothing at an instant can begin a run any more, neither one of this
