sched: the registration of a former lifetime says nothing of the present one

Two rules could be broken after an executor had restarted under its id, until its new registration was read: ROUTE, a start by the labels of the former lifetime, and AVAIL, a task at work that was stopped without regard to MayMiss, since the former lifetime had registered that it was draining.

Change: an executor gets new work, and is emptied for draining, only by a registration with the start time that it last answered with.

TestCrashesOfOneVMDoNotEndAJob has each lifetime answer with the start time that it registers, in place of a cleared field of the planner; its checks are unchanged.

--- a/sched/crash_test.go
+++ b/sched/crash_test.go
@@ -333,7 +333,7 @@
 		entry := testWorkers(1)[0]
 		entry.Born = 8 + life
 		effects = b.confirm(b.event(WorkersRead{Changes: croft.WorkerChanges{Entries: []croft.WorkerEntry{entry}}}))
-		b.planner.workers[workerName(0)].born = 0
+		b.born[0] = entry.Born
 		effects = append(effects, b.confirm(b.answerHold(0))...)
 	}
 	assert.Equal(t, b.planner.jobs["j"].ended, false)
--- a/sched/helpers_test.go
+++ b/sched/helpers_test.go
@@ -17,11 +17,13 @@
 	version uint64
 	// fence is the fencing token of the last renewal of the leadership.
 	fence uint64
+	// born has the start times of executors that have restarted, by their place.
+	born map[int]int64
 }
 
 func newTestBench(t *testing.T) *testBench {
 	t.Helper()
-	return &testBench{t: t, now: 1000, planner: New(Options{
+	return &testBench{t: t, now: 1000, born: map[int]int64{}, planner: New(Options{
 		Holder: "entry-1", Lease: 10 * croft.Second, Stop: 200, Maintain: 2000,
 	})}
 }
@@ -138,7 +140,10 @@
 
 // answerHold answers a hold of a worker with the runs it has, a croft.ActiveRun or croft.EndedRun each.
 func (b *testBench) answerHold(i int, runs ...any) []Effect {
-	report := croft.HoldReport{Clock: b.now, Born: 7}
+	report := croft.HoldReport{Clock: b.now, Born: firstLifetime}
+	if born, ok := b.born[i]; ok {
+		report.Born = born
+	}
 	for _, entry := range runs {
 		switch r := entry.(type) {
 		case croft.ActiveRun:
--- a/sched/lifetime_test.go
+++ b/sched/lifetime_test.go
@@ -276,3 +276,55 @@
 	assert.Equal(t, len(b.restarts), 1)
 	assert.Assert(t, b.now >= carriedOut+10*croft.Second, "started elsewhere %d ms after the late start", b.now-carriedOut)
 }
+
+// Guards against starts on an executor without the label in Requires: it had restarted as one of another kind, and the registration of
+// its former lifetime was still the last one.
+func TestNothingStartsByTheRegistrationOfAFormerLifetime(t *testing.T) {
+	b := newLifetimeBench(t)
+	b.apply(b.event(Started{Start: b.start, Clock: b.now}))
+	b.register(firstLifetime)
+	b.apply(b.answerHold(b.busy, b.run()))
+	b.answer(secondLifetime)
+	b.restarts = nil
+	labelled := step(3, 20)
+	labelled.Requires = "a"
+	row := testJob("labelled", labelled)
+	row.Part = "q.1"
+	b.apply(b.event(JobsRead{Jobs: []JobRow{row}}))
+	for _, s := range b.restarts {
+		assert.Assert(t, s.Order.Worker != b.start.Order.Worker, "started by the labels of the former lifetime")
+	}
+	b.restarts = nil
+	b.register(secondLifetime)
+	b.pass(placeInterval)
+	assert.Assert(t, len(b.restarts) > 0)
+}
+
+// Guards against stopping too many tasks of a step: the former lifetime of an executor had registered that it was draining, and a task
+// that the next one served was stopped for that while another one was away.
+func TestDrainingEndsWithALifetime(t *testing.T) {
+	b := newTestBench(t)
+	b.takeLeadership(1, 3)
+	b.event(WaveRowsRead{})
+	serving := step(2, 40)
+	serving.Endless, serving.MayMiss = true, 1
+	starts := effectsOf[Start](b.confirm(b.event(JobsRead{Jobs: []JobRow{testJob("j", serving)}})))
+	assert.Equal(t, len(starts), 2)
+	drained, away := starts[0], starts[1]
+	b.confirm(b.event(Started{Start: away, Clock: b.now}))
+	entry := b.planner.workers[drained.Order.Worker].WorkerEntry
+	entry.Born, entry.Draining = firstLifetime, true
+	b.confirm(b.event(WorkersRead{Changes: croft.WorkerChanges{Entries: []croft.WorkerEntry{entry}}}))
+	b.confirm(b.event(Started{Start: drained, Clock: b.now}))
+	b.confirm(b.event(Held{Hold: Hold{Order: b.holdOrder(away.Order.Worker), Sent: b.now}, Err: errLost}))
+	var effects []Effect
+	for range 4 {
+		hold := Hold{Order: b.holdOrder(drained.Order.Worker), Sent: b.now}
+		report := croft.HoldReport{Clock: b.now, Born: secondLifetime, Active: []croft.ActiveRun{activeRun(drained.Order.Task, 1)}}
+		effects = append(effects, b.confirm(b.event(Held{Hold: hold, Report: report}))...)
+		effects = append(effects, b.confirm(b.advance(50))...)
+	}
+	for _, s := range effectsOf[Stop](effects) {
+		assert.Assert(t, s.Order.Task != drained.Order.Task, "stopped although another task of its step is away")
+	}
+}
--- a/sched/order.go
+++ b/sched/order.go
@@ -130,7 +130,7 @@
 // mayRepeatStop reports whether a stop that may not have arrived may be sent again. The stop of an evacuated run is not
 // repeated if too many other tasks of its step have become unavailable since.
 func (p *Planner) mayRepeatStop(r *run) bool {
-	return !r.evacuated || r.worker.Draining || p.mayEvict(r)
+	return !r.evacuated || r.worker.isDraining() || p.mayEvict(r)
 }
 
 // resolveUnansweredStarts requests lists from executors on which a run with an unanswered start has been stopped; the
--- a/sched/place.go
+++ b/sched/place.go
@@ -471,7 +471,7 @@
 func (p *Planner) evacuate() {
 	for _, po := range p.sortedPools {
 		for _, w := range po.workers {
-			if w.verified && (w.Draining || w.reserved) {
+			if w.verified && (w.isDraining() || w.reserved) {
 				p.evacuateWorker(po, w)
 			}
 		}
@@ -485,10 +485,10 @@
 		if !s.spec.Endless || r.phase != phaseActive || s.tasks[r.index].run != r {
 			continue
 		}
-		if !w.Draining && !p.mayEvict(r) {
+		if !w.isDraining() && !p.mayEvict(r) {
 			continue
 		}
-		if p.chooseWorker(po, s, r.index) == nil && (w.Draining || p.now.Elapsed-w.reservedAt < shortTaskGrace) {
+		if p.chooseWorker(po, s, r.index) == nil && (w.isDraining() || p.now.Elapsed-w.reservedAt < shortTaskGrace) {
 			// Wait for capacity elsewhere, but on a reserved worker only for shortTaskGrace: a step with a task on each
 			// VM of the pool never gets any, and its task stays unavailable as long as the VM.
 			continue
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -487,9 +487,16 @@
 
 // schedulable reports whether a worker may get new work.
 func (p *Planner) schedulable(w *worker) bool {
-	return w.listed && w.verified && w.orphanRuns == 0 && !w.Draining && !w.reserved && w.quarantinedUntil <= p.now.Elapsed
+	return w.listed && w.verified && w.isRegistered() && w.orphanRuns == 0 && !w.Draining && !w.reserved && w.quarantinedUntil <= p.now.Elapsed
 }
 
+// isRegistered reports that the registration is that of the incarnation that answered last. One of a former incarnation says nothing
+// of the present labels and capacity, or of whether it is draining.
+func (w *worker) isRegistered() bool { return w.Born == 0 || w.Born == w.born }
+
+// isDraining reports that the incarnation that answered last has registered that it is draining.
+func (w *worker) isDraining() bool { return w.Draining && w.isRegistered() }
+
 // Limits of the quarantine of executors on which tasks fail.
 const (
 	// failureLimit is the number of consecutive failures that starts a quarantine; on a sound executor fewer than 3 %
