sched: the stop of an unanswered start respects MayMiss when it is repeated

Callers saw AVAIL: a task at work was stopped while too many others of its step were away. The start of that task had got no answer and neither had its stop; both orders were sent at a time when nothing was at work, the start was carried out late, and the stop was repeated until it was answered, whatever had changed since.

Change: a stop that may not have arrived is repeated only if the task does not need the run any more, the executor is draining, or few enough others of the step are unavailable. Before, that held for evacuated runs only.

Evidence: the new test failed before and passes now.

--- a/sched/order.go
+++ b/sched/order.go
@@ -127,10 +127,12 @@
 	}
 }
 
-// mayRepeatStop reports whether a stop that may not have arrived may be sent again. The stop of an evacuated run is not
-// repeated if too many other tasks of its step have become unavailable since.
+// mayRepeatStop reports whether a stop that may not have arrived may be sent again. A run that its task still needs is not stopped
+// while too many other tasks of its step are unavailable.
 func (p *Planner) mayRepeatStop(r *run) bool {
-	return !r.evacuated || r.worker.isDraining() || p.mayEvict(r)
+	t := &r.stage.tasks[r.index]
+	needed := t.run == r && !t.done && !r.stage.job.ended
+	return !needed || r.worker.isDraining() || p.mayEvict(r)
 }
 
 // resolveUnansweredStarts requests lists from executors on which a run with an unanswered start has been stopped; the
--- a/sched/order_test.go
+++ b/sched/order_test.go
@@ -90,6 +90,32 @@
 	assert.Equal(t, len(repeated), 0)
 }
 
+// Guards against exceeding MayMiss: the stop of a start without an answer was repeated although a list showed the task at work, and
+// another task of its step had become unavailable.
+func TestStopOfAnUnansweredStartIsNotRepeatedWhenTooManyTasksAreUnavailable(t *testing.T) {
+	b := newTestBench(t)
+	b.takeLeadership(1, 2)
+	b.event(WaveRowsRead{})
+	serving := step(2, 40)
+	serving.Endless, serving.MayMiss = true, 1
+	starts := effectsOf[Start](b.confirm(b.event(JobsRead{Jobs: []JobRow{testJob("j", serving)}})))
+	assert.Equal(t, len(starts), 2)
+	late, away := starts[0], starts[1]
+	b.confirm(b.event(Started{Start: away, Clock: b.now}))
+	stops := effectsOf[Stop](b.confirm(b.event(Started{Start: late, Err: errLost})))
+	assert.Equal(t, len(stops), 1)
+	b.confirm(b.event(Stopped{Stop: stops[0], Err: errLost}))
+	b.confirm(b.event(Held{Hold: Hold{Order: b.holdOrder(away.Order.Worker), Sent: b.now}, Err: errLost}))
+	report := croft.HoldReport{Clock: b.now, Born: firstLifetime, Active: []croft.ActiveRun{activeRun(late.Order.Task, late.Order.Run)}}
+	effects := b.confirm(b.event(Held{Hold: Hold{Order: b.holdOrder(late.Order.Worker), Sent: b.now}, Report: report}))
+	for range 20 {
+		effects = append(effects, b.confirm(b.advance(50))...)
+	}
+	for _, s := range effectsOf[Stop](effects) {
+		assert.Assert(t, s.Order.Task != late.Order.Task, "stopped although another task of its step is away")
+	}
+}
+
 // Guards against delaying tasks that may run twice until the leases of their lost executor have ended, as other tasks
 // must be.
 func TestDuplicableTaskOfLostExecutorRestartsAtOnce(t *testing.T) {
