sched: the end of a move releases an executor that is down

A move, or the preparation of a maintenance, was dropped while the VM was listed as down and without an executor, so that the executor was not found; back under its id, it stayed reserved and got no work any more. As ids were new after each crash until now, such an executor was forgotten.

Change: the executor of a VM is the one that the VM ran last.

The new test failed before and passes now.

--- a/sched/restart_test.go
+++ b/sched/restart_test.go
@@ -82,3 +82,25 @@
 	}
 	assert.Equal(t, len(effectsOf[Start](effects)), 1)
 }
+
+// Guards against executors that never get work again: the move of a VM was dropped while its executor was down, and the executor, which
+// was back under its id later, stayed reserved for that move.
+func TestExecutorThatWasDownWhenItsMoveWasDroppedGetsWork(t *testing.T) {
+	b := newTestBench(t)
+	b.takeLeadership(1, 2)
+	b.event(WaveRowsRead{})
+	b.planner.beginMove(vmName(0), "other")
+	b.event(Held{Hold: Hold{Order: b.holdOrder(workerName(0)), Sent: b.now}, Err: errLost})
+	vms := testFleet(2)
+	vms[0].State, vms[0].Worker = croft.FleetDown, ""
+	b.event(FleetRead{RequestedAt: b.now, VMs: vms})
+	for end := b.now + emptyTimeout + 100; b.now < end; {
+		b.advance(50)
+	}
+	assert.Equal(t, len(b.planner.moves), 0)
+	b.event(FleetRead{RequestedAt: b.now, VMs: testFleet(2)})
+	b.born[0] = secondLifetime
+	b.answerHold(0)
+	b.answerHold(0)
+	assert.Assert(t, b.planner.schedulable(b.planner.workers[workerName(0)]))
+}
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -478,10 +478,12 @@
 // reserve keeps new work from a worker whose VM is to be maintained or moved.
 func (p *Planner) reserve(w *worker) { w.reserved, w.reservedAt = true, p.now.Elapsed }
 
-// unreserve lets the worker on a VM get work again.
+// unreserve lets the worker on a VM get work again, also one that the last list does not show there: it may be back under its ID.
 func (p *Planner) unreserve(id croft.VMID) {
-	if w := p.workerOn(id); w != nil {
-		w.reserved, w.vmOrdered = false, false
+	for _, w := range p.sortedWorkers {
+		if w.reserved && p.fleet.lastVM[w.ID] == id {
+			w.reserved, w.vmOrdered = false, false
+		}
 	}
 }
 
