--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -327,7 +327,7 @@
 	assert.Assert(t, one.Leadership() != nil)
 }
 
-// Guards against an executor that is back under its id and carries out orders to its former lifetime: the fencing token that
+// Guards against an executor that is back under its id and carries out orders to its former incarnation: the fencing token that
 // separates them has to rise with each renewal and stay below that of a successor.
 func TestRenewalsBringRisingFencingTokens(t *testing.T) {
 	_, c, one, two := newCandidates()
--- a/sched/helpers_test.go
+++ b/sched/helpers_test.go
@@ -140,7 +140,7 @@
 
 // answerHold answers a hold of a worker with the runs it has, a croft.ActiveRun or croft.EndedRun each.
 func (b *testBench) answerHold(i int, runs ...any) []Effect {
-	report := croft.HoldReport{Clock: b.now, Born: firstLifetime}
+	report := croft.HoldReport{Clock: b.now, Born: firstIncarnation}
 	if born, ok := b.born[i]; ok {
 		report.Born = born
 	}
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -345,7 +345,7 @@
 		p.removeRun(old)
 	}
 	if w.listCount > 1 {
-		p.log("Adopt", a.Task.String(), string(w.ID), fmt.Sprintf("run %d is listed by lifetime %d, earlier lists lacked it", a.Run, w.born))
+		p.log("Adopt", a.Task.String(), string(w.ID), fmt.Sprintf("run %d is listed by incarnation %d, earlier lists lacked it", a.Run, w.born))
 	}
 	r := &run{stage: s, index: index, number: a.Run, worker: w, fence: w.fence, adopted: true, phase: phaseActive, startedAt: p.now.Elapsed, answeredAt: p.now.Elapsed, verifiableFrom: p.now.Elapsed, progressedAt: p.now.Elapsed, uncertainUntil: p.now.Elapsed + p.options.Stop, pace: fullPace}
 	p.addRun(r)
--- a/sched/lifetime_test.go
+++ b/sched/incarnation_test.go
@@ -8,8 +8,8 @@
 	"waxwing.example/croft"
 )
 
-// lifetimeBench has two executors, one of which has been ordered to start the only task of a job.
-type lifetimeBench struct {
+// incarnationBench has two executors, one of which has been ordered to start the only task of a job.
+type incarnationBench struct {
 	*testBench
 	start Start
 	// busy is the place of that executor.
@@ -20,9 +20,9 @@
 	restarts []Start
 }
 
-func newLifetimeBench(t *testing.T) *lifetimeBench {
+func newIncarnationBench(t *testing.T) *incarnationBench {
 	t.Helper()
-	b := &lifetimeBench{testBench: newTestBench(t)}
+	b := &incarnationBench{testBench: newTestBench(t)}
 	b.takeLeadership(1, 2)
 	b.event(WaveRowsRead{})
 	starts := effectsOf[Start](b.event(JobsRead{Jobs: []JobRow{testJob("j", step(1, 60))}}))
@@ -37,7 +37,7 @@
 }
 
 // apply confirms the commits among effects and records the holds and starts.
-func (b *lifetimeBench) apply(effects []Effect) {
+func (b *incarnationBench) apply(effects []Effect) {
 	effects = b.confirm(effects)
 	for _, h := range effectsOf[Hold](effects) {
 		if h.Order.Worker == b.start.Order.Worker {
@@ -48,21 +48,21 @@
 }
 
 // pass lets time pass, in which the executor answers nothing.
-func (b *lifetimeBench) pass(duration croft.Millis) {
+func (b *incarnationBench) pass(duration croft.Millis) {
 	for end := b.now + duration; b.now < end; {
 		b.apply(b.advance(50))
 	}
 }
 
 // register has the executor register with a start time.
-func (b *lifetimeBench) register(born int64) {
+func (b *incarnationBench) register(born int64) {
 	entry := testWorkers(2)[b.busy]
 	entry.Born = born
 	b.apply(b.event(WorkersRead{Changes: croft.WorkerChanges{Entries: []croft.WorkerEntry{entry}}}))
 }
 
-// answer has a lifetime of the executor that has these runs answer all holds for a second.
-func (b *lifetimeBench) answer(born int64, runs ...croft.ActiveRun) {
+// answer has an incarnation of the executor that has these runs answer all holds for a second.
+func (b *incarnationBench) answer(born int64, runs ...croft.ActiveRun) {
 	for range 20 {
 		pending := b.holds
 		b.holds = nil
@@ -74,45 +74,45 @@
 }
 
 // loseHold has the pending hold of the executor fail, as the executor is down.
-func (b *lifetimeBench) loseHold() {
+func (b *incarnationBench) loseHold() {
 	lost := b.holds[0]
 	b.holds = nil
 	b.apply(b.event(Held{Hold: lost, Err: errLost}))
 }
 
-// The start times of lifetimes of the executor; testBench.answerHold answers as the first one.
-const firstLifetime, secondLifetime, thirdLifetime = 7, 99, 150
+// The start times of incarnations of the executor; testBench.answerHold answers as the first one.
+const firstIncarnation, secondIncarnation, thirdIncarnation = 7, 99, 150
 
-func (b *lifetimeBench) run() croft.ActiveRun {
+func (b *incarnationBench) run() croft.ActiveRun {
 	return activeRun(b.start.Order.Task, b.start.Order.Run)
 }
 
 // Guards against running a task twice: an executor was back under its id and had registered while the start of a task was on
-// its way to it. The task was started elsewhere, and the new lifetime carried out the first start too.
-func TestStartOnItsWayMayReachTheNextLifetime(t *testing.T) {
-	b := newLifetimeBench(t)
-	b.register(secondLifetime)
+// its way to it. The task was started elsewhere, and the new incarnation carried out the first start too.
+func TestStartOnItsWayMayReachTheNextIncarnation(t *testing.T) {
+	b := newIncarnationBench(t)
+	b.register(secondIncarnation)
 	b.pass(300)
 	assert.Equal(t, len(b.restarts), 0)
 	b.apply(b.event(Started{Start: b.start, Clock: b.now}))
-	b.answer(secondLifetime, b.run())
+	b.answer(secondIncarnation, b.run())
 	assert.Equal(t, len(b.restarts), 0)
 	assert.Assert(t, b.planner.jobs["j"].stages[0].tasks[0].run != nil)
 }
 
-// Guards against running a task twice: a start was answered by the new lifetime of an executor before its registration was read,
+// Guards against running a task twice: a start was answered by the new incarnation of an executor before its registration was read,
 // which was taken as the end of that run.
-func TestAnsweredStartMayBeInTheNextLifetime(t *testing.T) {
-	b := newLifetimeBench(t)
+func TestAnsweredStartMayBeInTheNextIncarnation(t *testing.T) {
+	b := newIncarnationBench(t)
 	b.apply(b.event(Started{Start: b.start, Clock: b.now}))
-	b.register(secondLifetime)
-	b.answer(secondLifetime, b.run())
+	b.register(secondIncarnation)
+	b.answer(secondIncarnation, b.run())
 	assert.Equal(t, len(b.restarts), 0)
 }
 
-// Guards against running a task twice: the hold that first showed a later lifetime ended all runs, also those it listed.
-func TestHoldThatShowsTheNextLifetimeEndsOnlyRunsOfTheFormerOne(t *testing.T) {
-	b := newLifetimeBench(t)
+// Guards against running a task twice: the hold that first showed a later incarnation ended all runs, also those it listed.
+func TestHoldThatShowsTheNextIncarnationEndsOnlyRunsOfTheFormerOne(t *testing.T) {
+	b := newIncarnationBench(t)
 	b.apply(b.event(Started{Start: b.start, Clock: b.now}))
 	b.pass(survivalTime)
 	// Another start is answered, so that the executor counts as having survived the first one.
@@ -122,14 +122,14 @@
 	assert.Equal(t, others[0].Order.Worker, b.start.Order.Worker)
 	b.apply(b.event(Started{Start: others[0], Clock: b.now}))
 	b.pass(50)
-	b.answer(secondLifetime, b.run(), activeRun(others[0].Order.Task, 1))
+	b.answer(secondIncarnation, b.run(), activeRun(others[0].Order.Task, 1))
 	assert.Equal(t, len(b.restarts), 0)
 }
 
 // Guards against running a task twice: its start was on its way to an executor whose VM was listed as down, and which was back
 // under its id when the start arrived.
-func TestStartOnItsWayToAVMThatIsDownMayReachTheNextLifetime(t *testing.T) {
-	b := newLifetimeBench(t)
+func TestStartOnItsWayToAVMThatIsDownMayReachTheNextIncarnation(t *testing.T) {
+	b := newIncarnationBench(t)
 	b.loseHold()
 	vms := testFleet(2)
 	vms[b.busy].State = croft.FleetDown
@@ -141,27 +141,27 @@
 	assert.Equal(t, len(b.restarts), 0)
 }
 
-// A task that the former lifetime of an executor has listed is started again as soon as the next one has answered.
-func TestTaskOfTheFormerLifetimeStartsAgainAtOnce(t *testing.T) {
-	b := newLifetimeBench(t)
+// A task that the former incarnation of an executor has listed is started again as soon as the next one has answered.
+func TestTaskOfTheFormerIncarnationStartsAgainAtOnce(t *testing.T) {
+	b := newIncarnationBench(t)
 	b.apply(b.event(Started{Start: b.start, Clock: b.now}))
 	b.pass(50)
 	b.apply(b.answerHold(b.busy, b.run()))
-	b.answer(secondLifetime)
+	b.answer(secondIncarnation)
 	assert.Equal(t, len(b.restarts), 1)
 }
 
-// A start that the next lifetime has not received, and cannot receive any more, is repeated.
-func TestStartThatTheNextLifetimeLacksIsRepeated(t *testing.T) {
-	b := newLifetimeBench(t)
-	b.register(secondLifetime)
+// A start that the next incarnation has not received, and cannot receive any more, is repeated.
+func TestStartThatTheNextIncarnationLacksIsRepeated(t *testing.T) {
+	b := newIncarnationBench(t)
+	b.register(secondIncarnation)
 	b.pass(50)
-	b.answer(secondLifetime)
+	b.answer(secondIncarnation)
 	assert.Equal(t, len(b.restarts), 1)
 }
 
-// pendingHold returns the hold with a higher fencing token that is sent after the one to the former lifetime has failed.
-func (b *lifetimeBench) pendingHold() Hold {
+// pendingHold returns the hold with a higher fencing token that is sent after the one to the former incarnation has failed.
+func (b *incarnationBench) pendingHold() Hold {
 	b.loseHold()
 	b.pass(50)
 	assert.Equal(b.t, len(b.holds), 1)
@@ -170,12 +170,12 @@
 	return hold
 }
 
-// Guards against running a task twice: a lifetime lacked the run and had ended when its answer was read; the next one, which had seen
+// Guards against running a task twice: an incarnation lacked the run and had ended when its answer was read; the next one, which had seen
 // no fencing token, carried the start out.
-func TestAnswerOfALifetimeThatHasEndedSinceShowsNothing(t *testing.T) {
-	ends := map[string]func(b *lifetimeBench){
-		"by its registration": func(b *lifetimeBench) { b.register(thirdLifetime) },
-		"by a list of VMs": func(b *lifetimeBench) {
+func TestAnswerOfAnIncarnationThatHasEndedSinceShowsNothing(t *testing.T) {
+	ends := map[string]func(b *incarnationBench){
+		"by its registration": func(b *incarnationBench) { b.register(thirdIncarnation) },
+		"by a list of VMs": func(b *incarnationBench) {
 			vms := testFleet(2)
 			vms[b.busy].State = croft.FleetDown
 			b.apply(b.event(FleetRead{RequestedAt: b.now, VMs: vms}))
@@ -183,29 +183,29 @@
 	}
 	for name, end := range ends {
 		t.Run(name, func(t *testing.T) {
-			b := newLifetimeBench(t)
+			b := newIncarnationBench(t)
 			b.apply(b.event(Started{Start: b.start, Err: errLost}))
-			b.register(secondLifetime)
+			b.register(secondIncarnation)
 			hold := b.pendingHold()
 			b.now += 20
 			end(b)
 			b.now += 20
-			b.apply(b.event(Held{Hold: hold, Report: croft.HoldReport{Clock: b.now, Born: secondLifetime}}))
+			b.apply(b.event(Held{Hold: hold, Report: croft.HoldReport{Clock: b.now, Born: secondIncarnation}}))
 			b.pass(100)
 			assert.Equal(t, len(b.restarts), 0)
 		})
 	}
 }
 
-// Guards against running a task twice: at a takeover, an executor had registered again when the first answer of its former lifetime
+// Guards against running a task twice: at a takeover, an executor had registered again when the first answer of its former incarnation
 // was read, and the new one still carried out a start of the former leader.
-func TestFirstAnswerOfALifetimeThatHasEndedSinceShowsNothing(t *testing.T) {
+func TestFirstAnswerOfAnIncarnationThatHasEndedSinceShowsNothing(t *testing.T) {
 	b := newTestBench(t)
 	b.fence = 2_000_000
 	b.event(LeadershipAcquired{Fence: b.fence, Term: 2})
 	b.event(testConfig())
 	entries := testWorkers(2)
-	entries[0].Born, entries[1].Born = firstLifetime, firstLifetime
+	entries[0].Born, entries[1].Born = firstIncarnation, firstIncarnation
 	b.event(WorkersRead{Changes: croft.WorkerChanges{Version: 1, Whole: true, Entries: entries}})
 	b.event(FleetRead{RequestedAt: b.now, VMs: testFleet(2)})
 	row := testJob("j", step(1, 60))
@@ -213,10 +213,10 @@
 	b.event(JobsRead{Whole: true, Jobs: []JobRow{row}})
 	b.event(WaveRowsRead{})
 	b.answerHold(1)
-	entries[0].Born = secondLifetime
+	entries[0].Born = secondIncarnation
 	b.event(WorkersRead{Changes: croft.WorkerChanges{Version: 2, Entries: entries[:1]}})
 	first := Hold{Order: b.holdOrder(workerName(0)), Sent: b.now - 5}
-	effects := b.confirm(b.event(Held{Hold: first, Report: croft.HoldReport{Clock: b.now, Born: firstLifetime}}))
+	effects := b.confirm(b.event(Held{Hold: first, Report: croft.HoldReport{Clock: b.now, Born: firstIncarnation}}))
 	for range 5 {
 		effects = append(effects, b.confirm(b.advance(50))...)
 	}
@@ -232,13 +232,13 @@
 	b.event(WorkersRead{Changes: croft.WorkerChanges{Version: 1, Whole: true, Entries: testWorkers(1)}})
 	b.event(JobsRead{Whole: true})
 	former := croft.HoldOrder{Worker: workerName(0), Fence: 1_000_000}
-	b.event(Held{Hold: Hold{Order: former, Sent: b.now}, Report: croft.HoldReport{Clock: b.now, Born: firstLifetime}})
+	b.event(Held{Hold: Hold{Order: former, Sent: b.now}, Report: croft.HoldReport{Clock: b.now, Born: firstIncarnation}})
 	assert.Assert(t, !b.planner.workers[workerName(0)].verified)
 }
 
 // Guards against holds that are sent in a loop: start times that went back were ignored, and the next hold was sent at once.
-func TestLifetimesThatAnswerInTurnAreNotSentHoldsInALoop(t *testing.T) {
-	b := newLifetimeBench(t)
+func TestIncarnationsThatAnswerInTurnAreNotSentHoldsInALoop(t *testing.T) {
+	b := newIncarnationBench(t)
 	holds := 0
 	for end := b.now + croft.Second; b.now < end; b.now++ {
 		for range 3 {
@@ -246,7 +246,7 @@
 			b.holds = nil
 			for _, h := range pending {
 				holds++
-				born := int64(secondLifetime - holds%2)
+				born := int64(secondIncarnation - holds%2)
 				b.apply(b.event(Held{Hold: h, Report: croft.HoldReport{Clock: b.now, Born: born}}))
 			}
 		}
@@ -257,13 +257,13 @@
 	assert.Assert(t, holds < 20, "%d holds in a second", holds)
 }
 
-// Guards against running a task twice: its start was carried out seconds late by a lifetime whose clock had begun anew, so that its
+// Guards against running a task twice: its start was carried out seconds late by an incarnation whose clock had begun anew, so that its
 // lease lasted longer than the leader had granted, on an executor that was cut off.
-func TestLeasesMayBeginWithTheNextLifetime(t *testing.T) {
-	b := newLifetimeBench(t)
+func TestLeasesMayBeginWithTheNextIncarnation(t *testing.T) {
+	b := newIncarnationBench(t)
 	b.apply(b.event(Started{Start: b.start, Err: errLost}))
 	b.pass(3 * croft.Second)
-	b.register(secondLifetime)
+	b.register(secondIncarnation)
 	carriedOut := b.now
 	for len(b.restarts) == 0 && b.now < carriedOut+20*croft.Second {
 		pending := b.holds
@@ -278,13 +278,13 @@
 }
 
 // Guards against starts on an executor without the label in Requires: it had restarted as one of another kind, and the registration of
-// its former lifetime was still the last one.
-func TestNothingStartsByTheRegistrationOfAFormerLifetime(t *testing.T) {
-	b := newLifetimeBench(t)
+// its former incarnation was still the last one.
+func TestNothingStartsByTheRegistrationOfAFormerIncarnation(t *testing.T) {
+	b := newIncarnationBench(t)
 	b.apply(b.event(Started{Start: b.start, Clock: b.now}))
-	b.register(firstLifetime)
+	b.register(firstIncarnation)
 	b.apply(b.answerHold(b.busy, b.run()))
-	b.answer(secondLifetime)
+	b.answer(secondIncarnation)
 	b.restarts = nil
 	labelled := step(3, 20)
 	labelled.Requires = "a"
@@ -292,17 +292,17 @@
 	row.Part = "q.1"
 	b.apply(b.event(JobsRead{Jobs: []JobRow{row}}))
 	for _, s := range b.restarts {
-		assert.Assert(t, s.Order.Worker != b.start.Order.Worker, "started by the labels of the former lifetime")
+		assert.Assert(t, s.Order.Worker != b.start.Order.Worker, "started by the labels of the former incarnation")
 	}
 	b.restarts = nil
-	b.register(secondLifetime)
+	b.register(secondIncarnation)
 	b.pass(placeInterval)
 	assert.Assert(t, len(b.restarts) > 0)
 }
 
-// Guards against stopping too many tasks of a step: the former lifetime of an executor had registered that it was draining, and a task
+// Guards against stopping too many tasks of a step: the former incarnation of an executor had registered that it was draining, and a task
 // that the next one served was stopped for that while another one was away.
-func TestDrainingEndsWithALifetime(t *testing.T) {
+func TestDrainingEndsWithAnIncarnation(t *testing.T) {
 	b := newTestBench(t)
 	b.takeLeadership(1, 3)
 	b.event(WaveRowsRead{})
@@ -313,14 +313,14 @@
 	drained, away := starts[0], starts[1]
 	b.confirm(b.event(Started{Start: away, Clock: b.now}))
 	entry := b.planner.workers[drained.Order.Worker].WorkerEntry
-	entry.Born, entry.Draining = firstLifetime, true
+	entry.Born, entry.Draining = firstIncarnation, true
 	b.confirm(b.event(WorkersRead{Changes: croft.WorkerChanges{Entries: []croft.WorkerEntry{entry}}}))
 	b.confirm(b.event(Started{Start: drained, Clock: b.now}))
 	b.confirm(b.event(Held{Hold: Hold{Order: b.holdOrder(away.Order.Worker), Sent: b.now}, Err: errLost}))
 	var effects []Effect
 	for range 4 {
 		hold := Hold{Order: b.holdOrder(drained.Order.Worker), Sent: b.now}
-		report := croft.HoldReport{Clock: b.now, Born: secondLifetime, Active: []croft.ActiveRun{activeRun(drained.Order.Task, 1)}}
+		report := croft.HoldReport{Clock: b.now, Born: secondIncarnation, Active: []croft.ActiveRun{activeRun(drained.Order.Task, 1)}}
 		effects = append(effects, b.confirm(b.event(Held{Hold: hold, Report: report}))...)
 		effects = append(effects, b.confirm(b.advance(50))...)
 	}
--- a/sched/order_test.go
+++ b/sched/order_test.go
@@ -106,7 +106,7 @@
 	assert.Equal(t, len(stops), 1)
 	b.confirm(b.event(Stopped{Stop: stops[0], Err: errLost}))
 	b.confirm(b.event(Held{Hold: Hold{Order: b.holdOrder(away.Order.Worker), Sent: b.now}, Err: errLost}))
-	report := croft.HoldReport{Clock: b.now, Born: firstLifetime, Active: []croft.ActiveRun{activeRun(late.Order.Task, late.Order.Run)}}
+	report := croft.HoldReport{Clock: b.now, Born: firstIncarnation, Active: []croft.ActiveRun{activeRun(late.Order.Task, late.Order.Run)}}
 	effects := b.confirm(b.event(Held{Hold: Hold{Order: b.holdOrder(late.Order.Worker), Sent: b.now}, Report: report}))
 	for range 20 {
 		effects = append(effects, b.confirm(b.advance(50))...)
--- a/sched/restart_test.go
+++ b/sched/restart_test.go
@@ -9,7 +9,7 @@
 )
 
 // Guards against a task that crashes executors for ever: each executor was back under its id, and its first answer was taken for a
-// sign that the former lifetime had survived the start.
+// sign that the former incarnation had survived the start.
 func TestCrashesCountWhenExecutorsRestartUnderTheirIDs(t *testing.T) {
 	for _, registers := range []bool{true, false} {
 		b := newTestBench(t)
@@ -41,7 +41,7 @@
 				if b.planner.workers[id].verified {
 					hold.Order.Wait = holdWait
 				}
-				apply(Held{Hold: hold, Report: croft.HoldReport{Clock: b.now, Born: max(born[id], firstLifetime)}})
+				apply(Held{Hold: hold, Report: croft.HoldReport{Clock: b.now, Born: max(born[id], firstIncarnation)}})
 			}
 			b.now += 50
 			apply(b.renewed())
@@ -51,13 +51,13 @@
 	}
 }
 
-// Guards against a job that is shown as failed without a failed run: a run that the next lifetime of an executor had begun counted as
+// Guards against a job that is shown as failed without a failed run: a run that the next incarnation of an executor had begun counted as
 // the reason for the end of the former one.
-func TestCrashOfTheFormerLifetimeIsNotPutDownToARunOfTheNext(t *testing.T) {
-	b := newLifetimeBench(t)
+func TestCrashOfTheFormerIncarnationIsNotPutDownToARunOfTheNext(t *testing.T) {
+	b := newIncarnationBench(t)
 	b.apply(b.event(Started{Start: b.start, Clock: b.now}))
-	b.register(secondLifetime)
-	b.answer(secondLifetime, b.run())
+	b.register(secondIncarnation)
+	b.answer(secondIncarnation, b.run())
 	assert.Equal(t, b.planner.jobs["j"].stages[0].tasks[0].crashes, 0)
 	assert.Equal(t, b.planner.jobs["j"].stages[0].tasks[0].suspect, false)
 }
@@ -75,7 +75,7 @@
 	b.confirm(b.event(Started{Start: starts[0], Clock: b.now}))
 	b.now += 200
 	entry := b.planner.workers[starts[0].Order.Worker].WorkerEntry
-	entry.Born = secondLifetime
+	entry.Born = secondIncarnation
 	effects := b.confirm(b.event(WorkersRead{Changes: croft.WorkerChanges{Entries: []croft.WorkerEntry{entry}}}))
 	for range 60 {
 		effects = append(effects, b.confirm(b.advance(50))...)
@@ -99,7 +99,7 @@
 	}
 	assert.Equal(t, len(b.planner.moves), 0)
 	b.event(FleetRead{RequestedAt: b.now, VMs: testFleet(2)})
-	b.born[0] = secondLifetime
+	b.born[0] = secondIncarnation
 	b.answerHold(0)
 	b.answerHold(0)
 	assert.Assert(t, b.planner.schedulable(b.planner.workers[workerName(0)]))
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -339,7 +339,7 @@
 func (r *run) isAny() bool { return true }
 
 // describeUnlisted names the runs of an executor that no list has shown, with what is known of their starts: any of them may be
-// in another lifetime than the one that is known.
+// in another incarnation than the one that is known.
 func describeUnlisted(w *worker) string {
 	var unlisted []string
 	for _, r := range filterRuns(w, func(r *run) bool { return !r.wasListed() }) {
