--- a/sched/incarnation_test.go
+++ b/sched/incarnation_test.go
@@ -328,3 +328,81 @@
 		assert.Assert(t, s.Order.Task != drained.Order.Task, "stopped although another task of its step is away")
 	}
 }
+
+// elsewhere returns how many restarts were on other executors than that of the first start.
+func (b *incarnationBench) elsewhere() int {
+	n := 0
+	for _, s := range b.restarts {
+		if s.Order.Worker != b.start.Order.Worker {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against running a task twice: an incarnation had accepted the stop of a start without an answer, and the next one, which knows
+// nothing of the stop, carries the start out.
+func TestStoppedStartMayReachTheNextIncarnation(t *testing.T) {
+	b := newIncarnationBench(t)
+	stops := effectsOf[Stop](b.event(Started{Start: b.start, Err: errLost}))
+	assert.Equal(t, len(stops), 1)
+	b.now++
+	checks := effectsOf[Hold](b.event(Stopped{Stop: stops[0]}))
+	assert.Equal(t, len(checks), 1)
+	b.now++
+	b.apply(b.event(Held{Hold: checks[0], Report: croft.HoldReport{Clock: b.now, Born: firstIncarnation}}))
+	assert.Equal(t, len(b.restarts), 1)
+	again := b.restarts[0]
+	b.apply(b.event(Started{Start: again, Clock: b.now}))
+	if again.Order.Worker == b.start.Order.Worker {
+		b.answer(firstIncarnation, activeRun(again.Order.Task, again.Order.Run))
+	}
+	b.register(secondIncarnation)
+	b.pass(300)
+	assert.Equal(t, b.elsewhere(), 0)
+}
+
+// Guards against running a task twice: an incarnation refuses a start by its fencing token, and the one after it, which has seen none,
+// carries the start out.
+func TestStartMayReachTheIncarnationAfterTheNext(t *testing.T) {
+	b := newIncarnationBench(t)
+	b.apply(b.event(Started{Start: b.start, Err: errLost}))
+	b.register(secondIncarnation)
+	b.apply(b.event(Held{Hold: b.pendingHold(), Report: croft.HoldReport{Clock: b.now, Born: secondIncarnation}}))
+	b.pass(50)
+	assert.Equal(t, len(b.restarts), 1)
+	again := b.restarts[0]
+	b.apply(b.event(Started{Start: again, Clock: b.now}))
+	b.answer(secondIncarnation, activeRun(again.Order.Task, again.Order.Run))
+	b.register(thirdIncarnation)
+	b.pass(300)
+	assert.Equal(t, b.elsewhere(), 0)
+}
+
+// Guards against running a task twice: a start of a former leader is on its way to an executor that is down when that leader's time is
+// over, and is carried out when the executor is back.
+func TestStartOfAFormerLeaderMayReachAnExecutorThatWasDown(t *testing.T) {
+	b := newTestBench(t)
+	b.fence = 2_000_000
+	formerEnds := b.now + 1800
+	b.event(LeadershipAcquired{Fence: b.fence, Term: 2, VMOrdersFrom: formerEnds})
+	b.event(testConfig())
+	b.event(WorkersRead{Changes: croft.WorkerChanges{Version: 1, Whole: true, Entries: testWorkers(2)}})
+	b.event(FleetRead{RequestedAt: b.now, VMs: testFleet(2)})
+	row := testJob("j", step(1, 60))
+	row.Progress.Announced = true
+	b.event(JobsRead{Whole: true, Jobs: []JobRow{row}})
+	b.event(WaveRowsRead{})
+	b.answerHold(1)
+	var effects []Effect
+	for b.now < formerEnds+100 {
+		effects = append(effects, b.confirm(b.advance(50))...)
+	}
+	vms := testFleet(2)
+	vms[0].State = croft.FleetDown
+	effects = append(effects, b.confirm(b.event(FleetRead{RequestedAt: b.now, VMs: vms}))...)
+	for range 5 {
+		effects = append(effects, b.confirm(b.advance(50))...)
+	}
+	assert.Equal(t, len(effectsOf[Start](effects)), 0)
+}
