sched: the hold of a former incarnation delays no hold to the next one

Callers could see TWICE: the first hold to an incarnation, whose higher fencing token keeps late orders out, was sent only when the hold to the former one was given up, up to 1.6 s later.

Change: a pending hold counts only until a higher token is at hand; its answer was ignored already.

--- a/sched/hold.go
+++ b/sched/hold.go
@@ -35,21 +35,24 @@
 	p.holdCandidates = p.holdCandidates[:0]
 }
 
-// sendHoldIfDue sends a hold to a worker that has none pending, unless it is unregistered and its leases have ended.
+// sendHoldIfDue sends a hold to a worker that has none pending, unless it is unregistered and its leases have ended. A pending hold
+// to a former incarnation counts only until there is a higher fencing token, which the next renewal of the leadership brings.
 func (p *Planner) sendHoldIfDue(w *worker) {
-	if w.holdPending || p.now.Elapsed < w.nextHold || w.Address == "" {
+	if p.now.Elapsed < w.nextHold || w.Address == "" {
 		return
 	}
-	if w.needsFence {
-		if p.newestFence <= w.fence {
-			// The next renewal of the leadership brings a higher one.
-			return
-		}
-		w.fence, w.needsFence, w.checkPending = p.newestFence, false, false
+	if w.needsFence && p.newestFence <= w.fence {
+		return
+	}
+	if w.holdPending && !w.needsFence {
+		return
 	}
 	if !w.verified && !w.listed && p.now.Elapsed >= w.leasesEnd {
 		return
 	}
+	if w.needsFence {
+		w.fence, w.needsFence, w.checkPending = p.newestFence, false, false
+	}
 	w.holdPending = true
 	p.sendHold(w)
 }
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -258,7 +258,7 @@
 	if w.born != 0 && born > w.born {
 		p.endUnexpectedly(w, "the executor registered with a later start time", (*run).wasListed)
 	}
-	w.verified, w.needsFence = false, true
+	w.verified, w.needsFence, w.nextHold = false, true, p.now.Elapsed
 	// A former leader may have started runs on the new incarnation.
 	w.leasesEnd = max(w.leasesEnd, p.predecessorLeasesEnd())
 }
