sched: an unanswered start is stopped only if a list lacks the run where a stop could break MayMiss

Callers saw AVAIL: a start got no answer but had been carried out, and was stopped at once, or although a list had shown the run, while it served already and another task of its step was away.

Change: a run that a list of the present incarnation has shown is not stopped for its answer. If too many other tasks of the step are unavailable for a stop, a list is requested first, and the run is stopped only if it lacks it.

The test of repeated stops has the other task serve first, so that the stop is sent at once as before; its checks are unchanged.

--- a/sched/order.go
+++ b/sched/order.go
@@ -135,13 +135,30 @@
 	return !needed || r.worker.isDraining() || p.mayEvict(r)
 }
 
+// hasUnresolvedRuns reports whether runs on the worker are being stopped, or have to be unless a list shows them.
+func (w *worker) hasUnresolvedRuns() bool {
+	if w.stoppingRuns > 0 {
+		return true
+	}
+	for _, r := range w.runs {
+		if r.awaitsList() {
+			return true
+		}
+	}
+	return false
+}
+
+// awaitsList reports that the start of a run was not answered, and that a list has to show whether the run has begun before it may be
+// stopped.
+func (r *run) awaitsList() bool { return r.startUnanswered && r.phase == phaseStarting }
+
 // resolveUnansweredStarts requests lists from executors on which a run with an unanswered start has been stopped; the
 // lists show whether the run had begun.
 func (p *Planner) resolveUnansweredStarts() {
 	remaining := p.unresolvedStarts[:0]
 	for _, w := range p.unresolvedStarts {
 		switch {
-		case !w.verified || w.stoppingRuns == 0:
+		case !w.verified || !w.hasUnresolvedRuns():
 		case w.checkPending || len(filterRuns(w, func(r *run) bool { return r.verifiableFrom == p.now.Elapsed })) > 0:
 			remaining = append(remaining, w)
 		default:
@@ -215,6 +232,14 @@
 	unhealthyPause = 1 * croft.Second
 )
 
+// stopUnanswered stops a run whose start was not answered, and its gang, which is not complete any more.
+func (p *Planner) stopUnanswered(r *run) {
+	p.stopRun(r, "its start was not answered")
+	if r.stage.spec.Gang {
+		p.stopGang(r.stage)
+	}
+}
+
 // handleStartFailure abandons a run that was refused, and stops one whose start has an unknown outcome.
 func (p *Planner) handleStartFailure(w *worker, r *run, err error) {
 	id := r.stage.id(r.index).String()
@@ -238,15 +263,17 @@
 		p.withdrawRun(r)
 	default:
 		p.log("Unanswered", id, string(w.ID), fmt.Sprintf("run %d: %v", r.number, err))
-		if r.phase == phaseStopping {
+		if r.phase == phaseStopping || r.wasListed() {
 			return
 		}
 		// The executor may still receive the start, unless a stop of the same run reaches it first, and extend its leases then.
 		r.startUnanswered = true
 		w.leasesEnd = max(w.leasesEnd, p.latestLeaseEnd())
-		p.stopRun(r, "its start was not answered")
-		if r.stage.spec.Gang {
-			p.stopGang(r.stage)
+		if !p.mayEvict(r) {
+			// If the run serves already, a stop would make one task too many unavailable. A list shows whether it does.
+			p.unresolvedStarts = append(p.unresolvedStarts, w)
+			return
 		}
+		p.stopUnanswered(r)
 	}
 }
--- a/sched/order_test.go
+++ b/sched/order_test.go
@@ -90,6 +90,60 @@
 	assert.Equal(t, len(repeated), 0)
 }
 
+// servingPair starts the two tasks of an endless step, of which one may be unavailable, and returns the start of the second one and
+// the places of their executors. The first task has served and failed, so that the second one must not be stopped while it serves.
+func servingPair(t *testing.T) (*testBench, Start, [2]int) {
+	t.Helper()
+	b := newTestBench(t)
+	b.takeLeadership(1, 3)
+	endless := step(2, 40)
+	endless.Endless, endless.MayMiss, endless.MostPerWorker = true, 1, 1
+	starts := effectsOf[Start](b.event(JobsRead{Jobs: []JobRow{testJob("j", endless)}}))
+	assert.Equal(t, len(starts), 2)
+	var places [2]int
+	for i, s := range starts {
+		for workerName(places[i]) != s.Order.Worker {
+			places[i]++
+		}
+	}
+	b.event(Started{Start: starts[0], Clock: b.now})
+	b.answerHold(places[0], activeRun(starts[0].Order.Task, 1))
+	b.answerHold(places[0], croft.EndedRun{Number: 1, Task: croft.TaskID{Job: "j"}, Run: 1, How: croft.EndFailed})
+	return b, starts[1], places
+}
+
+// Guards against exceeding MayMiss: a start got no answer, and the run that a list had shown was stopped while another task of its
+// step was unavailable.
+func TestListedRunIsNotStoppedForAnUnansweredStart(t *testing.T) {
+	b, start, places := servingPair(t)
+	b.answerHold(places[1], activeRun(start.Order.Task, 1))
+	stops := effectsOf[Stop](b.event(Started{Start: start, Err: errLost}))
+	assert.Equal(t, len(stops), 0)
+}
+
+// Guards against exceeding MayMiss: a start that had been carried out got no answer, and the run was stopped at once, while it served
+// already and another task of its step was unavailable. A list is requested first; the run is stopped if the list lacks it.
+func TestUnansweredStartIsStoppedOnlyIfAListLacksTheRun(t *testing.T) {
+	for _, carriedOut := range []bool{true, false} {
+		b, start, _ := servingPair(t)
+		effects := b.event(Started{Start: start, Err: errLost})
+		assert.Equal(t, len(effectsOf[Stop](effects)), 0)
+		var checks []Hold
+		for _, h := range effectsOf[Hold](effects) {
+			if h.Check {
+				checks = append(checks, h)
+			}
+		}
+		assert.Equal(t, len(checks), 1)
+		report := croft.HoldReport{Clock: b.now, Born: firstIncarnation}
+		if carriedOut {
+			report.Active = []croft.ActiveRun{activeRun(start.Order.Task, 1)}
+		}
+		stops := effectsOf[Stop](b.event(Held{Hold: checks[0], Report: report}))
+		assert.Equal(t, len(stops) == 0, carriedOut)
+	}
+}
+
 // Guards against exceeding MayMiss: the stop of a start without an answer was repeated although a list showed the task at work, and
 // another task of its step had become unavailable.
 func TestStopOfAnUnansweredStartIsNotRepeatedWhenTooManyTasksAreUnavailable(t *testing.T) {
@@ -102,6 +156,8 @@
 	assert.Equal(t, len(starts), 2)
 	late, away := starts[0], starts[1]
 	b.confirm(b.event(Started{Start: away, Clock: b.now}))
+	served := croft.HoldReport{Clock: b.now, Born: firstIncarnation, Active: []croft.ActiveRun{activeRun(away.Order.Task, away.Order.Run)}}
+	b.confirm(b.event(Held{Hold: Hold{Order: b.holdOrder(away.Order.Worker), Sent: b.now}, Report: served}))
 	stops := effectsOf[Stop](b.confirm(b.event(Started{Start: late, Err: errLost})))
 	assert.Equal(t, len(stops), 1)
 	b.confirm(b.event(Stopped{Stop: stops[0], Err: errLost}))
