model: a lease that lapses under two members of a gang ends each of them once

The model crashed of a test to come, with executors that return under their IDs: the end of the first member when its lease lapsed broke the gang, which ended the second one on the same executor, and that one was then ended again. Such runs are passed over.

--- a/model/executor.go
+++ b/model/executor.go
@@ -187,7 +187,10 @@
 		if !x.dead && w.now >= x.leaseEnd {
 			x.leaseLapsedAt = w.now
 			for _, id := range sortedTasks(x.runs) {
-				w.endRun(x, x.runs[id], croft.EndLapsed)
+				// The end of a gang member may have ended others here.
+				if r := x.runs[id]; r != nil {
+					w.endRun(x, r, croft.EndLapsed)
+				}
 			}
 		}
 	})
