model: executors start again under their IDs

The incident TWICE was not found by the model, whose executors come back under new IDs. With Options.SameIDs those that crash start again under their IDs after 0.3 to 3 s, at the same address, knowing nothing, with a later start time, or with ClocksSetBack at times an earlier one, and register 20 to 1,500 ms later. The list of VMs shows theirs as down with or without their IDs, or as up. Orders and holds to an executor that is down or cut off are carried out up to 3 s later in half of the cases, by whichever lifetime is there, and answers are lost of orders that were carried out at once. A violation says how late the order was and whether a former lifetime would have refused it.

--- a/model/model_test.go
+++ b/model/model_test.go
@@ -74,6 +74,44 @@
 	return options
 }
 
+// Guards against starting tasks twice when executors crash and start again under their IDs, with orders on their way: the end of a
+// lifetime was taken for the end of the orders to it, which the next lifetime carries out.
+func TestExecutorsThatReturnUnderTheirIDsRunNoTaskTwice(t *testing.T) {
+	checkSeeds(t, 0, func(seed uint64) Options {
+		options := smallOptions(seed)
+		options.SameIDs, options.Wave = true, seed%2 == 0
+		return options
+	})
+}
+
+// The same with leaders and answers that fail: a successor knows nothing of the former leader's orders.
+func TestExecutorsThatReturnUnderFaultsRunNoTaskTwice(t *testing.T) {
+	checkSeeds(t, firstFaultSeed, func(seed uint64) Options {
+		options := smallOptions(seed)
+		options.SameIDs, options.Faults, options.Wave = true, true, seed%2 == 0
+		return options
+	})
+}
+
+// The same with leaders that are cut off together with executors and go on giving orders to both lifetimes.
+func TestExecutorsThatReturnInZoneCutsRunNoTaskTwice(t *testing.T) {
+	checkSeeds(t, firstFaultSeed, func(seed uint64) Options {
+		options := zoneCutOptions(seed)
+		options.SameIDs = true
+		return options
+	})
+}
+
+// Guards against starting tasks twice when the time of day of executors is set back: the start time of the next lifetime was
+// taken for that of a former one.
+func TestExecutorsThatReturnWithEarlierStartTimesRunNoTaskTwice(t *testing.T) {
+	checkSeeds(t, firstFaultSeed, func(seed uint64) Options {
+		options := smallOptions(seed)
+		options.SameIDs, options.ClocksSetBack, options.Faults, options.Wave = true, true, true, seed%2 == 0
+		return options
+	})
+}
+
 // Guards against a task that brings down one executor after another, and with them the tasks of other jobs beside it: runs
 // that ended with their executor were not counted. No other job may be given up for it.
 func TestTasksThatCrashExecutorsAreGivenUp(t *testing.T) {
--- a/model/wave.go
+++ b/model/wave.go
@@ -103,7 +103,7 @@
 	v.leaving = true
 	if x := v.executor; x != nil {
 		x.draining = true
-		w.scheduleForLeader(registrationDelay, func() { w.deliver(registered(w.registration(x))) })
+		w.scheduleRegistration(x, registrationDelay)
 	}
 	w.schedule(w.between(0, maxNotice), func() {
 		v.left, v.state = true, croft.FleetDown
--- a/model/workload.go
+++ b/model/workload.go
@@ -182,6 +182,9 @@
 		Needs:    croft.Resources{MilliCores: 300 + w.rng.Int64N(3000), MemoryMB: 500 + w.rng.Int64N(3000)},
 		Estimate: w.between(200, 1500),
 	}
+	if w.options.SameIDs && number == 0 && w.chance(longStepShare) {
+		s.Estimate *= longStepFactor
+	}
 	if number > 0 {
 		s.After = []int{number - 1}
 	}
@@ -277,12 +280,12 @@
 		x.cutWith, x.cutUntil = l, end
 		w.schedule(unregistrationDelay, func() {
 			if !x.dead && w.now < x.cutUntil {
-				w.deliver(unregistered(x.id))
+				w.unregister(x)
 			}
 		})
 		w.schedule(end+registrationDelay-w.now, func() {
 			if !x.dead {
-				w.deliver(registered(w.registration(x)))
+				w.register(x)
 			}
 		})
 	}
@@ -310,6 +313,10 @@
 
 // crash ends an executor and boots its VM again seconds later.
 func (w *World) crash(x *executor) {
+	if w.options.SameIDs {
+		w.crashAndReturn(x, w.between(minDowntime, maxDowntime))
+		return
+	}
 	v := x.vm
 	v.state = croft.FleetDown
 	w.terminate(x)
@@ -334,7 +341,7 @@
 		return
 	}
 	x.draining = true
-	w.scheduleForLeader(registrationDelay, func() { w.deliver(registered(w.registration(x))) })
+	w.scheduleRegistration(x, registrationDelay)
 	w.schedule(w.between(2000, 5000), func() {
 		if x.vm.executor == x {
 			x.vm.state = croft.FleetDown
--- a/model/world.go
+++ b/model/world.go
@@ -27,6 +27,11 @@
 	// ZoneCuts makes each loss of a leader a cut between a rack together with the leader, and the store together with all
 	// others: until the leader's validity ends, it goes on renewing the leases of executors that its successor cannot reach.
 	ZoneCuts bool
+	// SameIDs makes executors crash and start again under their IDs, at their addresses and with later start times, knowing nothing
+	// of before. Orders that were on their way reach whichever lifetime is there.
+	SameIDs bool
+	// ClocksSetBack adds to SameIDs that the start times of some lifetimes are earlier than those of former ones.
+	ClocksSetBack bool
 	// DeadlyJobs makes a task of some jobs crash each executor that starts it.
 	DeadlyJobs bool
 	// Wave requests the maintenance of half of the VMs.
@@ -104,6 +109,8 @@
 	executors map[croft.WorkerID]*executor
 	// incarnations counts the executors booted so far; their ids are derived from it.
 	incarnations int
+	// entries is the registry of executors, kept if they start again under their IDs.
+	entries map[croft.WorkerID]croft.WorkerEntry
 
 	// leader is the leader that events are delivered to: the newest one, except while an event of a former leader
 	// that is still alive is delivered (see runAs).
@@ -115,8 +122,9 @@
 	// answerLossRate is the share of commits whose answer is lost; VM orders lose a quarter and orders to executors
 	// a tenth of that share.
 	answerLossRate float64
-	// orderDelayed reports that the order being carried out was delayed in the network.
+	// orderDelayed reports that the order being carried out was delayed in the network, and orderSentAt when it was sent.
 	orderDelayed bool
+	orderSentAt  croft.Millis
 
 	jobs   map[croft.JobID]*trackedJob
 	config croft.QueueConfig
@@ -224,6 +232,7 @@
 	w := &World{
 		options: options, rng: rand.New(rand.NewPCG(options.Seed, 0)),
 		store: map[string]croft.Row{}, executors: map[croft.WorkerID]*executor{}, jobs: map[croft.JobID]*trackedJob{},
+		entries: map[croft.WorkerID]croft.WorkerEntry{},
 	}
 	w.createPlatform()
 	w.scheduleTakeover(0, -leaderLease)
@@ -231,6 +240,9 @@
 	if options.Faults {
 		w.scheduleFaults()
 	}
+	if options.SameIDs {
+		w.scheduleReturns()
+	}
 	if options.Wave {
 		w.scheduleWaves()
 	}
