sched: tests of unanswered starts that are stopped while other tasks are away, failing

A start without an answer is stopped at once, and the stop is repeated until it is answered, whatever the step allows to be away. If the start was carried out, a task that serves is ended (AVAIL). The first of the two tests shows the repeated stop, 2 where 0 are allowed; the second, found by reading, a stop of a run that a list has shown already, 1 where 0 are allowed. No decision is changed.

--- a/sched/order_test.go
+++ b/sched/order_test.go
@@ -90,6 +90,58 @@
 	assert.Equal(t, len(repeated), 0)
 }
 
+// servingPair starts the two tasks of an endless step, of which one may be unavailable, and returns the start of the second one and
+// the places of their executors. The first task serves.
+func servingPair(t *testing.T) (*testBench, Start, [2]int) {
+	t.Helper()
+	b := newTestBench(t)
+	b.takeLeadership(1, 3)
+	endless := step(2, 40)
+	endless.Endless, endless.MayMiss, endless.MostPerWorker = true, 1, 1
+	starts := effectsOf[Start](b.event(JobsRead{Jobs: []JobRow{testJob("j", endless)}}))
+	assert.Equal(t, len(starts), 2)
+	var places [2]int
+	for i, s := range starts {
+		for workerName(places[i]) != s.Order.Worker {
+			places[i]++
+		}
+	}
+	b.event(Started{Start: starts[0], Clock: b.now})
+	b.answerHold(places[0], activeRun(starts[0].Order.Task, 1))
+	return b, starts[1], places
+}
+
+// endFirst has the first task of the pair fail, so that the second one is the only one that may serve.
+func endFirst(b *testBench, places [2]int) {
+	b.answerHold(places[0], croft.EndedRun{Number: 1, Task: croft.TaskID{Job: "j"}, Run: 1, How: croft.EndFailed})
+}
+
+// Guards against exceeding MayMiss: a start got no answer, but had been carried out, and was stopped again and again while another
+// task of its step was unavailable.
+func TestStopOfAnUnansweredStartIsNotRepeatedWhenTooManyTasksAreUnavailable(t *testing.T) {
+	b, start, places := servingPair(t)
+	stops := effectsOf[Stop](b.event(Started{Start: start, Err: &croft.LostAnswerError{Reason: "test"}}))
+	assert.Equal(t, len(stops), 1)
+	b.event(Stopped{Stop: stops[0], Err: &croft.LostAnswerError{Reason: "test"}})
+	endFirst(b, places)
+	var repeated []Stop
+	for range 40 {
+		b.answerHold(places[1], activeRun(start.Order.Task, 1))
+		repeated = append(repeated, effectsOf[Stop](b.advance(50))...)
+	}
+	assert.Equal(t, len(repeated), 0)
+}
+
+// Guards against exceeding MayMiss: a start got no answer, and the run that a list had shown was stopped while another task of its
+// step was unavailable.
+func TestListedRunIsNotStoppedForAnUnansweredStart(t *testing.T) {
+	b, start, places := servingPair(t)
+	endFirst(b, places)
+	b.answerHold(places[1], activeRun(start.Order.Task, 1))
+	stops := effectsOf[Stop](b.event(Started{Start: start, Err: &croft.LostAnswerError{Reason: "test"}}))
+	assert.Equal(t, len(stops), 0)
+}
+
 // Guards against delaying tasks that may run twice until the leases of their lost executor have ended, as other tasks
 // must be.
 func TestDuplicableTaskOfLostExecutorRestartsAtOnce(t *testing.T) {
