--- a/sched/lifetime_test.go
+++ b/sched/lifetime_test.go
@@ -159,3 +159,31 @@
 	b.answer(secondLifetime)
 	assert.Equal(t, len(b.restarts), 1)
 }
+
+// Guards against running a task twice: a check acknowledged ends of the former lifetime of its executor, so that the next one forgot
+// its own, which have the same numbers.
+func TestChecksAcknowledgeNoEnds(t *testing.T) {
+	b := newLifetimeBench(t)
+	b.apply(b.event(Started{Start: b.start, Clock: b.now}))
+	row := testJob("other", step(1, 1))
+	row.Part = "q.1"
+	others := effectsOf[Start](b.event(JobsRead{Jobs: []JobRow{row}}))
+	assert.Equal(t, others[0].Order.Worker, b.start.Order.Worker)
+	b.apply(b.answerHold(b.busy, b.run(), croft.EndedRun{Number: 1, Task: others[0].Order.Task, Run: 1, How: croft.EndDone}))
+	assert.Equal(t, b.planner.workers[b.start.Order.Worker].ackedEnd, int64(1))
+	b.holds = nil
+	b.apply(b.event(JobsCancelled{IDs: []croft.JobID{"j"}}))
+	stop := Stop{Order: b.start.Order}
+	b.apply(b.event(Stopped{Stop: stop}))
+	b.pass(croft.Second)
+	var checks []Hold
+	for _, h := range b.holds {
+		if h.Check {
+			checks = append(checks, h)
+		}
+	}
+	assert.Assert(t, len(checks) > 0)
+	for _, c := range checks {
+		assert.Equal(t, c.Order.Seen, int64(0))
+	}
+}
