sched: test that the next lifetime of an executor is asked while a hold of the former one is pending, failing

Once the leader knows that an executor has started again, its first hold there has a higher fencing token, but it is sent only when the hold that the former lifetime had is given up, up to 1.6 s later. Until then the next lifetime carries out whatever is late, and its runs count as unknown. No decision is changed.

--- a/sched/lifetime_test.go
+++ b/sched/lifetime_test.go
@@ -187,3 +187,14 @@
 		assert.Equal(t, c.Order.Seen, int64(0))
 	}
 }
+
+// Guards against losing what the next lifetime of an executor has done: the hold that its former lifetime had kept the first hold to
+// the next one, with a higher fencing token, waiting for up to 1.6 s. Until then late orders are carried out there, among them a
+// hold that acknowledges ends of the former lifetime.
+func TestHoldOfTheFormerLifetimeDelaysNoHoldToTheNextOne(t *testing.T) {
+	b := newLifetimeBench(t)
+	b.register(secondLifetime)
+	b.pass(100)
+	assert.Equal(t, len(b.holds), 2)
+	assert.Assert(t, b.holds[1].Order.Fence > b.start.Order.Fence)
+}
