sched: tests of executors that are down at a takeover and carry out late orders, failing

A successor that reads a list with the VM of an executor down starts the tasks of the former leader at once: the executor runs nothing. But an order of the former leader may be carried out seconds late, by the next lifetime, before the successor's first hold there (TWICE).

What mends it, the wait until the leases of the former leader have ended, delays the inherited jobs of a pool after a takeover while a VM is down; that is left open. No decision is changed.

--- a/sched/lifetime_test.go
+++ b/sched/lifetime_test.go
@@ -198,3 +198,32 @@
 	assert.Equal(t, len(b.holds), 2)
 	assert.Assert(t, b.holds[1].Order.Fence > b.start.Order.Fence)
 }
+
+// downAtTakeover takes over from a leader that may have started the only task of a job, with two executors, of which the second one
+// is listed as down by its VM and may be registered still. It returns the starts.
+func downAtTakeover(t *testing.T, registered int, vm croft.FleetVM) []Start {
+	t.Helper()
+	b := newTestBench(t)
+	b.event(LeadershipAcquired{Fence: 10, Term: 2})
+	b.event(testConfig())
+	b.event(WorkersRead{Changes: croft.WorkerChanges{Whole: true, Entries: testWorkers(registered)}})
+	b.event(FleetRead{RequestedAt: b.now, VMs: append(testFleet(1), vm)})
+	row := testJob("j", step(1, 1))
+	row.Progress.Announced = true
+	return effectsOf[Start](append(b.event(JobsRead{Whole: true, Jobs: []JobRow{row}}), b.answerHold(0)...))
+}
+
+// Guards against running a task twice: the VM of an executor was down at a takeover, and its registration was gone. The successor
+// started the tasks of the former leader, and an order of that one began another run of one as soon as the executor was back.
+func TestExecutorThatIsGoneAtATakeoverMayCarryOutLateOrders(t *testing.T) {
+	vm := testFleet(2)[1]
+	vm.State, vm.Worker = croft.FleetDown, ""
+	assert.Equal(t, len(downAtTakeover(t, 1, vm)), 0)
+}
+
+// The same with an executor that is registered still.
+func TestExecutorThatIsDownAtATakeoverMayCarryOutLateOrders(t *testing.T) {
+	vm := testFleet(2)[1]
+	vm.State = croft.FleetDown
+	assert.Equal(t, len(downAtTakeover(t, 2, vm)), 0)
+}
