--- a/sched/incarnation_test.go
+++ b/sched/incarnation_test.go
@@ -417,3 +417,60 @@
 	}
 	assert.Equal(t, len(effectsOf[Start](effects)), 0)
 }
+
+// Guards against running a task twice: a check acknowledged ends of the former incarnation of its executor, so that the next one forgot
+// its own, which have the same numbers.
+func TestChecksAcknowledgeNoEnds(t *testing.T) {
+	b := newIncarnationBench(t)
+	b.apply(b.event(Started{Start: b.start, Clock: b.now}))
+	row := testJob("other", step(1, 1))
+	row.Part = "q.1"
+	others := effectsOf[Start](b.event(JobsRead{Jobs: []JobRow{row}}))
+	assert.Equal(t, others[0].Order.Worker, b.start.Order.Worker)
+	b.apply(b.answerHold(b.busy, b.run(), croft.EndedRun{Number: 1, Task: others[0].Order.Task, Run: 1, How: croft.EndDone}))
+	assert.Equal(t, b.planner.workers[b.start.Order.Worker].ackedEnd, int64(1))
+	b.holds = nil
+	b.apply(b.event(JobsCancelled{IDs: []croft.JobID{"j"}}))
+	stop := Stop{Order: b.start.Order}
+	b.apply(b.event(Stopped{Stop: stop}))
+	b.pass(croft.Second)
+	var checks []Hold
+	for _, h := range b.holds {
+		if h.Check {
+			checks = append(checks, h)
+		}
+	}
+	assert.Assert(t, len(checks) > 0)
+	for _, c := range checks {
+		assert.Equal(t, c.Order.Seen, int64(0))
+	}
+}
+
+// downAtTakeover takes over from a leader that may have started the only task of a job, with two executors, of which the second one
+// is listed as down by its VM and may be registered still. It returns the starts.
+func downAtTakeover(t *testing.T, registered int, vm croft.FleetVM) []Start {
+	t.Helper()
+	b := newTestBench(t)
+	b.event(LeadershipAcquired{Fence: 10, Term: 2})
+	b.event(testConfig())
+	b.event(WorkersRead{Changes: croft.WorkerChanges{Whole: true, Entries: testWorkers(registered)}})
+	b.event(FleetRead{RequestedAt: b.now, VMs: append(testFleet(1), vm)})
+	row := testJob("j", step(1, 1))
+	row.Progress.Announced = true
+	return effectsOf[Start](append(b.event(JobsRead{Whole: true, Jobs: []JobRow{row}}), b.answerHold(0)...))
+}
+
+// Guards against running a task twice: the VM of an executor was down at a takeover, and its registration was gone. The successor
+// started the tasks of the former leader, and an order of that one began another run of one as soon as the executor was back.
+func TestExecutorThatIsGoneAtATakeoverMayCarryOutLateOrders(t *testing.T) {
+	vm := testFleet(2)[1]
+	vm.State, vm.Worker = croft.FleetDown, ""
+	assert.Equal(t, len(downAtTakeover(t, 1, vm)), 0)
+}
+
+// The same with an executor that is registered still.
+func TestExecutorThatIsDownAtATakeoverMayCarryOutLateOrders(t *testing.T) {
+	vm := testFleet(2)[1]
+	vm.State = croft.FleetDown
+	assert.Equal(t, len(downAtTakeover(t, 2, vm)), 0)
+}
