--- a/sched/order.go
+++ b/sched/order.go
@@ -127,12 +127,14 @@
 	}
 }
 
-// mayRepeatStop reports whether a stop that may not have arrived may be sent again. A run that its task still needs is not stopped
-// while too many other tasks of its step are unavailable.
+// mayRepeatStop reports whether a stop that may not have arrived may be sent again. A run that its task still needs and that serves by
+// the last list is not stopped while too many other tasks of its step are unavailable; the stop of an evacuated run is never repeated
+// then.
 func (p *Planner) mayRepeatStop(r *run) bool {
 	t := &r.stage.tasks[r.index]
 	needed := t.run == r && !t.done && !r.stage.job.ended
-	return !needed || r.worker.isDraining() || p.mayEvict(r)
+	serves := r.evacuated || (r.isListed() && r.percent >= servingPercent)
+	return !needed || !serves || r.worker.isDraining() || p.mayEvict(r)
 }
 
 // hasUnresolvedRuns reports whether runs on the worker are being stopped, or have to be unless a list shows them.
