--- a/sched/worker.go
+++ b/sched/worker.go
@@ -236,7 +236,7 @@
 		p.workers[e.ID] = w
 		p.sortedWorkers = insertWorker(p.sortedWorkers, w)
 	}
-	if e.Born != w.WorkerEntry.Born && e.Born != w.born && e.Born != 0 {
+	if e.Born != w.Born && e.Born != w.born && e.Born != 0 {
 		p.handleNewRegistration(w, e.Born)
 	}
 	if ok && w.Pool != e.Pool {
