--- a/sched/incarnation_test.go
+++ b/sched/incarnation_test.go
@@ -339,6 +339,21 @@
 	}
 }
 
+// Guards against a leader that steps down because of itself: the next incarnation refuses its own former fencing token. The start has
+// not been carried out then, and the task starts again.
+func TestRefusalOfAFormerFencingTokenEndsNoTerm(t *testing.T) {
+	b := newIncarnationBench(t)
+	b.register(secondIncarnation)
+	hold := b.pendingHold()
+	b.apply(b.event(Started{Start: b.start, Err: &croft.RunRefusedError{Reason: croft.RefusedFence}}))
+	assert.Assert(t, b.planner.leading)
+	b.apply(b.event(Held{Hold: hold, Report: croft.HoldReport{Clock: b.now, Born: secondIncarnation}}))
+	b.pass(100)
+	assert.Equal(t, len(b.restarts), 1)
+	effects := b.event(Started{Start: b.restarts[0], Err: &croft.RunRefusedError{Reason: croft.RefusedFence}})
+	assert.Equal(t, len(effectsOf[StepDown](effects)), 1)
+}
+
 // Guards against a run that goes on for ever: a former incarnation had accepted the stop of a start without an answer, and the next one,
 // which had carried the start out, was not sent it again.
 func TestStopOfAFormerIncarnationIsRepeated(t *testing.T) {
