sched: a gang is stopped with any member that is stopped

A member that was preempted, or whose start got no answer after it had been stopped, left the others waiting alone for 3 s (GANG): only some of the reasons for a stop stopped the gang.

Change: stopping the run that a member needs stops its gang, whatever the reason. The new test failed before (1 stop instead of 2).

--- a/sched/gang_test.go
+++ b/sched/gang_test.go
@@ -125,3 +125,18 @@
 	stops := effectsOf[Stop](b.event(Started{Start: starts[1], Err: &croft.LostAnswerError{Reason: "test"}}))
 	assert.Equal(t, len(stops), 2)
 }
+
+// Guards against members that wait for 3 s and end alone: one member was preempted, its start got no answer, and the others waited until
+// its executor answered again.
+func TestGangIsStoppedWithAMemberThatIsPreempted(t *testing.T) {
+	b := newTestBench(t)
+	b.takeLeadership(1, 2)
+	starts := effectsOf[Start](b.event(JobsRead{Jobs: []JobRow{testJob("g", gang(2, 40))}}))
+	assert.Equal(t, len(starts), 2)
+	urgent := step(1, 40)
+	urgent.Endless = true
+	row := testJob("urgent", urgent)
+	row.Part = "q.1"
+	stops := effectsOf[Stop](b.event(JobsRead{Jobs: []JobRow{row}}))
+	assert.Equal(t, len(stops), 2)
+}
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -286,7 +286,7 @@
 		return !r.isListed() && (r.fence < e.Order.Fence || (r.verifiableFrom != 0 && r.verifiableFrom < e.Sent))
 	}
 	for _, r := range filterRuns(w, func(r *run) bool { return r.awaitsList() && !r.isListed() && !isMissing(r) }) {
-		p.stopUnanswered(r)
+		p.stopRun(r, startUnanswered)
 	}
 	for _, r := range filterRuns(w, isMissing) {
 		p.log("Vanished", r.stage.id(r.index).String(), string(w.ID), fmt.Sprintf("run %d is listed neither as active nor as ended", r.number))
--- a/sched/order.go
+++ b/sched/order.go
@@ -44,7 +44,7 @@
 	p.markDirty(j)
 }
 
-// stopRun stops a run, unless it is being stopped already.
+// stopRun stops a run, unless it is being stopped already, and with it its gang, which is not complete any more.
 func (p *Planner) stopRun(r *run, reason string) {
 	if r.phase == phaseStopping {
 		return
@@ -54,6 +54,9 @@
 	r.worker.stoppingRuns++
 	r.verifiableFrom = 0
 	p.sendStop(r)
+	if r.stage.spec.Gang && r.stage.tasks[r.index].run == r {
+		p.stopGang(r.stage)
+	}
 }
 
 // sendStop sends the stop of a run for the first time or again.
@@ -234,13 +237,8 @@
 	unhealthyPause = 1 * croft.Second
 )
 
-// stopUnanswered stops a run whose start was not answered, and its gang, which is not complete any more.
-func (p *Planner) stopUnanswered(r *run) {
-	p.stopRun(r, "its start was not answered")
-	if r.stage.spec.Gang {
-		p.stopGang(r.stage)
-	}
-}
+// startUnanswered is the reason for which a run is stopped whose start got no answer.
+const startUnanswered = "its start was not answered"
 
 // handleStartFailure abandons a run that was refused, and stops one whose start has an unknown outcome.
 func (p *Planner) handleStartFailure(w *worker, r *run, err error) {
@@ -276,6 +274,6 @@
 			p.unresolvedStarts = append(p.unresolvedStarts, w)
 			return
 		}
-		p.stopUnanswered(r)
+		p.stopRun(r, startUnanswered)
 	}
 }
