--- a/sched/helpers_test.go
+++ b/sched/helpers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"waxwing.example/croft"
@@ -202,3 +203,8 @@
 func activeRun(task croft.TaskID, run int) croft.ActiveRun {
 	return croft.ActiveRun{Task: task, Run: run, Percent: 100}
 }
+
+// checksIn returns the holds that are checks.
+func checksIn(holds []Hold) []Hold {
+	return slices.DeleteFunc(slices.Clone(holds), func(h Hold) bool { return !h.Check })
+}
--- a/sched/incarnation_test.go
+++ b/sched/incarnation_test.go
@@ -474,12 +474,7 @@
 	stop := Stop{Order: b.start.Order}
 	b.apply(b.event(Stopped{Stop: stop}))
 	b.pass(croft.Second)
-	var checks []Hold
-	for _, h := range b.holds {
-		if h.Check {
-			checks = append(checks, h)
-		}
-	}
+	checks := checksIn(b.holds)
 	assert.Assert(t, len(checks) > 0)
 	for _, c := range checks {
 		assert.Equal(t, c.Order.Seen, int64(0))
--- a/sched/order_test.go
+++ b/sched/order_test.go
@@ -22,12 +22,7 @@
 	for range 6 {
 		effects = append(effects, b.advance(50)...)
 	}
-	var checks []Hold
-	for _, h := range effectsOf[Hold](effects) {
-		if h.Check {
-			checks = append(checks, h)
-		}
-	}
+	checks := checksIn(effectsOf[Hold](effects))
 	assert.Equal(t, len(checks), 1)
 	assert.Equal(t, checks[0].Order.Worker, worker)
 	restarts := effectsOf[Start](b.event(Held{Hold: checks[0], Report: croft.HoldReport{Clock: b.now, Born: 7}}))
@@ -46,12 +41,7 @@
 	assert.Equal(t, len(stops), 1)
 	b.now++
 	effects := b.event(Stopped{Stop: stops[0]})
-	var checks []Hold
-	for _, h := range effectsOf[Hold](effects) {
-		if h.Check {
-			checks = append(checks, h)
-		}
-	}
+	checks := checksIn(effectsOf[Hold](effects))
 	assert.Equal(t, len(checks), 1)
 	b.now++
 	effects = b.event(Held{Hold: checks[0], Report: croft.HoldReport{Clock: b.now, Born: 7}})
@@ -128,12 +118,7 @@
 		b, start, _ := servingPair(t)
 		effects := b.event(Started{Start: start, Err: errLost})
 		assert.Equal(t, len(effectsOf[Stop](effects)), 0)
-		var checks []Hold
-		for _, h := range effectsOf[Hold](effects) {
-			if h.Check {
-				checks = append(checks, h)
-			}
-		}
+		checks := checksIn(effectsOf[Hold](effects))
 		assert.Equal(t, len(checks), 1)
 		report := croft.HoldReport{Clock: b.now, Born: firstIncarnation}
 		if carriedOut {
