--- a/sched/hold.go
+++ b/sched/hold.go
@@ -41,10 +41,7 @@
 	if p.now.Elapsed < w.nextHold || w.Address == "" {
 		return
 	}
-	if w.needsFence && p.newestFence <= w.fence {
-		return
-	}
-	if w.holdPending && !w.needsFence {
+	if w.needsFence && p.newestFence <= w.fence || w.holdPending && !w.needsFence {
 		return
 	}
 	if !w.verified && !w.listed && p.now.Elapsed >= w.leasesEnd {
--- a/sched/order.go
+++ b/sched/order.go
@@ -142,15 +142,7 @@
 
 // hasUnresolvedRuns reports whether runs on the worker are being stopped, or have to be unless a list shows them.
 func (w *worker) hasUnresolvedRuns() bool {
-	if w.stoppingRuns > 0 {
-		return true
-	}
-	for _, r := range w.runs {
-		if r.awaitsList() {
-			return true
-		}
-	}
-	return false
+	return w.stoppingRuns > 0 || !w.allRuns(func(r *run) bool { return !r.awaitsList() })
 }
 
 // awaitsList reports that the start of a run was not answered, and that a list has to show whether the run has begun before it may be
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -283,13 +283,14 @@
 func (p *Planner) endIncarnation(w *worker, reason string, hasEnded func(*run) bool) {
 	// A hold that is pending may be answered by the incarnation that has ended.
 	w.needsFence = w.needsFence || !w.ended || w.holdPending
-	if w.ended && len(filterRuns(w, hasEnded)) == 0 {
+	ended := filterRuns(w, hasEnded)
+	if w.ended && len(ended) == 0 {
 		return
 	}
 	if len(w.runs) > 0 || w.verified {
 		p.log("IncarnationEnded", string(w.ID), fmt.Sprint(w.born), reason+describeUnlisted(w))
 	}
-	for _, r := range filterRuns(w, hasEnded) {
+	for _, r := range ended {
 		p.abandonRun(r)
 	}
 	if len(w.runs) > 0 {
@@ -489,15 +490,15 @@
 
 // schedulable reports whether a worker may get new work.
 func (p *Planner) schedulable(w *worker) bool {
-	return w.listed && w.verified && w.isRegistered() && w.orphanRuns == 0 && !w.Draining && !w.reserved && w.quarantinedUntil <= p.now.Elapsed
+	return w.listed && w.verified && w.isRegistrationCurrent() && w.orphanRuns == 0 && !w.Draining && !w.reserved && w.quarantinedUntil <= p.now.Elapsed
 }
 
-// isRegistered reports that the registration is that of the incarnation that answered last. One of a former incarnation says nothing
+// isRegistrationCurrent reports that the registration is that of the incarnation that answered last. One of a former incarnation says nothing
 // of the present labels and capacity, or of whether it is draining.
-func (w *worker) isRegistered() bool { return w.Born == 0 || w.Born == w.born }
+func (w *worker) isRegistrationCurrent() bool { return w.Born == 0 || w.Born == w.born }
 
 // isDraining reports that the incarnation that answered last has registered that it is draining.
-func (w *worker) isDraining() bool { return w.Draining && w.isRegistered() }
+func (w *worker) isDraining() bool { return w.Draining && w.isRegistrationCurrent() }
 
 // Limits of the quarantine of executors on which tasks fail.
 const (
