sched: endless tasks are started again when they end as done

Cause: what an end means was decided by its kind alone. recordEnd completed the task of any run that ended as done; only the count of failures looked at whether the step is endless.

Change: an endless task is never completed, neither by an end, nor by the end of another member of its gang, nor by the stored progress of a former version, which has such tasks, or their occurrence, as finished. Tasks of the same job that are not endless stay finished.

--- a/sched/hold.go
+++ b/sched/hold.go
@@ -231,8 +231,11 @@
 }
 
 // completeTask marks a task as done and stops its run if it still has one. The end of one member completes a whole
-// gang.
+// gang. Endless tasks are never done: they run until their job is cancelled, however a run ends.
 func (p *Planner) completeTask(s *stage, index int) {
+	if s.spec.Endless {
+		return
+	}
 	p.markTaskDone(s, index)
 	if r := s.tasks[index].run; r != nil {
 		p.stopRun(r, "another run finished the task")
--- a/sched/occurrence.go
+++ b/sched/occurrence.go
@@ -96,8 +96,12 @@
 	p.openReadyStages(j, occurrence)
 }
 
-// isStoredAsFinished reports whether the stored progress has an occurrence as finished, or all tasks of it as done.
+// isStoredAsFinished reports whether the stored progress has an occurrence as finished, or all tasks of it as done. Former versions
+// stored that of endless tasks too.
 func (j *job) isStoredAsFinished(occurrence int) bool {
+	if j.endless() {
+		return false
+	}
 	if j.progress.IsFinished(occurrence) {
 		return true
 	}
@@ -118,10 +122,11 @@
 	s.tasks = make([]task, s.spec.Count)
 	s.remainingTasks = s.spec.Count
 	name := jobs.StageName(occurrence, step)
+	finished := j.progress.IsFinished(occurrence)
 	for index := range s.tasks {
 		t := &s.tasks[index]
 		t.runNumber, t.unlistedEnd = p.initialRunNumber(j), j.inherited
-		t.done = jobs.HasBit(j.progress.Done[name], index)
+		t.done = !s.spec.Endless && (finished || jobs.HasBit(j.progress.Done[name], index))
 		taskName := jobs.TaskName(occurrence, step, index)
 		t.crashes, t.suspect = j.progress.Crashed[taskName]
 		if failed := j.progress.Failed[taskName]; len(failed) > 0 {
