model: endless tasks end by themselves, as done or as failed

Cause: in the model runs of endless tasks went on until something ended them, so no seed could show that a task is not restarted after its end.

Change: Options.EndlessEnds has their runs end at random while jobs are submitted. An end of an endless task is not counted as the task being done: PROTOCOL.md has them "restarted however they end", so the rule on starts after such an end (TWICE) can't hold for them, while a job with endless tasks that is shown as done breaks MIXED, and one that does not run at the end LOST. No other test draws different events.

--- a/model/executor.go
+++ b/model/executor.go
@@ -284,11 +284,34 @@
 	r.working = true
 	if step.Endless {
 		w.schedule(w.between(100, 700), func() { w.recordWorking(x, r) })
+		if w.options.EndlessEnds {
+			w.scheduleOwnEnd(x, r)
+		}
 		return
 	}
 	w.schedule(t.runDuration(w, x, step), func() { w.finishRun(x, r) })
 }
 
+// maxEndlessDuration is how long a run of an endless task goes on at most before it ends by itself, if such runs do.
+const maxEndlessDuration = 4 * croft.Second
+
+// scheduleOwnEnd has a run of an endless task end by itself, as done or as failed, unless no jobs are submitted any more then.
+func (w *World) scheduleOwnEnd(x *executor, r *run) {
+	how := croft.EndDone
+	if w.chance(0.5) {
+		how = croft.EndFailed
+	}
+	duration := w.between(1, maxEndlessDuration)
+	if w.now+duration > w.options.LoadDuration {
+		return
+	}
+	w.schedule(duration, func() {
+		if !x.dead && x.runs[r.task] == r && !r.stopping {
+			w.endRun(x, r, how)
+		}
+	})
+}
+
 // finishRun ends a run whose work is over, as done or failed.
 func (w *World) finishRun(x *executor, r *run) {
 	if x.dead || x.runs[r.task] != r || r.stopping {
--- a/model/invariants.go
+++ b/model/invariants.go
@@ -197,13 +197,15 @@
 	}
 	h := t.history(r.task)
 	h.stopWorking(w.now)
-	switch how {
-	case croft.EndDone:
+	switch {
+	case t.record.Spec.Steps[r.task.Step].Endless:
+		// Such a task is restarted however it ends, and is never done.
+	case how == croft.EndDone:
 		h.done = true
 		h.doneRuns = append(h.doneRuns, r.number)
-	case croft.EndFailed:
+	case how == croft.EndFailed:
 		h.failures++
-	case croft.EndAlone:
+	case how == croft.EndAlone:
 		if !w.options.Faults && !w.options.SameIDs && t.cancelledAt == 0 {
 			w.violation("GANG", "%s run %d waited alone on %s", r.task, r.number, x.id)
 		}
@@ -216,6 +218,9 @@
 	if !ok {
 		return
 	}
+	if t.record.Spec.Steps[end.Task.Step].Endless {
+		return
+	}
 	h := t.history(end.Task)
 	if w.orderDelayed {
 		h.lateness = fmt.Sprintf(", by a hold of %d ms ago that acknowledged an end", w.now-w.orderSentAt)
--- a/model/model_test.go
+++ b/model/model_test.go
@@ -112,6 +112,26 @@
 	})
 }
 
+// Guards against endless tasks that stay away for ever, and against a job that is shown as done, since their runs ended as done.
+func TestEndlessTasksThatEndAreStartedAgain(t *testing.T) {
+	checkSeeds(t, 0, endlessOptions)
+}
+
+// The same with leaders, executors and answers that fail: a successor reads ends that a former leader may have recorded.
+func TestEndlessTasksThatEndUnderFaultsAreStartedAgain(t *testing.T) {
+	checkSeeds(t, firstFaultSeed, func(seed uint64) Options {
+		options := endlessOptions(seed)
+		options.Faults = true
+		return options
+	})
+}
+
+func endlessOptions(seed uint64) Options {
+	options := smallOptions(seed)
+	options.EndlessEnds, options.Wave = true, seed%2 == 0
+	return options
+}
+
 // Guards against a task that brings down one executor after another, and with them the tasks of other jobs beside it: runs
 // that ended with their executor were not counted. No other job may be given up for it.
 func TestTasksThatCrashExecutorsAreGivenUp(t *testing.T) {
--- a/model/trace_test.go
+++ b/model/trace_test.go
@@ -15,8 +15,8 @@
 
 // TestTrace simulates the seed in WAXWING_TRACE as the tests of the invariants do, with zone cuts if WAXWING_TRACE_CUTS is
 // set, executors that return under their IDs if WAXWING_TRACE_RETURNS is (with start times that go back if it is back),
-// tasks that crash executors if WAXWING_TRACE_DEADLY is, and schedules if WAXWING_TRACE_SCHEDULES is. WAXWING_TRACE_WAVES
-// names options of waves, such as more,late. It prints the planner's log and orders; if WAXWING_TRACE_JOB is a job's id, it also prints the job's state at the end.
+// tasks that crash executors if WAXWING_TRACE_DEADLY is, schedules if WAXWING_TRACE_SCHEDULES is, and endless tasks whose runs end by
+// themselves if WAXWING_TRACE_ENDLESS is. WAXWING_TRACE_WAVES names options of waves, such as more,late. It prints the planner's log and orders; if WAXWING_TRACE_JOB is a job's id, it also prints the job's state at the end.
 func TestTrace(t *testing.T) {
 	text := os.Getenv("WAXWING_TRACE")
 	if text == "" {
@@ -36,6 +36,7 @@
 	if os.Getenv("WAXWING_TRACE_DEADLY") != "" {
 		options.DeadlyJobs = true
 	}
+	options.EndlessEnds = os.Getenv("WAXWING_TRACE_ENDLESS") != ""
 	if os.Getenv("WAXWING_TRACE_SCHEDULES") != "" {
 		options = scheduleOptions(seed)
 	}
--- a/model/world.go
+++ b/model/world.go
@@ -34,6 +34,8 @@
 	ClocksSetBack bool
 	// DeadlyJobs makes a task of some jobs crash each executor that starts it.
 	DeadlyJobs bool
+	// EndlessEnds makes runs of endless tasks end by themselves while jobs are submitted, as done or as failed.
+	EndlessEnds bool
 	// Wave requests the maintenance of half of the VMs.
 	Wave bool
 	// MoreWaves is how many further waves are requested after the first one, which all share VMs. The options below also
