sched: an endless task whose runs end at once is restarted with pauses

Cause: since an end as done restarts an endless task, a program that can't run and exits at once would be started as often as its executor answers. So was one that ended as failed; a quarantine of its executors only spread that.

Change: from the second run in a row that ends by itself within 1 s, the task waits 0.5 s before it is started again, doubled each time, at most 4 s: the pauses of endless tasks whose executors go down, now one function. The first such end delays nothing. A task that waits for its pause does not count as waiting for capacity, or tasks behind it would wait beside free executors.

TestEndlessTaskThatEndsAtOnceIsStartedAgainWithPauses did not hold without the pauses, TestEndlessTaskThatWaitsForItsPauseKeepsNoOthersWaiting not with awaitsCapacity as it was.

--- a/sched/crash.go
+++ b/sched/crash.go
@@ -24,10 +24,6 @@
 	// sameVMPause is how long a task that is not endless is kept from the VMs whose executors went down just after its starts,
 	// unless it has survived another start since.
 	sameVMPause = 5 * croft.Second
-	// baseCrashPause is how long an endless task waits after the second executor that went down just after its start; each
-	// further one doubles it, up to maxCrashPause.
-	baseCrashPause = 500 * croft.Millis(1)
-	maxCrashPause  = 4 * croft.Second
 )
 
 // isSuspect reports whether the last start of a task may have crashed its executor.
@@ -199,7 +195,7 @@
 	p.setSuspicion(r.stage, r.index, true, crashes)
 	if r.stage.spec.Endless {
 		if crashes > 1 {
-			pause := min(baseCrashPause<<min(crashes-2, 4), maxCrashPause)
+			pause := restartPause(crashes)
 			t.startFrom = p.now.Elapsed + pause
 			p.log("Pause", r.stage.id(r.index).String(), string(r.worker.ID), fmt.Sprintf("%d executors went down just after its starts; it is started again in %d ms", crashes, pause))
 		}
--- a/sched/endless_test.go
+++ b/sched/endless_test.go
@@ -124,3 +124,62 @@
 	assert.Equal(t, j.ended, false)
 	assert.Equal(t, j.stages[0].remainingTasks, 2)
 }
+
+// Guards against starts in a loop: the program of an endless task that ends at once, again and again, was started again at once. The first
+// such end delays nothing, nor does any end of a run that has gone on for a while.
+func TestEndlessTaskThatEndsAtOnceIsStartedAgainWithPauses(t *testing.T) {
+	for _, how := range []croft.EndKind{croft.EndDone, croft.EndFailed} {
+		t.Run(string(how), func(t *testing.T) {
+			b := newTestBench(t)
+			b.takeLeadership(1, 2)
+			starts := effectsOf[Start](b.event(JobsRead{Jobs: []JobRow{testJob("j", endlessStep(1, 1))}}))
+			ends := map[croft.WorkerID]int64{}
+			endAfter := func(duration croft.Millis) croft.Millis {
+				assert.Equal(t, len(starts), 1)
+				order := starts[0].Order
+				b.event(Started{Start: starts[0], Clock: b.now})
+				b.advance(duration)
+				place := 0
+				for workerName(place) != order.Worker {
+					place++
+				}
+				ends[order.Worker]++
+				ended := b.now
+				effects := b.answerHold(place, croft.EndedRun{Number: ends[order.Worker], Task: order.Task, Run: order.Run, How: how})
+				for len(effectsOf[Start](effects)) == 0 {
+					assert.Assert(t, b.now-ended < maxRestartPause+croft.Second, "not started again")
+					effects = append(effects, b.advance(50)...)
+				}
+				starts = effectsOf[Start](effects)
+				return b.now - ended
+			}
+			var pauses []croft.Millis
+			for range 8 {
+				pauses = append(pauses, endAfter(5))
+			}
+			assert.Assert(t, pauses[0] < 50, "%v", pauses)
+			assert.Assert(t, pauses[1] >= baseRestartPause && pauses[7] >= maxRestartPause, "%v", pauses)
+			assert.Assert(t, endAfter(briefRun) < 50)
+			assert.Assert(t, endAfter(5) < 50)
+			assert.Assert(t, endAfter(5) >= baseRestartPause)
+		})
+	}
+}
+
+// Guards against tasks that wait beside free capacity: an endless task that is not due yet counted as one that could not be placed.
+func TestEndlessTaskThatWaitsForItsPauseKeepsNoOthersWaiting(t *testing.T) {
+	b := newTestBench(t)
+	b.takeLeadership(1, 1)
+	starts := effectsOf[Start](b.event(JobsRead{Jobs: []JobRow{testJob("j", endlessStep(1, 1))}}))
+	for run := range 2 {
+		b.event(Started{Start: starts[0], Clock: b.now})
+		b.advance(5)
+		starts = effectsOf[Start](b.answerHold(0, doneRun(int64(run+1), starts[0].Order.Task, run+1)))
+	}
+	assert.Equal(t, len(starts), 0)
+	row := testJob("other", step(1, 1))
+	row.Part = "q.1"
+	assert.Equal(t, len(startsOf(b.event(JobsRead{Jobs: []JobRow{row}}), "other")), 1)
+	b.advance(placeInterval)
+	assert.Equal(t, b.planner.pool(testPool).backlogged, false)
+}
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -196,6 +196,9 @@
 		if end.How == croft.EndDone {
 			p.recordDuration(r)
 		}
+		if end.How == croft.EndDone || end.How == croft.EndFailed {
+			p.delayBriefRun(r)
+		}
 		p.removeRun(r)
 	}
 	if j != nil {
--- a/sched/job.go
+++ b/sched/job.go
@@ -102,8 +102,10 @@
 	// that went down just after they had begun the task, since one last survived that.
 	suspect bool
 	crashes int
-	// startFrom is when the task may be started again after it may have crashed executors.
+	// startFrom is when the task may be started again after it may have crashed executors, or has ended just after its starts.
 	startFrom croft.Millis
+	// briefRuns counts the last runs of an endless task in a row that ended by themselves within the time briefRun.
+	briefRuns int
 	// crashedOn are the VMs of these executors, which the task is kept from until sameVMFrom.
 	crashedOn  []croft.VMID
 	sameVMFrom croft.Millis
--- a/sched/place.go
+++ b/sched/place.go
@@ -126,7 +126,7 @@
 			p.placeGang(po, candidate.stage)
 		default:
 			p.placeStage(po, candidate.stage)
-			if candidate.stage.awaitsCapacity() {
+			if p.awaitsCapacity(candidate.stage) {
 				unplaceable = unplaceable.with(candidate.stage)
 			}
 		}
@@ -167,9 +167,12 @@
 	return false
 }
 
-// awaitsCapacity reports whether tasks wait that are no suspects: those may wait for an executor without other suspects.
-func (s *stage) awaitsCapacity() bool {
-	return slices.ContainsFunc(s.waiting, func(index int) bool { return !s.tasks[index].isSuspect() })
+// awaitsCapacity reports whether tasks wait for nothing but capacity: suspects may wait for an executor without others, and tasks that
+// have ended at once for the end of a pause.
+func (p *Planner) awaitsCapacity(s *stage) bool {
+	return slices.ContainsFunc(s.waiting, func(index int) bool {
+		return !s.tasks[index].isSuspect() && p.now.Elapsed >= s.tasks[index].startFrom
+	})
 }
 
 // placeStage starts as many waiting tasks of a stage as fit.
