--- a/sched/fleet.go
+++ b/sched/fleet.go
@@ -246,8 +246,7 @@
 			continue
 		}
 		if vm, listed := f.vms[f.lastVM[w.ID]]; listed && vm.Worker != "" {
-			p.endUnexpectedly(w, "its VM runs another executor", (*run).isAny)
-			p.endLeases(w, p.now.Elapsed)
+			p.endReplaced(w, "its VM runs another executor")
 		} else if listed {
 			p.endUnexpectedly(w, "its VM does not run this executor", wasShownBefore(e.RequestedAt))
 			p.endLeases(w, e.RequestedAt)
