--- a/sched/fleet.go
+++ b/sched/fleet.go
@@ -246,7 +246,8 @@
 			continue
 		}
 		if vm, listed := f.vms[f.lastVM[w.ID]]; listed && vm.Worker != "" {
-			p.endReplaced(w, "its VM runs another executor")
+			p.endUnexpectedly(w, "its VM runs another executor", (*run).isAny)
+			p.endLeases(w, p.now.Elapsed)
 		} else if listed {
 			p.endUnexpectedly(w, "its VM does not run this executor", wasShownBefore(e.RequestedAt))
 			p.endLeases(w, e.RequestedAt)
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -293,7 +293,6 @@
 	}
 	for _, r := range filterRuns(w, isMissing) {
 		p.log("Vanished", r.stage.id(r.index).String(), string(w.ID), fmt.Sprintf("run %d is listed neither as active nor as ended", r.number))
-		p.recordLateStart(r)
 		p.abandonRun(r)
 	}
 }
--- a/sched/job.go
+++ b/sched/job.go
@@ -121,8 +121,6 @@
 	// unlistedEnd reports that the last run, which may be a former leader's, ended without being listed: a successor of this
 	// leader may know how it ended.
 	unlistedEnd bool
-	// lateStarts are the starts without an answer that later incarnations of their executors may carry out.
-	lateStarts []lateStart
 	// avoidWorker is the worker on which the last run failed.
 	avoidWorker croft.WorkerID
 	// evicted reports that the planner stopped the task to empty its executor and that it does not serve again yet.
--- a/sched/order.go
+++ b/sched/order.go
@@ -193,7 +193,8 @@
 		p.stepDown(fmt.Sprintf("executor %s refused fencing token %d: it has seen a higher one", w.ID, fence))
 		return true
 	case refused.Reason == croft.RefusedIncarnation && address == w.Address:
-		p.endReplaced(w, "another executor answers at its address")
+		p.endUnexpectedly(w, "another executor answers at its address", (*run).isAny)
+		p.endLeases(w, p.now.Elapsed)
 		return true
 	}
 	return false
@@ -202,11 +203,7 @@
 // handleStartResult records that a run has begun, or handles the failure of its start.
 func (p *Planner) handleStartResult(e Started) {
 	w, r := p.findRun(e.Order)
-	if r == nil {
-		p.handleLateStartResult(e)
-		return
-	}
-	if p.handleWorkerRefusal(w, e.Order.Fence, e.Order.Address, e.Err) {
+	if r == nil || p.handleWorkerRefusal(w, e.Order.Fence, e.Order.Address, e.Err) {
 		return
 	}
 	if e.Err == nil {
@@ -224,16 +221,6 @@
 	p.handleStartFailure(w, r, e.Err)
 }
 
-// handleLateStartResult applies the outcome of the start of a run that is not known any more: a refusal shows that no other incarnation
-// carries the start out.
-func (p *Planner) handleLateStartResult(e Started) {
-	var refused *croft.RunRefusedError
-	var unavailable *croft.UnavailableError
-	if errors.As(e.Err, &refused) || errors.As(e.Err, &unavailable) {
-		p.forgetLateStart(e.Order)
-	}
-}
-
 // Durations for which an executor gets no work after a refused start.
 const (
 	// noCapacityPause gives an executor without enough capacity time to finish a run.
--- a/sched/place.go
+++ b/sched/place.go
@@ -167,26 +167,20 @@
 	return false
 }
 
-// awaitsCapacity reports whether tasks wait for nothing but capacity; suspects may wait for an executor without others.
+// awaitsCapacity reports whether tasks wait for nothing but capacity: suspects may wait for an executor without others, and tasks that
+// have ended at once for the end of a pause.
 func (p *Planner) awaitsCapacity(s *stage) bool {
 	return slices.ContainsFunc(s.waiting, func(index int) bool {
-		return !s.tasks[index].isSuspect() && p.mayStartNow(s, index)
+		return !s.tasks[index].isSuspect() && p.now.Elapsed >= s.tasks[index].startFrom
 	})
 }
 
-// mayStartNow reports whether a waiting task may be started, wherever that is: it waits neither for the end of a pause nor for an
-// executor that may have begun it.
-func (p *Planner) mayStartNow(s *stage, index int) bool {
-	t := &s.tasks[index]
-	return p.now.Elapsed >= t.startFrom && !p.awaitsLateStart(t)
-}
-
 // placeStage starts as many waiting tasks of a stage as fit.
 func (p *Planner) placeStage(po *pool, s *stage) {
 	placed := placement{waiting: len(s.waiting)}
 	defer func() { p.logPlacement(s, placed) }()
 	for _, index := range slices.Clone(s.waiting) {
-		if !p.mayStartNow(s, index) {
+		if p.now.Elapsed < s.tasks[index].startFrom {
 			continue
 		}
 		w := p.chooseWorker(po, s, index)
@@ -270,9 +264,6 @@
 		p.stopGang(s)
 		return
 	}
-	if slices.ContainsFunc(s.waiting, func(index int) bool { return !p.mayStartNow(s, index) }) {
-		return
-	}
 	chosen := make([]*worker, 0, len(s.waiting))
 	number := 0
 	needs := s.needs()
@@ -374,8 +365,6 @@
 const (
 	// remotePenalty keeps tasks near their data: elsewhere they take remote_factor times as long.
 	remotePenalty = int64(1) << 40
-	// lateStartPenalty keeps a task on the worker that may carry out another start of it: two runs of it there are none at a time.
-	lateStartPenalty = int64(1) << 39
 	// failedHerePenalty keeps a task from the worker on which its last run failed.
 	failedHerePenalty = int64(1) << 38
 	// colocationPenalty spreads the endless tasks of a step, so that the loss of one executor stops only one of them.
@@ -395,9 +384,6 @@
 	if s.spec.DataRack != "" && w.Rack != s.spec.DataRack {
 		score += remotePenalty
 	}
-	if t := &s.tasks[index]; len(p.currentLateStarts(t)) > 0 && !p.mayBeginOn(t, w) {
-		score += lateStartPenalty
-	}
 	if s.tasks[index].avoidWorker == w.ID {
 		score += failedHerePenalty
 	}
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -54,8 +54,6 @@
 	// clockOffset is the executor's clock minus the planner's, if clockKnown.
 	clockOffset croft.Millis
 	clockKnown  bool
-	// replacedAt is since when no earlier order is carried out any more, as another executor has taken the place of this one.
-	replacedAt croft.Millis
 	// leasesEnd is when all leases have ended that any leader may have granted to the executor.
 	leasesEnd croft.Millis
 	// ackedEnd is the number of the last ended run that the executor may forget, and recordedEnd that of the last one
@@ -305,13 +303,6 @@
 	w.nextHold = p.now.Elapsed
 }
 
-// endReplaced ends the incarnation of an executor whose place another one has taken, so that no order to it is carried out any more.
-func (p *Planner) endReplaced(w *worker, reason string) {
-	p.endUnexpectedly(w, reason, (*run).isAny)
-	p.endLeases(w, p.now.Elapsed)
-	w.replacedAt = p.now.Elapsed
-}
-
 // keepRuns keeps the runs on an executor that may begin, or have begun, in its next incarnation, which knows nothing of the stops
 // that the former one has accepted and whose leases would begin anew.
 func (p *Planner) keepRuns(w *worker) {
