--- a/sched/endless_test.go
+++ b/sched/endless_test.go
@@ -36,6 +36,7 @@
 				starts = effectsOf[Start](effects)
 				assert.Equal(t, len(starts), 1)
 				assert.Equal(t, starts[0].Order.Run, run+1)
+				assert.Equal(t, len(logsOf(effects, "Ended"))+len(logsOf(effects, "Failed")), 1)
 			}
 		})
 	}
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -219,6 +219,9 @@
 	switch end.How {
 	case croft.EndDone:
 		w.consecutiveFailures = 0
+		if s.spec.Endless {
+			p.logEnd(w, end)
+		}
 		p.completeTask(s, index)
 		ack.job, ack.sequence = s.job, s.job.sequence
 	case croft.EndFailed:
@@ -227,12 +230,17 @@
 		p.recordTaskFailure(s, index, end.Run, w.ID)
 		ack.job, ack.sequence = s.job, s.job.sequence
 	default:
-		p.log("Ended", end.Task.String(), string(w.ID), fmt.Sprintf("run %d %s", end.Run, end.How))
+		p.logEnd(w, end)
 	}
 	p.requeue(s, index)
 	w.pendingAcks = append(w.pendingAcks, ack)
 }
 
+// logEnd logs the end of a run after which its task is started again.
+func (p *Planner) logEnd(w *worker, end croft.EndedRun) {
+	p.log("Ended", end.Task.String(), string(w.ID), fmt.Sprintf("run %d %s", end.Run, end.How))
+}
+
 // completeTask marks a task as done and stops its run if it still has one. The end of one member completes a whole
 // gang. Endless tasks are never done: they run until their job is cancelled, however a run ends.
 func (p *Planner) completeTask(s *stage, index int) {
