sched: the run numbers of a term are above those of all former ones

Cause: a leader numbered its runs from (term - 1) x 1,000 on, which was assumed to be above what former leaders had used. A task that had been started more often in one term was refused as old by the executors that had run it. That counted as a lack of capacity, and the next start had the next number.

Change: a term has 100,000 numbers for each task, and ends when a waiting task has used the last one. A refusal as old, or a former leader that stores late that it may have started a job, raises the number above those of former terms in one step; the executor goes on getting work. The test of the largest state has numbers of seven digits. Numbers made of fencing tokens need no end of a term and were tried: the largest state does not fit a row with them (69,642 bytes of 65,536).

Tests of number_test.go on the code before: 1001 after 3000 in the second term, a start beyond the term's numbers, no start at once after a refusal, and 1 in place of 200001 after a late announcement.

--- a/sched/commit.go
+++ b/sched/commit.go
@@ -318,6 +318,7 @@
 	p.openStoredOccurrences(j, progress)
 	for _, s := range j.stages {
 		for index := range s.tasks {
+			s.tasks[index].runNumber = max(s.tasks[index].runNumber, p.initialRunNumber(j))
 			if progress.IsFinished(s.occurrence) || jobs.HasBit(progress.Done[jobs.StageName(s.occurrence, s.step)], index) {
 				p.completeTask(s, index)
 			}
--- a/sched/job.go
+++ b/sched/job.go
@@ -96,13 +96,16 @@
 	done bool
 	// runNumber is the highest run number in use.
 	runNumber int
+	// oldNumbers counts the last run numbers in a row that executors refused as old.
+	oldNumbers int
 	// failures counts the failed runs.
 	failures int
 	// suspect reports that the executor of the last start may have gone down because of it, and crashes counts the executors
 	// that went down just after they had begun the task, since one last survived that.
 	suspect bool
 	crashes int
-	// startFrom is when the task may be started again after it may have crashed executors, or has ended just after its starts.
+	// startFrom is when the task may be started again after it may have crashed executors, has ended just after its starts, or had
+	// run numbers refused.
 	startFrom croft.Millis
 	// briefRuns counts the last runs of an endless task in a row that ended by themselves within the time briefRun.
 	briefRuns int
@@ -195,18 +198,6 @@
 	return croft.Millis(j.record.Stretch*float64(longest)) + j.record.Latency
 }
 
-// runsPerTerm is assumed to be more than the starts of one task in one leader's term: a successor numbers its runs
-// above all numbers that former leaders may have used.
-const runsPerTerm = 1000
-
-// initialRunNumber returns the run number after which the runs of a job's tasks are numbered in this term.
-func (p *Planner) initialRunNumber(j *job) int {
-	if j.inherited {
-		return (p.term - 1) * runsPerTerm
-	}
-	return 0
-}
-
 // openReadyStages opens the stages whose predecessors are done and queues their tasks.
 func (p *Planner) openReadyStages(j *job, occurrence int) {
 	for i := range j.record.Spec.Steps {
--- a/sched/order.go
+++ b/sched/order.go
@@ -208,6 +208,7 @@
 	}
 	if e.Err == nil {
 		p.markJobBegan(r.stage.job, w)
+		r.stage.tasks[r.index].oldNumbers = 0
 		r.verifiableFrom, r.answeredAt, r.shownAt = p.now.Elapsed, p.now.Elapsed, p.now.Elapsed
 		if r.phase == phaseStarting {
 			r.phase = phaseActive
@@ -243,6 +244,8 @@
 		switch {
 		case r.fence < w.fence:
 			// The start was sent to a former incarnation.
+		case refused.Reason == croft.RefusedOld:
+			p.replaceOldNumber(&r.stage.tasks[r.index])
 		case refused.Reason == croft.RefusedTicket && r.stage.advice != nil:
 			delete(r.stage.advice.permits, w.ID)
 		default:
--- a/sched/place.go
+++ b/sched/place.go
@@ -167,20 +167,26 @@
 	return false
 }
 
-// awaitsCapacity reports whether tasks wait for nothing but capacity: suspects may wait for an executor without others, and tasks that
-// have ended at once for the end of a pause.
+// awaitsCapacity reports whether tasks wait for nothing but capacity; suspects may wait for an executor without others.
 func (p *Planner) awaitsCapacity(s *stage) bool {
 	return slices.ContainsFunc(s.waiting, func(index int) bool {
-		return !s.tasks[index].isSuspect() && p.now.Elapsed >= s.tasks[index].startFrom
+		return !s.tasks[index].isSuspect() && p.mayStartNow(s, index)
 	})
 }
 
+// mayStartNow reports whether a waiting task may be started, wherever that is: it waits neither for the end of a pause nor for a run
+// number.
+func (p *Planner) mayStartNow(s *stage, index int) bool {
+	t := &s.tasks[index]
+	return p.now.Elapsed >= t.startFrom && p.hasRunNumber(s, index)
+}
+
 // placeStage starts as many waiting tasks of a stage as fit.
 func (p *Planner) placeStage(po *pool, s *stage) {
 	placed := placement{waiting: len(s.waiting)}
 	defer func() { p.logPlacement(s, placed) }()
 	for _, index := range slices.Clone(s.waiting) {
-		if p.now.Elapsed < s.tasks[index].startFrom {
+		if !p.mayStartNow(s, index) {
 			continue
 		}
 		w := p.chooseWorker(po, s, index)
@@ -264,6 +270,9 @@
 		p.stopGang(s)
 		return
 	}
+	if slices.ContainsFunc(s.waiting, func(index int) bool { return !p.mayStartNow(s, index) }) {
+		return
+	}
 	chosen := make([]*worker, 0, len(s.waiting))
 	number := 0
 	needs := s.needs()
--- a/sched/planner.go
+++ b/sched/planner.go
@@ -33,6 +33,8 @@
 	// higher one, and all are lower than that of a successor.
 	newestFence uint64
 	term        int
+	// lastNumberUsed names a waiting task that has used its last run number of the term.
+	lastNumberUsed string
 	// leaderSince is when the current term began.
 	leaderSince croft.Millis
 	// vmOrdersFrom is when VMs may first be ordered to move or to be maintained; until then a former leader may do so, and
@@ -118,6 +120,7 @@
 	p.holdCandidates, p.unresolvedStarts, p.wakeAt = nil, nil, 0
 	p.moves = map[croft.VMID]*move{}
 	p.refusedMoves = map[moveRoute]bool{}
+	p.lastNumberUsed = ""
 	p.nextScale, p.nextLoads, p.nextPoolLog, p.pendingAdvice, p.refusing = 0, 0, 0, 0, false
 	p.meanDurations = map[croft.QueueID]float64{}
 	for number, w := range p.waves {
@@ -134,6 +137,7 @@
 	if p.leading {
 		p.plan()
 	}
+	p.endTermWithoutNumbers()
 	return p.effects
 }
 
