agent: the states of ended jobs are dropped page by page as they are read

Cause: a new leader without a copy, and an entry that begins to stand by, read the whole table of states into memory, with those of all jobs that had ever ended. A copy dropped them only once the read was complete.

Change: ReadTable takes the condition for rows to keep and applies it to each page. A job row without a state has ended, as it had for leaders that began with a copy.

TestStatesOfEndedJobsAreNotReadIntoMemory: 1,004 rows for two jobs without the condition, 4 with it.

--- a/agent/follow.go
+++ b/agent/follow.go
@@ -129,7 +129,7 @@
 // readOrFollow reads a whole table for version zero and waits for its changes otherwise.
 func (a *Agent) readOrFollow(ctx context.Context, name string, after uint64, wait croft.Millis) (croft.Changes, error) {
 	if after == 0 {
-		return a.Feed.ReadTable(ctx, name)
+		return a.Feed.ReadTable(ctx, name, isNeeded)
 	}
 	return a.Feed.Follow(ctx, name, after, wait)
 }
@@ -187,13 +187,13 @@
 	})
 }
 
-// readStoredJobs reads the tables of jobs and of their states.
+// readStoredJobs reads the table of jobs and the states of those that have not ended.
 func (a *Agent) readStoredJobs(ctx context.Context) (storedJobs, error) {
-	got, err := a.Feed.ReadTable(ctx, jobs.JobTable)
+	got, err := a.Feed.ReadTable(ctx, jobs.JobTable, nil)
 	if err != nil {
 		return storedJobs{}, err
 	}
-	states, err := a.Feed.ReadTable(ctx, jobs.StateTable)
+	states, err := a.Feed.ReadTable(ctx, jobs.StateTable, isNeeded)
 	if err != nil {
 		return storedJobs{}, err
 	}
--- a/agent/standby.go
+++ b/agent/standby.go
@@ -102,7 +102,7 @@
 		c.rows = map[string]croft.Row{}
 	}
 	for _, row := range changes.Rows {
-		if isFinalState(row) {
+		if !isNeeded(row) {
 			delete(c.rows, copyKey(row.Key))
 			continue
 		}
@@ -115,14 +115,14 @@
 	return c.version
 }
 
-// isFinalState reports whether a row is the state of a job that has ended.
-func isFinalState(row croft.Row) bool {
+// isNeeded reports whether a new leader needs a row: all but the states of jobs that have ended, of which there are far more.
+func isNeeded(row croft.Row) bool {
 	if !strings.HasPrefix(row.Key, jobs.StateTable+"/") {
-		return false
+		return true
 	}
 	progress, err := jobs.DecodeProgress(row.Value)
 	// An unreadable row is kept: the new leader logs it.
-	return err == nil && progress.Status.Final()
+	return err != nil || !progress.Status.Final()
 }
 
 // copyKey returns a row's key without its table, which is the same for the job and the state of a job.
--- a/agent/standby_test.go
+++ b/agent/standby_test.go
@@ -35,8 +35,8 @@
 	partSilent bool
 	// historyGone reports that the feeds have no changes any more.
 	historyGone bool
-	// reads counts the reads of whole tables, and follows the calls of feeds.
-	reads, follows int
+	// reads counts the reads of whole tables, rowsRead the rows that they returned, and follows the calls of feeds.
+	reads, rowsRead, follows int
 }
 
 func newFakeFeed() *fakeFeed {
@@ -84,14 +84,19 @@
 	return f.changes(table, after), ctx.Err()
 }
 
-func (f *fakeFeed) ReadTable(_ context.Context, table string) (croft.Changes, error) {
+func (f *fakeFeed) ReadTable(_ context.Context, table string, keep func(croft.Row) bool) (croft.Changes, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reads++
 	if f.partSilent {
 		return croft.Changes{}, &croft.LostAnswerError{Reason: "a part does not answer"}
 	}
-	return f.changes(table, 0), nil
+	changes := f.changes(table, 0)
+	if keep != nil {
+		changes.Rows = slices.DeleteFunc(changes.Rows, func(row croft.Row) bool { return !keep(row) })
+	}
+	f.rowsRead += len(changes.Rows)
+	return changes, nil
 }
 
 func (f *fakeFeed) changes(table string, after uint64) croft.Changes {
@@ -221,6 +226,29 @@
 	assert.Assert(t, feed.readCount() > reads)
 }
 
+// Guards against entries that exceed their memory again and again: a new leader, or one that stands by, held the states of all jobs that
+// had ever ended.
+func TestStatesOfEndedJobsAreNotReadIntoMemory(t *testing.T) {
+	for _, standsBy := range []bool{false, true} {
+		feed := newFakeFeed()
+		const ended = 1000
+		for i := range ended {
+			feed.putStatus(croft.JobID(strconv.Itoa(i)), jobs.Done)
+		}
+		feed.putJob("running", jobs.Running)
+		version := feed.putJob("waiting", jobs.Pending)
+		a, ctx := newTestAgent(t, feed)
+		if standsBy {
+			standBy(ctx, t, a, version)
+		}
+		assert.DeepEqual(t, firstJobs(ctx, t, a, version), []croft.JobID{"running", "waiting"})
+		feed.mu.Lock()
+		// A row of each of the two tables for each of the two jobs.
+		assert.Equal(t, feed.rowsRead, 4)
+		feed.mu.Unlock()
+	}
+}
+
 // Guards against a job that stays unknown: it was stored between the reads of the two tables, and its state was missing.
 func TestJobStoredAfterTheStatesWereReadIsNew(t *testing.T) {
 	a, _ := newTestAgent(t, newFakeFeed())
--- a/agent/wave.go
+++ b/agent/wave.go
@@ -173,7 +173,7 @@
 // readWaves reads, once a term, for which VMs former leaders have begun or ordered maintenance.
 func (a *Agent) readWaves(ctx context.Context, reports *waveWriter) {
 	for ctx.Err() == nil {
-		got, err := a.Feed.ReadTable(ctx, waveTable)
+		got, err := a.Feed.ReadTable(ctx, waveTable, nil)
 		if err != nil {
 			a.Log.Warn("Feed", "waves", err.Error())
 			if a.Clock.Sleep(ctx, retryDelay) != nil {
--- a/queue.go
+++ b/queue.go
@@ -107,8 +107,9 @@
 	// Follow waits for changes of a table after a version; it returns ErrHistoryGone if the store
 	// no longer has all changes since then.
 	Follow(ctx context.Context, table string, after uint64, wait Millis) (Changes, error)
-	// ReadTable returns all rows of a table and the version from which to follow it.
-	ReadTable(ctx context.Context, table string) (Changes, error)
+	// ReadTable returns the rows of a table for which keep holds, all if it is nil, and the version from which to follow the table.
+	// It drops the others as it reads them, so that they take no memory.
+	ReadTable(ctx context.Context, table string, keep func(Row) bool) (Changes, error)
 }
 
 // Advice is the service that decides which executors may run a step.
