sched: a job that fails before it began does not count as waiting

Callers that asked for a queue's waiting jobs were told of jobs that had ended as failed before an executor had begun one of their tasks, for ever.

Cause: the row that counts a job as waiting was deleted with the state of a job that had begun; the end of one that had not left it.

Change: the end deletes it too. The test had only the row of the job among the deletions before.

--- a/sched/commit.go
+++ b/sched/commit.go
@@ -154,7 +154,7 @@
 		}
 		commit.Writes = append(commit.Writes, Write{ID: j.id, Sequence: j.sequence, Announced: j.announced, Began: j.began})
 		commit.Ops = append(commit.Ops, croft.Op{Kind: croft.OpPut, Key: jobs.Key(jobs.StateTable, name, j.id), Version: j.version, Value: value})
-		if j.began && !j.waitRowDeleted {
+		if (j.began || j.ended) && !j.waitRowDeleted {
 			commit.Ops = append(commit.Ops, croft.Op{Kind: croft.OpDelete, Key: jobs.Key(jobs.WaitTable, name, j.id), Version: croft.AnyVersion})
 		}
 		if j.ended {
--- a/sched/commit_test.go
+++ b/sched/commit_test.go
@@ -100,6 +100,26 @@
 	assert.Assert(t, commits[0].Writes[0].Began)
 }
 
+// Guards against a job that counts as waiting for ever: it failed before an executor had begun one of its tasks.
+func TestJobThatFailsBeforeItBeganDoesNotCountAsWaiting(t *testing.T) {
+	b := newTestBench(t)
+	row := testJob("j", step(1, 1))
+	row.Progress.Announced, row.Progress.Crashed = true, map[string]int{jobs.TaskName(0, 0, 0): minCrashes}
+	b.takeLeadership(2, 0, row)
+	commits := effectsOf[Commit](append(b.replaceWorker(0), b.advance(b.planner.predecessorLeasesEnd())...))
+	assert.Equal(t, len(commits), 1)
+	progress, err := jobs.DecodeProgress(commits[0].Ops[0].Value)
+	assert.NilError(t, err)
+	assert.Equal(t, progress.Status, jobs.Failed)
+	var deleted []string
+	for _, op := range commits[0].Ops {
+		if op.Kind == croft.OpDelete {
+			deleted = append(deleted, op.Key)
+		}
+	}
+	assert.DeepEqual(t, deleted, []string{jobs.Key(jobs.WaitTable, "q.0", "j"), jobs.Key(jobs.JobTable, "q.0", "j")})
+}
+
 // The load of a turn on a slow store, in which a commit takes half a second: the progress of a running job does not occupy
 // its part, so that the end of another job is stored at once.
 func TestEndIsStoredBeforeProgressWhileCommitsAreSlow(t *testing.T) {
