--- a/agent/agent.go
+++ b/agent/agent.go
@@ -31,6 +31,8 @@
 	Planner   sched.Options
 	// ConfigApply is how long after its confirmation a configuration has to be in force.
 	ConfigApply croft.Millis
+	// StateRetention is for how long at least the states of ended jobs are kept.
+	StateRetention croft.Millis
 }
 
 // Agent runs one entry.
@@ -216,4 +218,5 @@
 	go a.followWorkers(leadingCtx)
 	go a.followJobs(leadingCtx, term.Fence)
 	go a.readWaves(leadingCtx, reports)
+	go a.removeEndedStates(leadingCtx)
 }
--- a/stats/stats.go
+++ b/stats/stats.go
@@ -26,6 +26,7 @@
 	queueWaiting   *prometheus.GaugeVec
 	queueOldest    *prometheus.GaugeVec
 	ordersInFlight prometheus.Gauge
+	removedStates  prometheus.Counter
 	// countedQueues are the queues that have series.
 	countedQueues map[croft.QueueID]bool
 }
@@ -52,10 +53,11 @@
 		leading:        newGauge("croft_leading", "1 on the entry that leads."),
 		configVersion:  newGauge("croft_config_version", "Version of the configuration in use."),
 		ordersInFlight: newGauge("croft_orders_in_flight", "Orders to executors without an answer yet."),
+		removedStates:  prometheus.NewCounter(prometheus.CounterOpts{Name: "croft_states_removed_total", Help: "States of ended jobs that were removed from the store."}),
 		countedQueues:  map[croft.QueueID]bool{},
 	}
 	s.registry.MustRegister(s.decisions, s.calls, s.storeTimes, s.orderTimes, s.requestTimes, s.feedTimes, s.queueWaiting, s.queueOldest, s.leading,
-		s.configVersion, s.ordersInFlight, collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
+		s.configVersion, s.ordersInFlight, s.removedStates, collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	return s
 }
 
@@ -91,6 +93,9 @@
 // RecordFeedResponse records that a feed has just responded.
 func (s *Stats) RecordFeedResponse(name string) { s.feedTimes.WithLabelValues(name).SetToCurrentTime() }
 
+// CountRemovedStates counts states of ended jobs that were removed from the store.
+func (s *Stats) CountRemovedStates(n int) { s.removedStates.Add(float64(n)) }
+
 // SetLeading records whether this entry is the leader.
 func (s *Stats) SetLeading(leads bool) {
 	value := 0.0
