sched: a run that was to be stopped does not count as brief

Cause: found when the change was read again. An endless task was restarted after a pause if its runs had ended as done or as failed within 1 s, also where they had been ordered to stop, or were not the ones that the task waited for; the pause was logged for jobs that had been cancelled too.

Change: such runs count neither as brief nor as long. The test failed before.

--- a/sched/endless.go
+++ b/sched/endless.go
@@ -23,12 +23,12 @@
 }
 
 // delayBriefRun delays the restart of an endless task if its run, which has ended by itself, was brief like the one before. Without that,
-// a program that can't run would be started as often as executors answer.
+// a program that can't run would be started as often as executors answer. A run that was to be stopped counts neither way.
 func (p *Planner) delayBriefRun(r *run) {
-	if !r.stage.spec.Endless {
+	t := &r.stage.tasks[r.index]
+	if !r.stage.spec.Endless || t.run != r || r.phase == phaseStopping {
 		return
 	}
-	t := &r.stage.tasks[r.index]
 	if p.now.Elapsed-r.startedAt >= briefRun {
 		t.briefRuns = 0
 		return
--- a/sched/endless_test.go
+++ b/sched/endless_test.go
@@ -167,6 +167,21 @@
 	}
 }
 
+// Guards against a pause for runs that did not fail by themselves: they had been ordered to stop, for their VMs to be maintained.
+func TestStoppedRunsOfAnEndlessTaskAreNotBrief(t *testing.T) {
+	b := newTestBench(t)
+	b.takeLeadership(1, 1)
+	starts := effectsOf[Start](b.event(JobsRead{Jobs: []JobRow{testJob("j", endlessStep(1, 1))}}))
+	for run := 1; run <= 4; run++ {
+		assert.Equal(t, len(starts), 1)
+		b.event(Started{Start: starts[0], Clock: b.now})
+		b.advance(5)
+		b.planner.stopRun(b.planner.jobs["j"].stages[0].tasks[0].run, "test")
+		starts = effectsOf[Start](b.answerHold(0, doneRun(int64(run), starts[0].Order.Task, run)))
+	}
+	assert.Equal(t, len(starts), 1)
+}
+
 // Guards against tasks that wait beside free capacity: an endless task that is not due yet counted as one that could not be placed.
 func TestEndlessTaskThatWaitsForItsPauseKeepsNoOthersWaiting(t *testing.T) {
 	b := newTestBench(t)
