agent: states are kept for ever unless a time is set

An entry that was put together without StateRetention would have removed the state of each job as soon as it had ended. The platform's entry always sets it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -31,7 +31,7 @@
 	Planner   sched.Options
 	// ConfigApply is how long after its confirmation a configuration has to be in force.
 	ConfigApply croft.Millis
-	// StateRetention is for how long at least the states of ended jobs are kept.
+	// StateRetention is for how long at least the states of ended jobs are kept, zero for ever.
 	StateRetention croft.Millis
 }
 
--- a/agent/retention.go
+++ b/agent/retention.go
@@ -24,6 +24,9 @@
 // removeEndedStates removes the states of jobs that ended at least Options.StateRetention ago, while the entry leads. What has been
 // removed is not recorded anywhere: each pass finds again what is left, also one of a new leader.
 func (a *Agent) removeEndedStates(ctx context.Context) {
+	if a.StateRetention <= 0 {
+		return
+	}
 	var renewals renewalLog
 	for a.Clock.Sleep(ctx, removalInterval) == nil {
 		now := a.Clock.Elapsed()
