--- a/agent/retention.go
+++ b/agent/retention.go
@@ -52,15 +52,13 @@
 
 // before returns the version of the last renewal up to a time, zero if there is none, and drops earlier ones.
 func (l *renewalLog) before(at croft.Millis) uint64 {
-	version := uint64(0)
-	for len(*l) > 0 && (*l)[0].at <= at {
-		version = (*l)[0].version
-		if len(*l) == 1 || (*l)[1].at > at {
-			break
-		}
+	for len(*l) > 1 && (*l)[1].at <= at {
 		*l = (*l)[1:]
 	}
-	return version
+	if len(*l) == 0 || (*l)[0].at > at {
+		return 0
+	}
+	return (*l)[0].version
 }
 
 // removeStatesUpTo removes states of ended jobs that were written up to a version, part by part, until a transaction fails.
@@ -107,9 +105,7 @@
 	for _, state := range states {
 		part, id, _ := jobs.SplitKey(state.Key)
 		ops = append(ops, croft.Op{Kind: croft.OpDelete, Key: state.Key, Version: state.Version})
-		for _, table := range []string{jobs.JobTable, jobs.WaitTable, jobs.CancelTable} {
-			ops = append(ops, croft.Op{Kind: croft.OpDelete, Key: jobs.Key(table, part, id), Version: croft.AnyVersion})
-		}
+		ops = append(ops, jobs.LiveRowDeletions(part, id)...)
 	}
 	return ops
 }
--- a/jobs/rows.go
+++ b/jobs/rows.go
@@ -56,6 +56,15 @@
 // Key returns the key of a job's row in a table, in the form table/part/job.
 func Key(table, part string, id croft.JobID) string { return table + "/" + part + "/" + string(id) }
 
+// LiveRowDeletions returns the operations that delete all rows of a job but its state, whether or not they are there.
+func LiveRowDeletions(part string, id croft.JobID) []croft.Op {
+	var ops []croft.Op
+	for _, table := range []string{JobTable, CancelTable, WaitTable} {
+		ops = append(ops, croft.Op{Kind: croft.OpDelete, Key: Key(table, part, id), Version: croft.AnyVersion})
+	}
+	return ops
+}
+
 // SplitKey returns the part and the job of a key that was made by Key.
 func SplitKey(key string) (part string, id croft.JobID, err error) {
 	_, rest, hasTable := strings.Cut(key, "/")
--- a/sched/commit.go
+++ b/sched/commit.go
@@ -71,9 +71,7 @@
 // deleteCancelledRows queues the deletion of a cancelled job's remaining rows, and drops a queued write of its state.
 func (p *Planner) deleteCancelledRows(j *job) {
 	pa := p.partWriter(j.part)
-	for _, table := range []string{jobs.JobTable, jobs.CancelTable, jobs.WaitTable} {
-		pa.deletions = append(pa.deletions, croft.Op{Kind: croft.OpDelete, Key: jobs.Key(table, j.part, j.id), Version: croft.AnyVersion})
-	}
+	pa.deletions = append(pa.deletions, jobs.LiveRowDeletions(j.part, j.id)...)
 	pa.dirty = slices.DeleteFunc(pa.dirty, func(other *job) bool { return other == j })
 	j.dirty, j.storedSequence = false, j.sequence
 	p.removeFinishedJob(j)
--- a/sched/endless_test.go
+++ b/sched/endless_test.go
@@ -140,13 +140,9 @@
 				order := starts[0].Order
 				b.event(Started{Start: starts[0], Clock: b.now})
 				b.advance(duration)
-				place := 0
-				for workerName(place) != order.Worker {
-					place++
-				}
 				ends[order.Worker]++
 				ended := b.now
-				effects := b.answerHold(place, croft.EndedRun{Number: ends[order.Worker], Task: order.Task, Run: order.Run, How: how})
+				effects := b.answerHold(placeOf(order.Worker), croft.EndedRun{Number: ends[order.Worker], Task: order.Task, Run: order.Run, How: how})
 				for len(effectsOf[Start](effects)) == 0 {
 					assert.Assert(t, b.now-ended < maxRestartPause+croft.Second, "not started again")
 					effects = append(effects, b.advance(50)...)
--- a/sched/helpers_test.go
+++ b/sched/helpers_test.go
@@ -76,17 +76,18 @@
 
 const testPool = croft.PoolID("pool")
 
-// takeLeadership begins a term with workers of 64 cores and the jobs in the store, and has all lists read.
-func (b *testBench) takeLeadership(term, workers int, stored ...JobRow) {
+// takeLeadership begins a term with workers of 64 cores and the jobs in the store, has all lists read, and returns the effects of that.
+func (b *testBench) takeLeadership(term, workers int, stored ...JobRow) []Effect {
 	b.fence = uint64(term * 1_000_000)
 	b.event(LeadershipAcquired{Fence: b.fence, Term: term})
 	b.event(testConfig())
 	b.event(WorkersRead{Changes: croft.WorkerChanges{Version: 1, Whole: true, Entries: testWorkers(workers)}})
 	b.event(FleetRead{RequestedAt: b.now, VMs: testFleet(workers)})
-	b.event(JobsRead{Whole: true, Jobs: stored})
+	effects := b.event(JobsRead{Whole: true, Jobs: stored})
 	for i := range workers {
-		b.answerHold(i)
+		effects = append(effects, b.answerHold(i)...)
 	}
+	return effects
 }
 
 func testConfig() ConfigRead {
@@ -106,6 +107,15 @@
 
 func workerName(i int) croft.WorkerID { return croft.WorkerID(fmt.Sprintf("w%d", i)) }
 
+// placeOf returns the place of a worker that testWorkers returns.
+func placeOf(id croft.WorkerID) int {
+	place := 0
+	for workerName(place) != id {
+		place++
+	}
+	return place
+}
+
 func vmName(i int) croft.VMID { return croft.VMID(fmt.Sprintf("vm%d", i)) }
 
 // testWorkers returns registered executors of 64 cores, four in each rack.
--- a/sched/incarnation_test.go
+++ b/sched/incarnation_test.go
@@ -28,9 +28,7 @@
 	starts := effectsOf[Start](b.event(JobsRead{Jobs: []JobRow{testJob("j", step(1, 60))}}))
 	assert.Equal(t, len(starts), 1)
 	b.start = starts[0]
-	for workerName(b.busy) != b.start.Order.Worker {
-		b.busy++
-	}
+	b.busy = placeOf(b.start.Order.Worker)
 	pending := croft.HoldOrder{Worker: b.start.Order.Worker, Fence: b.start.Order.Fence, Wait: holdWait}
 	b.holds = []Hold{{Order: pending, Sent: b.now}}
 	return b
--- a/sched/number_test.go
+++ b/sched/number_test.go
@@ -13,10 +13,7 @@
 func (b *testBench) leadWithEndlessTask(term int) []Start {
 	row := testJob("j", endlessStep(1, 1))
 	row.Progress.Announced = term > 1
-	b.event(LeadershipAcquired{Fence: uint64(term * 1_000_000), Term: term})
-	b.event(testConfig(), WorkersRead{Changes: croft.WorkerChanges{Whole: true, Entries: testWorkers(1)}})
-	b.event(FleetRead{RequestedAt: b.now, VMs: testFleet(1)})
-	return effectsOf[Start](append(b.event(JobsRead{Whole: true, Jobs: []JobRow{row}}), b.answerHold(0)...))
+	return effectsOf[Start](b.takeLeadership(term, 1, row))
 }
 
 // Guards against a task that does not run for minutes: after more than a thousand starts of it in one term, its executor and the leader
--- a/sched/order_test.go
+++ b/sched/order_test.go
@@ -92,9 +92,7 @@
 	assert.Equal(t, len(starts), 2)
 	var places [2]int
 	for i, s := range starts {
-		for workerName(places[i]) != s.Order.Worker {
-			places[i]++
-		}
+		places[i] = placeOf(s.Order.Worker)
 	}
 	b.event(Started{Start: starts[0], Clock: b.now})
 	b.answerHold(places[0], activeRun(starts[0].Order.Task, 1))
