--- a/intake/group.go
+++ b/intake/group.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"waxwing.example/croft"
+	"waxwing.example/croft/jobs"
 )
 
 // Limits of grouped transactions.
@@ -22,8 +23,10 @@
 type submission struct {
 	// stateKey is the key of the job's state row, whose existence shows that the job is stored.
 	stateKey string
-	ops      []croft.Op
-	began    croft.Millis
+	// organisation owns the job.
+	organisation croft.OrganisationID
+	ops          []croft.Op
+	began        croft.Millis
 	// sent reports that a transaction with the job was sent, and mayBeStored that the outcome of one is unknown.
 	sent, mayBeStored bool
 	// alone reports that the job shares no transaction, since one of it was refused for what it contained.
@@ -54,8 +57,8 @@
 
 // submit stores a job in a part and returns its outcome, or the best that is known once the caller's context ends. A
 // submission that the store keeps refusing is abandoned, so that the caller can try another entry.
-func (g *groupWriter) submit(ctx context.Context, part, stateKey string, ops []croft.Op) (Outcome, string) {
-	s := &submission{stateKey: stateKey, ops: ops, began: g.clock.Elapsed(), decided: make(chan struct{})}
+func (g *groupWriter) submit(ctx context.Context, part, stateKey string, org croft.OrganisationID, ops []croft.Op) (Outcome, string) {
+	s := &submission{stateKey: stateKey, organisation: org, ops: ops, began: g.clock.Elapsed(), decided: make(chan struct{})}
 	g.enqueue(part, s)
 	select {
 	case <-s.decided:
@@ -230,20 +233,40 @@
 // acceptStored accepts the submissions whose state row exists according to a conflict; the others were not stored with
 // them. It reports whether they have to be sent one by one, since the conflict does not tell which of them exist.
 func (q *partQueue) acceptStored(group []*submission, conflict *croft.ConflictError) bool {
-	existing := map[string]bool{}
+	existing := map[string]croft.Row{}
 	for _, row := range conflict.Rows {
 		if row.Version > 0 {
-			existing[row.Key] = true
+			existing[row.Key] = row
 		}
 	}
 	found := 0
 	for _, s := range group {
-		if existing[s.stateKey] || len(group) == 1 {
+		row, exists := existing[s.stateKey]
+		switch {
+		case exists && s.isOthers(row):
+			q.reject(s)
+			found++
+		case exists || len(group) == 1:
 			q.accept(s, "already stored")
 			found++
-		} else {
+		default:
 			s.sent = s.mayBeStored
 		}
 	}
 	return found == 0
 }
+
+// isOthers reports whether a state row is that of another organisation's job. A row that cannot be decoded is taken for the
+// submission's own: IDs are random.
+func (s *submission) isOthers(row croft.Row) bool {
+	progress, err := jobs.DecodeProgress(row.Value)
+	return err == nil && s.organisation != "" && !progress.IsVisibleTo(s.organisation)
+}
+
+// reject decides a submission whose ID another organisation's job has.
+func (q *partQueue) reject(s *submission) {
+	if !s.isDecided() {
+		s.decide(Conflict, "a job of another organisation has the ID")
+	}
+	q.drop(s)
+}
--- a/intake/group_test.go
+++ b/intake/group_test.go
@@ -58,7 +58,7 @@
 	for i, id := range ids {
 		group.Go(func() {
 			key := jobs.Key(jobs.StateTable, "q.0", id)
-			outcomes[i], _ = g.submit(ctx, "q.0", key, []croft.Op{
+			outcomes[i], _ = g.submit(ctx, "q.0", key, "", []croft.Op{
 				{Kind: croft.OpPut, Key: key, Value: []byte(id)},
 				{Kind: croft.OpPut, Key: jobs.Key(jobs.JobTable, "q.0", id), Version: croft.AnyVersion, Value: []byte(id)},
 			})
--- a/intake/index.go
+++ b/intake/index.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"waxwing.example/croft"
+	"waxwing.example/croft/orgs"
 )
 
 // Index finds the queue of a request by host and path.
@@ -16,14 +17,20 @@
 	BodyBytes int64
 	// HeaderBytes is the maximum size of the headers of a request.
 	HeaderBytes int
+	// keys has the API keys of the organisations.
+	keys orgs.Keys
 	// queuesByHost has the queues of each host, those with the longest path prefix first.
 	queuesByHost map[string][]croft.Queue
 }
 
 // NewIndex returns an Index of the queues in a configuration.
 func NewIndex(config croft.QueueConfig) *Index {
-	x := &Index{Version: config.Version, BodyBytes: config.BodyBytes, HeaderBytes: config.HeaderBytes, queuesByHost: map[string][]croft.Queue{}}
+	x := &Index{
+		Version: config.Version, BodyBytes: config.BodyBytes, HeaderBytes: config.HeaderBytes,
+		keys: orgs.NewKeys(config.Organisations), queuesByHost: map[string][]croft.Queue{},
+	}
 	for _, q := range config.Queues {
+		q.Public = q.Public || !config.RequiresKeys
 		x.queuesByHost[q.Host] = append(x.queuesByHost[q.Host], q)
 	}
 	for _, queues := range x.queuesByHost {
@@ -41,3 +48,12 @@
 	}
 	return croft.Queue{}, false
 }
+
+// Authenticate returns the organisation as which a caller uses a queue, none for a public queue, and whether the caller may use
+// the queue; authorization is the header of the request.
+func (x *Index) Authenticate(q croft.Queue, authorization string) (croft.OrganisationID, bool) {
+	if q.Public {
+		return "", true
+	}
+	return x.keys.Authenticate(authorization)
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -25,6 +25,8 @@
 	Unavailable Outcome = "Unavailable"
 	// Invalid means that the job is not stored because the store does not take what is to be stored of it.
 	Invalid Outcome = "Invalid"
+	// Conflict means that a job of another organisation has the same ID.
+	Conflict Outcome = "Conflict"
 	// Unknown means that the job may be stored.
 	Unknown Outcome = "Unknown"
 )
@@ -145,9 +147,26 @@
 	return latest.queues[id]
 }
 
+// Target is the job that a request is about.
+type Target struct {
+	Queue croft.Queue
+	// Organisation is that of the caller, empty for a public queue.
+	Organisation croft.OrganisationID
+	ID           croft.JobID
+}
+
+// part returns the part of the store that holds the job's rows.
+func (t Target) part() string { return jobs.Part(t.Queue.ID, t.ID) }
+
+// isVisible reports whether the caller may ask for the job with this progress and cancel it.
+func (t Target) isVisible(progress jobs.Progress) bool {
+	return t.Queue.Public || progress.IsVisibleTo(t.Organisation)
+}
+
 // Submit stores a job; it also returns the time after which the caller may retry, for Rejected and Unavailable.
-func (i *Intake) Submit(ctx context.Context, q croft.Queue, id croft.JobID, spec croft.JobSpec) (Outcome, croft.Millis) {
-	if load := i.loadOf(q.ID); load.Refuse && !i.isStored(ctx, q, id) {
+func (i *Intake) Submit(ctx context.Context, t Target, spec croft.JobSpec) (Outcome, croft.Millis) {
+	q, id := t.Queue, t.ID
+	if load := i.loadOf(q.ID); load.Refuse && !i.isStored(ctx, t) {
 		i.logDecision("Submit", id, string(Rejected), fmt.Sprintf("queue %s refuses new jobs; retry after %d ms", q.ID, load.Wait))
 		return Rejected, load.Wait
 	}
@@ -156,15 +175,15 @@
 		i.logDecision("Submit", id, string(Unavailable), fmt.Sprintf("queue %s: the store has not answered this entry for %d ms; retry after %d ms", q.ID, outage, wait))
 		return Unavailable, wait
 	}
-	part := jobs.Part(q.ID, id)
-	ops := i.submissionOps(q, id, spec)
+	part := t.part()
+	ops := i.submissionOps(t, spec)
 	for _, op := range ops {
 		if i.rowBytes > 0 && len(op.Value) > i.rowBytes {
 			i.logDecision("Submit", id, string(Invalid), fmt.Sprintf("queue %s: %d bytes as stored, at most %d", q.ID, len(op.Value), i.rowBytes))
 			return Invalid, 0
 		}
 	}
-	outcome, reason := i.writer.submit(ctx, part, jobs.Key(jobs.StateTable, part, id), ops)
+	outcome, reason := i.writer.submit(ctx, part, jobs.Key(jobs.StateTable, part, id), t.Organisation, ops)
 	i.logDecision("Submit", id, string(outcome), fmt.Sprintf("queue %s: %s", q.ID, reason))
 	return outcome, retryAfter
 }
@@ -189,25 +208,25 @@
 }
 
 // submissionOps returns the transaction that stores a job; it conflicts if the job is stored already.
-func (i *Intake) submissionOps(q croft.Queue, id croft.JobID, spec croft.JobSpec) []croft.Op {
-	part := jobs.Part(q.ID, id)
+func (i *Intake) submissionOps(t Target, spec croft.JobSpec) []croft.Op {
+	q, part := t.Queue, t.part()
 	record := jobs.Record{
-		Queue: q.ID, Pool: q.Pool, Priority: q.Priority, MostAttempts: q.MostAttempts,
+		Queue: q.ID, Organisation: t.Organisation, Pool: q.Pool, Priority: q.Priority, MostAttempts: q.MostAttempts,
 		Stretch: q.Stretch, Latency: q.Latency, NeedsAdvice: q.NeedsAdvice, Accepted: i.clock.Now(), Spec: spec,
 	}
 	put := func(table string, version uint64, value []byte) croft.Op {
-		return croft.Op{Kind: croft.OpPut, Key: jobs.Key(table, part, id), Version: version, Value: value}
+		return croft.Op{Kind: croft.OpPut, Key: jobs.Key(table, part, t.ID), Version: version, Value: value}
 	}
 	return []croft.Op{
-		put(jobs.StateTable, 0, jobs.EncodeProgress(jobs.Progress{Status: jobs.Pending})),
+		put(jobs.StateTable, 0, jobs.EncodeProgress(jobs.Progress{Status: jobs.Pending, Organisation: t.Organisation})),
 		put(jobs.JobTable, croft.AnyVersion, jobs.EncodeRecord(record)),
 		put(jobs.WaitTable, croft.AnyVersion, jobs.PresenceValue),
 	}
 }
 
 // isStored reports whether a job is known to be stored; it returns false if the store does not answer.
-func (i *Intake) isStored(ctx context.Context, q croft.Queue, id croft.JobID) bool {
-	_, _, err := i.readProgress(ctx, q, id)
+func (i *Intake) isStored(ctx context.Context, t Target) bool {
+	_, _, err := i.readProgress(ctx, t)
 	return err == nil
 }
 
@@ -217,10 +236,10 @@
 }
 
 // readProgress returns a job's stored progress and the version of its row.
-func (i *Intake) readProgress(ctx context.Context, q croft.Queue, id croft.JobID) (jobs.Progress, uint64, error) {
-	key := jobs.Key(jobs.StateTable, jobs.Part(q.ID, id), id)
+func (i *Intake) readProgress(ctx context.Context, t Target) (jobs.Progress, uint64, error) {
+	key := jobs.Key(jobs.StateTable, t.part(), t.ID)
 	if i.storeOutage() > 0 {
-		i.logDecision("Read", id, "NoAnswer", "the store does not answer this entry")
+		i.logDecision("Read", t.ID, "NoAnswer", "the store does not answer this entry")
 		return jobs.Progress{}, 0, ErrStoreUnavailable
 	}
 	for {
@@ -233,23 +252,33 @@
 			return jobs.Progress{}, 0, ErrNoJob
 		}
 		if i.clock.Sleep(ctx, retryDelay) != nil || ctx.Err() != nil {
-			i.logDecision("Read", id, "NoAnswer", err.Error())
+			i.logDecision("Read", t.ID, "NoAnswer", err.Error())
 			return jobs.Progress{}, 0, ErrStoreUnavailable
 		}
 	}
 }
 
+// readOwnProgress returns what readProgress does, and ErrNoJob for a job that the caller may not see.
+func (i *Intake) readOwnProgress(ctx context.Context, t Target) (jobs.Progress, uint64, error) {
+	progress, version, err := i.readProgress(ctx, t)
+	if err == nil && !t.isVisible(progress) {
+		i.logDecision("Read", t.ID, "Hidden", fmt.Sprintf("the job of organisation %s was asked for by organisation %s", progress.Organisation, t.Organisation))
+		return jobs.Progress{}, 0, ErrNoJob
+	}
+	return progress, version, err
+}
+
 // Status returns the status of a job.
-func (i *Intake) Status(ctx context.Context, q croft.Queue, id croft.JobID) (jobs.Status, error) {
-	progress, _, err := i.readProgress(ctx, q, id)
+func (i *Intake) Status(ctx context.Context, t Target) (jobs.Status, error) {
+	progress, _, err := i.readOwnProgress(ctx, t)
 	return progress.Status, err
 }
 
-// Cancel cancels a job, unless it has ended; it returns ErrNoJob if there is no such job.
-func (i *Intake) Cancel(ctx context.Context, q croft.Queue, id croft.JobID) error {
-	part := jobs.Part(q.ID, id)
+// Cancel cancels a job, unless it has ended; it returns ErrNoJob if there is none that the caller may see.
+func (i *Intake) Cancel(ctx context.Context, t Target) error {
+	part, id := t.part(), t.ID
 	for {
-		progress, version, err := i.readProgress(ctx, q, id)
+		progress, version, err := i.readOwnProgress(ctx, t)
 		if err != nil || progress.Status.Final() {
 			i.logDecision("Cancel", id, string(progress.Status), reasonOr(err, "the job had already ended"))
 			return err
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -119,7 +119,7 @@
 func TestRepeatedSubmissionStoresOneJob(t *testing.T) {
 	intake, store, _ := newIntake()
 	for range 3 {
-		outcome, _ := intake.Submit(shortContext(t), queue, id, croft.JobSpec{})
+		outcome, _ := intake.Submit(shortContext(t), Target{Queue: queue, ID: id}, croft.JobSpec{})
 		assert.Equal(t, outcome, Accepted)
 	}
 	assert.Equal(t, len(store.rows), 3)
@@ -131,7 +131,7 @@
 func TestSubmissionWithLostAnswerIsAccepted(t *testing.T) {
 	intake, store, _ := newIntake()
 	store.commitErrs, store.applyFailed = []error{&croft.LostAnswerError{}}, []bool{true}
-	outcome, _ := intake.Submit(shortContext(t), queue, id, croft.JobSpec{})
+	outcome, _ := intake.Submit(shortContext(t), Target{Queue: queue, ID: id}, croft.JobSpec{})
 	assert.Equal(t, outcome, Accepted)
 }
 
@@ -143,14 +143,14 @@
 	refused := &croft.UnavailableError{}
 	store.commitErrs = []error{lost, refused, refused, refused, refused, refused, refused, refused}
 	store.applyFailed = make([]bool, len(store.commitErrs))
-	outcome, _ := intake.Submit(shortContext(t), queue, id, croft.JobSpec{})
+	outcome, _ := intake.Submit(shortContext(t), Target{Queue: queue, ID: id}, croft.JobSpec{})
 	assert.Equal(t, outcome, Unknown)
 }
 
 func TestSubmissionIsRefusedAtOnceWhileStoreIsUnavailable(t *testing.T) {
 	intake, store, outage := newIntake()
 	*outage = 2 * croft.Second
-	outcome, after := intake.Submit(shortContext(t), queue, id, croft.JobSpec{})
+	outcome, after := intake.Submit(shortContext(t), Target{Queue: queue, ID: id}, croft.JobSpec{})
 	assert.Equal(t, outcome, Unavailable)
 	assert.Equal(t, after, retryAfter)
 	assert.Equal(t, len(store.rows), 0)
@@ -159,36 +159,36 @@
 // A queue that refuses new jobs must still accept the repeated submission of a job that is stored.
 func TestStoredJobIsAcceptedWhileQueueRefuses(t *testing.T) {
 	intake, _, _ := newIntake()
-	outcome, _ := intake.Submit(shortContext(t), queue, id, croft.JobSpec{})
+	outcome, _ := intake.Submit(shortContext(t), Target{Queue: queue, ID: id}, croft.JobSpec{})
 	assert.Equal(t, outcome, Accepted)
 	intake.RecordLoads(jobs.Encode(map[croft.QueueID]sched.Load{"q": {Refuse: true, Wait: 4000}}))
-	outcome, _ = intake.Submit(shortContext(t), queue, id, croft.JobSpec{})
+	outcome, _ = intake.Submit(shortContext(t), Target{Queue: queue, ID: id}, croft.JobSpec{})
 	assert.Equal(t, outcome, Accepted)
-	outcome, after := intake.Submit(shortContext(t), queue, "fedcba9876543210", croft.JobSpec{})
+	outcome, after := intake.Submit(shortContext(t), Target{Queue: queue, ID: "fedcba9876543210"}, croft.JobSpec{})
 	assert.Equal(t, outcome, Rejected)
 	assert.Equal(t, after, croft.Millis(4000))
 }
 
 func TestCancelOverwritesProgress(t *testing.T) {
 	intake, store, _ := newIntake()
-	assert.ErrorIs(t, intake.Cancel(shortContext(t), queue, id), ErrNoJob)
-	intake.Submit(shortContext(t), queue, id, croft.JobSpec{})
+	assert.ErrorIs(t, intake.Cancel(shortContext(t), Target{Queue: queue, ID: id}), ErrNoJob)
+	intake.Submit(shortContext(t), Target{Queue: queue, ID: id}, croft.JobSpec{})
 	key := jobs.Key(jobs.StateTable, jobs.Part("q", id), id)
 	store.apply([]croft.Op{{Kind: croft.OpPut, Key: key, Value: jobs.Encode(jobs.Progress{Status: jobs.Running, Done: map[string][]byte{"0.0": {1}}})}})
-	assert.NilError(t, intake.Cancel(shortContext(t), queue, id))
-	status, err := intake.Status(shortContext(t), queue, id)
+	assert.NilError(t, intake.Cancel(shortContext(t), Target{Queue: queue, ID: id}))
+	status, err := intake.Status(shortContext(t), Target{Queue: queue, ID: id})
 	assert.NilError(t, err)
 	assert.Equal(t, status, jobs.Canceled)
-	assert.NilError(t, intake.Cancel(shortContext(t), queue, id))
+	assert.NilError(t, intake.Cancel(shortContext(t), Target{Queue: queue, ID: id}))
 }
 
 func TestCancelLeavesFinishedJobUnchanged(t *testing.T) {
 	intake, store, _ := newIntake()
-	intake.Submit(shortContext(t), queue, id, croft.JobSpec{})
+	intake.Submit(shortContext(t), Target{Queue: queue, ID: id}, croft.JobSpec{})
 	key := jobs.Key(jobs.StateTable, jobs.Part("q", id), id)
 	store.apply([]croft.Op{{Kind: croft.OpPut, Key: key, Value: jobs.Encode(jobs.Progress{Status: jobs.Done})}})
-	assert.NilError(t, intake.Cancel(shortContext(t), queue, id))
-	status, err := intake.Status(shortContext(t), queue, id)
+	assert.NilError(t, intake.Cancel(shortContext(t), Target{Queue: queue, ID: id}))
+	status, err := intake.Status(shortContext(t), Target{Queue: queue, ID: id})
 	assert.NilError(t, err)
 	assert.Equal(t, status, jobs.Done)
 }
@@ -196,7 +196,7 @@
 func TestReadsReportUnavailableStore(t *testing.T) {
 	intake, store, _ := newIntake()
 	store.outage = &croft.UnavailableError{}
-	_, err := intake.Status(shortContext(t), queue, id)
+	_, err := intake.Status(shortContext(t), Target{Queue: queue, ID: id})
 	assert.ErrorIs(t, err, ErrStoreUnavailable)
 	_, err = intake.Waiting(shortContext(t), queue)
 	assert.ErrorIs(t, err, ErrStoreUnavailable)
@@ -220,7 +220,7 @@
 		{100, 1 * croft.Second}, {2 * croft.Second, 1 * croft.Second}, {4 * croft.Second, 2 * croft.Second}, {20 * croft.Second, 3 * croft.Second},
 	} {
 		*outage = c.outage
-		outcome, wait := intake.Submit(shortContext(t), queue, id, croft.JobSpec{})
+		outcome, wait := intake.Submit(shortContext(t), Target{Queue: queue, ID: id}, croft.JobSpec{})
 		assert.Equal(t, outcome, Unavailable)
 		assert.Equal(t, wait, c.wait, "after %d ms", c.outage)
 	}
@@ -250,11 +250,11 @@
 	for i := range raw {
 		raw[i] = byte('0' + rand.IntN(75))
 	}
-	outcome, wait := intake.Submit(shortContext(t), queue, id, croft.JobSpec{Payload: string(raw)})
+	outcome, wait := intake.Submit(shortContext(t), Target{Queue: queue, ID: id}, croft.JobSpec{Payload: string(raw)})
 	assert.Equal(t, outcome, Invalid)
 	assert.Equal(t, wait, croft.Millis(0))
 	assert.Equal(t, len(store.rows), 0)
-	outcome, _ = intake.Submit(shortContext(t), queue, id, croft.JobSpec{Payload: string(raw[:testRowBytes/2])})
+	outcome, _ = intake.Submit(shortContext(t), Target{Queue: queue, ID: id}, croft.JobSpec{Payload: string(raw[:testRowBytes/2])})
 	assert.Equal(t, outcome, Accepted)
 }
 
@@ -263,7 +263,7 @@
 	intake, store, _ := newIntake()
 	advised := queue
 	advised.NeedsAdvice = true
-	outcome, _ := intake.Submit(shortContext(t), advised, id, croft.JobSpec{})
+	outcome, _ := intake.Submit(shortContext(t), Target{Queue: advised, ID: id}, croft.JobSpec{})
 	assert.Equal(t, outcome, Accepted)
 	record, err := jobs.DecodeRecord(store.rows[jobs.Key(jobs.JobTable, jobs.Part(queue.ID, id), id)].Value)
 	assert.NilError(t, err)
--- a/jobs/progress.go
+++ b/jobs/progress.go
@@ -6,11 +6,15 @@
 	"slices"
 	"strconv"
 	"strings"
+
+	"waxwing.example/croft"
 )
 
 // Progress is the stored state of a job.
 type Progress struct {
 	Status Status
+	// Organisation owns the job, empty if it belongs to none or was stored by a version without organisations.
+	Organisation croft.OrganisationID `json:",omitempty"`
 	// Announced reports that a leader may have started tasks of the job although its status is Pending.
 	Announced bool `json:",omitempty"`
 	// Fence is the fencing token of the last planner that wrote the row, zero before the first one.
@@ -27,6 +31,11 @@
 	Crashed map[string]int `json:",omitempty"`
 }
 
+// IsVisibleTo reports whether callers of an organisation may ask for the job and cancel it.
+func (p Progress) IsVisibleTo(org croft.OrganisationID) bool {
+	return p.Organisation == "" || p.Organisation == org
+}
+
 // IsFinished reports whether an occurrence is finished.
 func (p Progress) IsFinished(occurrence int) bool {
 	// The number of bounds up to the occurrence is odd within a range.
--- a/jobs/rows.go
+++ b/jobs/rows.go
@@ -78,6 +78,8 @@
 // Record is the stored form of a submitted job.
 type Record struct {
 	Queue croft.QueueID
+	// Organisation owns the job, empty if it belongs to none.
+	Organisation croft.OrganisationID `json:",omitempty"`
 	// Pool, Priority, MostAttempts, Stretch, Latency and NeedsAdvice are copied from the queue at submission, since the queue
 	// may be removed before its jobs end.
 	Pool         croft.PoolID
--- a/queue.go
+++ b/queue.go
@@ -1,12 +1,18 @@
 package croft
 
-import "context"
+import (
+	"context"
+	"crypto/sha256"
+)
 
 // QueueConfig is one version of the operator's configuration of job queues.
 type QueueConfig struct {
 	Version uint64
 	Queues  []Queue
 	Pools   []PoolRule
+	// RequiresKeys means that callers need an API key of an organisation, but for public queues.
+	RequiresKeys  bool
+	Organisations []Organisation
 	// BodyBytes is the maximum size of a request body.
 	BodyBytes int64
 	// HeaderBytes is the maximum size of the headers of a request.
@@ -29,6 +35,28 @@
 	Latency Millis
 	// NeedsAdvice means that the advice service decides which executors may run a step.
 	NeedsAdvice bool
+	// Public means that callers need no API key, and that jobs belong to no organisation.
+	Public bool
+}
+
+// OrganisationID names an organisation; the empty ID stands for none.
+type OrganisationID string
+
+// KeyDigest is the SHA-256 digest of an API key.
+type KeyDigest [sha256.Size]byte
+
+// DigestKey returns the digest of an API key.
+func DigestKey(key string) KeyDigest { return sha256.Sum256([]byte(key)) }
+
+// Organisation is the operator's configuration of one organisation.
+type Organisation struct {
+	ID OrganisationID
+	// Keys are the digests of its API keys.
+	Keys []KeyDigest
+	// Weight is its share of the capacity when all is in use, and the number of jobs per second that it may submit then.
+	Weight float64
+	// Cap is the maximum of what its tasks have in use over all executors; a zero amount is not limited.
+	Cap Resources
 }
 
 // PoolRule is the operator's configuration of one pool.
--- a/sched/job.go
+++ b/sched/job.go
@@ -158,6 +158,9 @@
 		receivedAt: p.now.Elapsed, version: row.Version,
 		began: row.Progress.Status == jobs.Running,
 	}
+	if j.progress.Organisation == "" {
+		j.progress.Organisation = row.Record.Organisation
+	}
 	j.announced = row.Progress.Announced || j.began
 	j.announcementStored = j.announced
 	j.inherited = inherited && j.announced
@@ -232,7 +235,7 @@
 		return
 	}
 	j.ended = true
-	j.progress = jobs.Progress{Status: status}
+	j.progress = jobs.Progress{Status: status, Organisation: j.progress.Organisation}
 	p.log("End", string(j.id), string(status), reason)
 	for _, s := range j.stages {
 		s.waiting = nil
