sched: excess and shares of organisations in the rank, and admitted fractions in the loads

Cause: a burst of one organisation delays the jobs of all others of the same priority. With one of 20 organisations at eight times its weight for 9 s on 7 executors that the weights alone use to 86 %, the jobs of the others took 1,370 ms in the median and 1,570 ms at the 95th percentile in place of 620 ms. Change: in deployments with organisations, excess jobs rank after the others of their priority, and the quantised weighted dominant share counts between lateness and deadline; both count less with the waiting time. Queues that are short of capacity publish the admitted fractions, and each backlogged queue the minimum time of the work ahead of a new job, in place of Refuse. The needs of runs are counted behind an interface. Endless tasks keep their tier; jobs without an organisation are never excess and have share 0.

--- a/sched/describe.go
+++ b/sched/describe.go
@@ -15,6 +15,7 @@
 	}
 	var b strings.Builder
 	fmt.Fprintf(&b, "job %s: %s, queue %s, change %d of %d stored, ended %v, deadline in %d ms", id, j.progress.Status, j.record.Queue, j.storedSequence, j.sequence, j.ended, j.deadline-p.now.Elapsed)
+	b.WriteString(j.describeOrganisation())
 	for _, s := range j.stages {
 		fmt.Fprintf(&b, "\n  step %d.%d: open %v, %d of %d left, waiting %v", s.occurrence, s.step, s.open, s.remainingTasks, len(s.tasks), s.waiting)
 		for i, t := range s.tasks {
--- a/sched/events.go
+++ b/sched/events.go
@@ -273,6 +273,8 @@
 type PublishLoads struct {
 	effectMarker
 	Loads map[croft.QueueID]Load
+	// Organisations has the rates of the organisations that have submitted jobs lately.
+	Organisations map[croft.OrganisationID]OrganisationLoad
 	// Shared reports that other entries need the loads too, since queues refuse jobs or have just ceased to.
 	Shared bool
 }
@@ -284,8 +286,22 @@
 	Oldest  croft.Millis `json:",omitempty"`
 	// Wait is how long the caller of a refused job should wait before it tries again.
 	Wait croft.Millis
-	// Refuse reports that new jobs are refused, since they would end too late to be of use.
+	// Refuse reports that new jobs are refused, since they would end too late to be of use. It is not used in deployments with
+	// organisations.
 	Refuse bool
+	// Admitted is the fraction of an organisation's jobs that entries admit, for organisations that are limited.
+	Admitted map[croft.OrganisationID]float64 `json:",omitempty"`
+	// Ahead is the minimum time that the work ahead of a new job takes: one that is of no use after it is refused. It is only
+	// used in deployments with organisations.
+	Ahead croft.Millis `json:",omitempty"`
+}
+
+// OrganisationLoad describes the jobs of an organisation.
+type OrganisationLoad struct {
+	// Accepted and Offered are the rates of accepted jobs and, as estimated, of submissions, per second.
+	Accepted, Offered float64
+	// Admitted is the fraction of the jobs that entries admit.
+	Admitted float64
 }
 
 // Wake requests a Woken event after a duration.
--- a/sched/job.go
+++ b/sched/job.go
@@ -37,6 +37,9 @@
 	began, waitRowDeleted bool
 	// ended reports that the job has its final status, which may not be stored yet.
 	ended bool
+	// organisation owns the job, nil if none does, and excess reports that the job is beyond the rate of its contract.
+	organisation *organisation
+	excess       bool
 	// receivedAt is when this planner first read the job, by the monotonic clock. For a job that was stored before the term
 	// it is when an entry accepted the job, by the wall clock.
 	receivedAt croft.Millis
@@ -136,6 +139,7 @@
 
 // handleJobsRead adds the jobs that are neither known nor ended.
 func (p *Planner) handleJobsRead(e JobsRead) {
+	var added []*job
 	for _, row := range e.Jobs {
 		if _, ok := p.jobs[row.ID]; ok || row.Progress.Status.Final() {
 			continue
@@ -143,8 +147,9 @@
 		if _, ended := p.tombstones[row.ID]; ended {
 			continue
 		}
-		p.addJob(row, e.Whole)
+		added = append(added, p.addJob(row, e.Whole))
 	}
+	p.countArrivals(added)
 	if e.Whole {
 		p.jobsLoaded = true
 		p.log("Takeover", "planner", p.options.Holder, "all stored jobs have been read")
@@ -152,7 +157,7 @@
 }
 
 // addJob adds a stored job; inherited reports that it was stored before this term.
-func (p *Planner) addJob(row JobRow, inherited bool) {
+func (p *Planner) addJob(row JobRow, inherited bool) *job {
 	j := &job{
 		id: row.ID, part: row.Part, record: row.Record, progress: row.Progress,
 		receivedAt: p.now.Elapsed, version: row.Version,
@@ -161,6 +166,7 @@
 	if j.progress.Organisation == "" {
 		j.progress.Organisation = row.Record.Organisation
 	}
+	j.organisation = p.sharing.organisation(row.Record.Organisation)
 	j.announced = row.Progress.Announced || j.began
 	j.announcementStored = j.announced
 	j.inherited = inherited && j.announced
@@ -175,6 +181,7 @@
 	po := p.pool(row.Record.Pool)
 	po.jobs = append(po.jobs, j)
 	p.openJobOccurrences(j)
+	return j
 }
 
 // criticalPaths returns, for each step, the sum of estimates along the longest chain of dependent steps from it.
@@ -194,11 +201,20 @@
 
 // objective returns the time within which the job counts as on time: its critical path, stretched, plus a latency.
 func (j *job) objective() croft.Millis {
-	longest := croft.Millis(0)
-	if len(j.criticalPath) > 0 {
-		longest = slices.Max(j.criticalPath)
+	return objective(j.record.Stretch, j.record.Latency, longestPath(j.criticalPath))
+}
+
+// longestPath returns the length of the longest of the paths that criticalPaths returns.
+func longestPath(criticalPaths []croft.Millis) croft.Millis {
+	if len(criticalPaths) == 0 {
+		return 0
 	}
-	return croft.Millis(j.record.Stretch*float64(longest)) + j.record.Latency
+	return slices.Max(criticalPaths)
+}
+
+// objective returns the objective of a job by the parameters of its queue.
+func objective(stretch float64, latency, criticalPath croft.Millis) croft.Millis {
+	return croft.Millis(stretch*float64(criticalPath)) + latency
 }
 
 // openReadyStages opens the stages whose predecessors are done and queues their tasks.
--- a/sched/load.go
+++ b/sched/load.go
@@ -27,7 +27,7 @@
 			}
 			// The objective of a new job is not known; it is assumed to be that of a job in the queue.
 			usefulFor := usefulFactor * (j.deadline - j.receivedAt)
-			if wait > usefulFor && !j.endless() {
+			if wait > usefulFor && !j.endless() && !p.hasOrganisations() {
 				load.Refuse = true
 				load.Wait = max(load.Wait, wait-usefulFor)
 				refuse = true
@@ -35,7 +35,9 @@
 			loads[j.record.Queue] = load
 		}
 	}
-	p.emit(PublishLoads{Loads: loads, Shared: refuse || p.refusing})
+	limited := p.sharing.limiting
+	organisations := p.addShares(loads)
+	p.emit(PublishLoads{Loads: loads, Organisations: organisations, Shared: refuse || p.refusing || limited || p.sharing.limiting})
 	p.logPools()
 	if refuse != p.refusing {
 		p.log("Load", "queues", fmt.Sprintf("refusing %v", refuse), "queues refuse jobs while the backlog of their pool takes longer than the jobs are of use")
--- a/sched/place.go
+++ b/sched/place.go
@@ -15,14 +15,19 @@
 	tier int
 	// priority is that of the queue; zero is the most urgent.
 	priority int
+	// excess is 1 for a job beyond the rate of its organisation's contract.
+	excess int
 	// lateness is 1 for a job that cannot meet its deadline any more and 2 for one whose result comes too late to be of
 	// use.
 	lateness int
+	// share is the quantised share of the capacity that the job's organisation has in use.
+	share    int
 	deadline croft.Millis
 }
 
 func (a rank) compare(b rank) int {
-	return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.priority, b.priority), cmp.Compare(a.lateness, b.lateness), cmp.Compare(a.deadline, b.deadline))
+	return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.priority, b.priority), cmp.Compare(a.excess, b.excess),
+		cmp.Compare(a.lateness, b.lateness), cmp.Compare(a.share, b.share), cmp.Compare(a.deadline, b.deadline))
 }
 
 // usefulFactor times the objective is how long a job is of use to its caller: according to the
@@ -32,10 +37,7 @@
 // rankStage returns the current rank of a stage.
 func (p *Planner) rankStage(s *stage) rank {
 	j := s.job
-	r := rank{tier: 1, priority: j.record.Priority, deadline: j.deadline}
-	if q, ok := p.queues[j.record.Queue]; ok {
-		r.priority = q.Priority
-	}
+	r := rank{tier: 1, priority: p.priorityOf(j), deadline: j.deadline}
 	if s.spec.Endless {
 		r.tier = 0
 		return r
@@ -46,9 +48,18 @@
 	case finish > j.deadline:
 		r.lateness = 1
 	}
+	r.excess, r.share = p.rankOrganisation(s)
 	return r
 }
 
+// priorityOf returns the priority of the job's queue, or that at submission if the queue is removed.
+func (p *Planner) priorityOf(j *job) int {
+	if q, ok := p.queues[j.record.Queue]; ok {
+		return q.Priority
+	}
+	return j.record.Priority
+}
+
 // rankedStage is a stage with its rank at the start of a placement pass.
 type rankedStage struct {
 	stage *stage
@@ -103,6 +114,7 @@
 	if !unknownRuns {
 		p.giveUpInheritedSuspects(po)
 	}
+	p.refreshShares()
 	var waiting []rankedStage
 	for _, j := range po.jobs {
 		// The tasks of an inherited job may already run on executors whose runs are not known yet.
--- a/sched/planner.go
+++ b/sched/planner.go
@@ -94,6 +94,7 @@
 	refusing bool
 	// meanDurations has the moving average of each queue's task durations, in milliseconds.
 	meanDurations map[croft.QueueID]float64
+	sharing       sharing
 
 	// effects are those of the current Reduce call.
 	effects []Effect
@@ -123,6 +124,7 @@
 	p.lastNumberUsed = ""
 	p.nextScale, p.nextLoads, p.nextPoolLog, p.pendingAdvice, p.refusing = 0, 0, 0, 0, false
 	p.meanDurations = map[croft.QueueID]float64{}
+	p.sharing = newSharing(p.config.Organisations)
 	for number, w := range p.waves {
 		p.waves[number] = newWave(w.Wave, w.requestedAt)
 	}
@@ -218,6 +220,7 @@
 	for _, q := range config.Queues {
 		p.queues[q.ID] = q
 	}
+	p.sharing.configure(config.Organisations)
 }
 
 // plan does what is due after the events of an instant. Work that examines all executors or depends only on time is
--- /dev/null
+++ b/sched/shares.go
@@ -0,0 +1,193 @@
+package sched
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"waxwing.example/croft"
+	"waxwing.example/croft/shares"
+)
+
+// Parameters of the sharing of capacity among organisations.
+const (
+	// burstWindow is for how long an organisation may submit twice as many jobs as its weight allows.
+	burstWindow = 5 * croft.Second
+	// excessAgeing is the age from which on a job is not excess any more, so that it does not wait for ever. It is longer than a burst
+	// and the time in which its jobs are worked off.
+	excessAgeing = 30 * croft.Second
+	// shareAgeing is the waiting time that outweighs one step of an organisation's share.
+	shareAgeing = 5 * croft.Second
+)
+
+// useLedger has the needs of the runs that may be active on executors, by organisation.
+type useLedger interface {
+	Use(org croft.OrganisationID) croft.Resources
+	Add(org croft.OrganisationID, needs croft.Resources)
+	Remove(org croft.OrganisationID, needs croft.Resources)
+}
+
+// useCounter is a useLedger that keeps a sum for each organisation.
+type useCounter map[croft.OrganisationID]croft.Resources
+
+// Use returns what an organisation may have in use.
+func (c useCounter) Use(org croft.OrganisationID) croft.Resources { return c[org] }
+
+// Add adds the needs of a run.
+func (c useCounter) Add(org croft.OrganisationID, needs croft.Resources) { c[org] = c[org].Plus(needs) }
+
+// Remove subtracts the needs of a run.
+func (c useCounter) Remove(org croft.OrganisationID, needs croft.Resources) {
+	c[org] = c[org].Minus(needs)
+}
+
+// organisation is the planner's state of one organisation.
+type organisation struct {
+	id croft.OrganisationID
+	// weight is zero if the configuration does not have the organisation; its jobs then count as those of none.
+	weight float64
+	// share is its quantised share of the capacity, as of the last placement pass.
+	share int
+	// loggedFraction is the admitted fraction that was last logged.
+	loggedFraction float64
+}
+
+// sharing is the planner's state of the sharing of capacity among organisations.
+type sharing struct {
+	tracker       *shares.Tracker
+	use           useLedger
+	organisations map[croft.OrganisationID]*organisation
+	// configured has the organisations of the configuration, in its order.
+	configured []*organisation
+	refreshed  croft.Millis
+	// published has the fractions that were published last, by queue, and formerly those before: entries use these for some time on.
+	published, formerly map[croft.QueueID]map[croft.OrganisationID]float64
+	// limiting reports that the last loads limit new jobs.
+	limiting bool
+	names    shares.Names
+}
+
+func newSharing(configured []croft.Organisation) sharing {
+	s := sharing{tracker: shares.NewTracker(burstWindow), use: useCounter{}, organisations: map[croft.OrganisationID]*organisation{}, refreshed: -1}
+	s.configure(configured)
+	return s
+}
+
+// configure sets the weights of the organisations.
+func (s *sharing) configure(configured []croft.Organisation) {
+	s.configured = nil
+	for _, o := range s.organisations {
+		o.weight = 0
+	}
+	for _, c := range configured {
+		o := s.organisation(c.ID)
+		o.weight = c.Weight
+		s.configured = append(s.configured, o)
+	}
+}
+
+// organisation returns the state of an organisation, which it creates if needed; nil for the empty ID.
+func (s *sharing) organisation(id croft.OrganisationID) *organisation {
+	if id == "" {
+		return nil
+	}
+	o, ok := s.organisations[id]
+	if !ok {
+		o = &organisation{id: id, loggedFraction: 1}
+		s.organisations[id] = o
+	}
+	return o
+}
+
+// addUse counts a run that may be active.
+func (s *sharing) addUse(r *run) {
+	if o := r.stage.job.organisation; o != nil {
+		s.use.Add(o.id, r.needs())
+	}
+}
+
+// removeUse subtracts a run that has certainly ended.
+func (s *sharing) removeUse(r *run) {
+	if o := r.stage.job.organisation; o != nil {
+		s.use.Remove(o.id, r.needs())
+	}
+}
+
+// fraction returns the fraction of an organisation's jobs in a queue that entries admit: of the last two that were published the
+// higher one, so that the rate of its submissions is not overestimated.
+func (s *sharing) fraction(queue croft.QueueID, org croft.OrganisationID) float64 {
+	highest := 0.0
+	for _, published := range []map[croft.QueueID]map[croft.OrganisationID]float64{s.published, s.formerly} {
+		fraction, limited := published[queue][org]
+		if !limited {
+			return 1
+		}
+		highest = max(highest, fraction)
+	}
+	return highest
+}
+
+// hasOrganisations reports whether the deployment has organisations.
+func (p *Planner) hasOrganisations() bool { return len(p.sharing.configured) > 0 }
+
+// countArrivals counts new jobs for the rates of their organisations, in the order of their acceptance, and marks those that are excess.
+// The order and the times do not depend on which leader counts them.
+func (p *Planner) countArrivals(added []*job) {
+	if !p.hasOrganisations() {
+		return
+	}
+	slices.SortFunc(added, func(a, b *job) int {
+		return cmp.Or(cmp.Compare(a.receivedAt, b.receivedAt), cmp.Compare(a.record.Accepted, b.record.Accepted), cmp.Compare(a.id, b.id))
+	})
+	for _, j := range added {
+		if o := j.organisation; o != nil {
+			j.excess = p.sharing.tracker.Arrived(o.id, j.receivedAt, o.weight, p.sharing.fraction(j.record.Queue, o.id))
+		}
+	}
+}
+
+// refreshShares computes the share of each organisation, once for each instant.
+func (p *Planner) refreshShares() {
+	s := &p.sharing
+	if !p.hasOrganisations() || s.refreshed == p.now.Elapsed {
+		return
+	}
+	s.refreshed = p.now.Elapsed
+	var total croft.Resources
+	for _, w := range p.sortedWorkers {
+		if w.listed {
+			total = total.Plus(w.Room)
+		}
+	}
+	// Only organisations that use capacity compete for it, so that the steps stay coarse when few of many do.
+	totalWeight := 0.0
+	for _, o := range s.configured {
+		if s.use.Use(o.id) != (croft.Resources{}) {
+			totalWeight += o.weight
+		}
+	}
+	for _, o := range s.configured {
+		o.share = shares.Level(shares.DominantShare(s.use.Use(o.id), total, o.weight), totalWeight)
+	}
+}
+
+// rankOrganisation returns the parts of a stage's rank that depend on its organisation: whether the job is excess, and the share. Both
+// count less the longer the stage has waited.
+func (p *Planner) rankOrganisation(s *stage) (excess, share int) {
+	o := s.job.organisation
+	if o == nil || o.weight <= 0 {
+		return 0, 0
+	}
+	if s.job.excess && p.now.Elapsed-s.job.receivedAt < excessAgeing {
+		excess = 1
+	}
+	return excess, max(o.share-int((p.now.Elapsed-s.openedAt)/shareAgeing), 0)
+}
+
+// describeOrganisation returns what an organisation's contract and share mean for the placement of the job.
+func (j *job) describeOrganisation() string {
+	if j.organisation == nil {
+		return ""
+	}
+	return fmt.Sprintf(", organisation %s of weight %g: excess %v, share in use %d", j.organisation.id, j.organisation.weight, j.excess, j.organisation.share)
+}
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -363,6 +363,7 @@
 func (p *Planner) addRun(r *run) {
 	r.worker.runs[r.stage.id(r.index)] = r
 	r.worker.used = r.worker.used.Plus(r.needs())
+	p.sharing.addUse(r)
 	if r.stage.spec.Endless {
 		r.worker.endlessRuns++
 	}
@@ -381,6 +382,7 @@
 	w := r.worker
 	delete(w.runs, r.stage.id(r.index))
 	w.used = w.used.Minus(r.needs())
+	p.sharing.removeUse(r)
 	if r.stage.spec.Endless {
 		w.endlessRuns--
 	}
