stats, agent, platform: rates, admitted fractions and refusals by organisation

Cause: operators could not see which organisation exceeds its contract or is refused. Measured: go test ./stats ./agent.

--- a/stats/stats.go
+++ b/stats/stats.go
@@ -12,7 +12,7 @@
 )
 
 // Stats holds the metrics of one entry. The number of time series is bounded: labels have a few fixed values, except the
-// label queue, which has a value for each of the first maxQueues queues only.
+// labels queue and organisation, which have a value for each of the first maxQueues queues and shares.MaxNames organisations only.
 type Stats struct {
 	registry       *prometheus.Registry
 	decisions      *prometheus.CounterVec
@@ -29,6 +29,7 @@
 	removedStates  prometheus.Counter
 	// countedQueues are the queues that have series.
 	countedQueues map[croft.QueueID]bool
+	organisations organisationStats
 }
 
 // maxQueues is the number of queues that get series; any further queue is not counted.
@@ -55,9 +56,11 @@
 		ordersInFlight: newGauge("croft_orders_in_flight", "Orders to executors without an answer yet."),
 		removedStates:  prometheus.NewCounter(prometheus.CounterOpts{Name: "croft_states_removed_total", Help: "States of ended jobs that were removed from the store."}),
 		countedQueues:  map[croft.QueueID]bool{},
+		organisations:  newOrganisationStats(),
 	}
 	s.registry.MustRegister(s.decisions, s.calls, s.storeTimes, s.orderTimes, s.requestTimes, s.feedTimes, s.queueWaiting, s.queueOldest, s.leading,
 		s.configVersion, s.ordersInFlight, s.removedStates, collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
+	s.organisations.register(s.registry)
 	return s
 }
 
