shares: a fraction that entries do not use is not taken for the rate

Cause: while entries hear nothing of the planner they admit everything, but the rate of submissions was estimated as if they used the published fraction: with a burst of eight times the weight the fraction fell to 1/64, and entries that heard of it refused nearly all. Change: if jobs arrive at four times the allowed rate although the fraction is below a quarter, the accepted rate is taken as offered.

--- a/shares/shares_test.go
+++ b/shares/shares_test.go
@@ -71,6 +71,19 @@
 	}
 }
 
+// Load: a burst while entries hear nothing of the planner and admit everything. Guards against a rate that is estimated from a fraction that
+// nobody uses: the fraction fell to its minimum, and when entries heard of it, they refused nearly all jobs for seconds.
+func TestFractionThatEntriesIgnoreStaysPlausible(t *testing.T) {
+	tracker := NewTracker(5 * croft.Second)
+	fraction := 1.0
+	for at := croft.Millis(0); at < 9*croft.Second; at += 25 {
+		tracker.Arrived("a", at, 5, fraction)
+		fraction = tracker.Admit("a", at, true)
+	}
+	// 40 jobs per second are offered.
+	assert.Assert(t, fraction >= 0.125 && fraction <= 0.25, "%f", fraction)
+}
+
 // Guards against refusals of organisations within their contract: a rate of the weight, in whatever batches the burst allowance permits,
 // is admitted whole and never excess.
 func TestContractIsAdmittedWhole(t *testing.T) {
--- a/shares/tracker.go
+++ b/shares/tracker.go
@@ -21,6 +21,9 @@
 	minAdmitted = 1.0 / 64
 	// spendTime is the time in which the remaining burst allowance may be used up.
 	spendTime = 1 * croft.Second
+	// ignoredFactor shows that entries do not use the fraction, since they hear nothing of it: jobs arrive at this many times the allowed
+	// rate, although the fraction is below its inverse. The rate of submissions is then that of accepted jobs.
+	ignoredFactor = 4
 	// rounding is the error of a token bucket's level that is tolerated.
 	rounding = 1e-6
 )
@@ -156,6 +159,9 @@
 	}
 	// The last token is kept for the next job, and one of the jobs does not count: a single job shows no rate.
 	allowed := a.weight + max(tokens-1, 0)*float64(croft.Second)/float64(spendTime)
+	if accepted/span > ignoredFactor*allowed && accepted < offered/ignoredFactor {
+		offered = accepted
+	}
 	rate := offered / span * (accepted - 1) / accepted
 	if rate <= allowed {
 		return 1
