sched: excess jobs take no VMs that other pools need

Cause: the demand of a pool included excess jobs, so that a burst of one organisation took VMs from pools whose jobs were within their contracts. Change: pools compare their supply by the demand without excess jobs, and those with the largest deficit by it are served first. Spare and surplus VMs still go to excess jobs. Without organisations both demands are the same.

--- a/sched/scale.go
+++ b/sched/scale.go
@@ -26,6 +26,8 @@
 type demand struct {
 	// current is the number that completes the present work within backlogTarget.
 	current int
+	// contract is the part of it without excess jobs, for which no other pool goes short.
+	contract int
 	// peak is the highest recent value of current, with a decay over time.
 	peak float64
 	// surplusSince is since when the pool has had more than current VMs.
@@ -107,9 +109,9 @@
 			pools = append(pools, po)
 		}
 	}
-	// The pool with the largest deficit is served first.
+	// The pool with the largest deficit is served first; what excess jobs need comes last.
 	slices.SortFunc(pools, func(a, b *pool) int {
-		return cmp.Or(cmp.Compare(b.demand.current-p.availableVMs(b), a.demand.current-p.availableVMs(a)), cmp.Compare(a.id, b.id))
+		return cmp.Or(cmp.Compare(b.demand.contract-p.availableVMs(b), a.demand.contract-p.availableVMs(a)), cmp.Compare(b.demand.current-p.availableVMs(b), a.demand.current-p.availableVMs(a)), cmp.Compare(a.id, b.id))
 	})
 	for _, po := range pools {
 		for deficit := po.demand.current - p.availableVMs(po); deficit > 0; deficit-- {
@@ -153,7 +155,7 @@
 
 // assessDemand computes how many VMs a pool needs.
 func (p *Planner) assessDemand(po *pool) {
-	var work, endless croft.Resources
+	var work, excess, endless croft.Resources
 	capacity := p.meanCapacity(po)
 	minimum := 1
 	for _, j := range po.jobs {
@@ -167,11 +169,16 @@
 				endless = endless.Plus(scaleResources(needs, int64(s.remainingTasks), 1))
 				continue
 			}
-			work = work.Plus(scaleResources(needs, int64(s.remainingTasks)*int64(p.expectedDuration(s)), int64(backlogTarget)))
+			needed := scaleResources(needs, int64(s.remainingTasks)*int64(p.expectedDuration(s)), int64(backlogTarget))
+			work = work.Plus(needed)
+			if p.isExcess(j) {
+				excess = excess.Plus(needed)
+			}
 		}
 	}
 	d := &po.demand
 	d.current = max(vmsNeeded(endless.Plus(work), capacity), minimum)
+	d.contract = max(vmsNeeded(endless.Plus(work).Minus(excess), capacity), minimum)
 	d.peak = max(d.peak*peakDecay, float64(d.current))
 	if p.availableVMs(po) <= d.current {
 		d.surplusSince = p.now.Elapsed
@@ -279,9 +286,9 @@
 	return true
 }
 
-// supplyRatio returns which part of its demand a pool would have with some number of VMs.
+// supplyRatio returns which part of its demand a pool would have with some number of VMs, without that of excess jobs.
 func (po *pool) supplyRatio(vms int) float64 {
-	return float64(vms) / float64(max(po.demand.current, 1))
+	return float64(vms) / float64(max(po.demand.contract, 1))
 }
 
 // findSpareVM returns a VM of a spare pool that can move to a pool.
--- a/sched/sharerank_test.go
+++ b/sched/sharerank_test.go
@@ -133,6 +133,28 @@
 	assert.Assert(t, late.Loads["q"].Ahead > 22*croft.Second)
 }
 
+// Load: a burst of excess jobs in one pool while another one has as many VMs as its contracts need. Guards against VMs that are taken from the
+// other pool; without organisations, the same load takes some.
+func TestExcessTakesNoVMsThatOthersNeed(t *testing.T) {
+	const other = croft.PoolID("other")
+	for _, weight := range []float64{1, 0} {
+		b := newTestBench(t)
+		b.leadTwoPools(16, 8, croft.PoolRule{ID: other})
+		config := testConfig()
+		config.Config.Version = 3
+		config.Config.Pools = append(config.Config.Pools, croft.PoolRule{ID: other})
+		config.Config.Organisations = []croft.Organisation{{ID: "heavy", Weight: weight}, {ID: "calm", Weight: 100}}
+		b.event(config)
+		needed := jobsOf("calm", 8, step(4, 16))
+		for i := range needed {
+			needed[i].Record.Pool = other
+		}
+		b.event(JobsRead{Jobs: append(needed, jobsOf("heavy", 80, step(4, 16))...)})
+		b.advance(scaleInterval)
+		assert.Equal(t, len(b.planner.moves) > 0, weight == 0, "%d moves", len(b.planner.moves))
+	}
+}
+
 // Guards against refusals while the capacity of the fleet is not known, such as after a takeover.
 func TestNothingIsRefusedWithoutAListOfVMs(t *testing.T) {
 	b := newTestBench(t)
--- a/sched/shares.go
+++ b/sched/shares.go
@@ -178,12 +178,17 @@
 	if o == nil || o.weight <= 0 {
 		return 0, 0
 	}
-	if s.job.excess && p.now.Elapsed-s.job.receivedAt < excessAgeing {
+	if p.isExcess(s.job) {
 		excess = 1
 	}
 	return excess, max(o.share-int((p.now.Elapsed-s.openedAt)/shareAgeing), 0)
 }
 
+// isExcess reports whether a job counts as excess at the moment.
+func (p *Planner) isExcess(j *job) bool {
+	return j.excess && j.organisation.weight > 0 && p.now.Elapsed-j.receivedAt < excessAgeing
+}
+
 // describeOrganisation returns what an organisation's contract and share mean for the placement of the job.
 func (j *job) describeOrganisation() string {
 	if j.organisation == nil {
