intake: a job whose transaction is under way is not refused

Cause: a caller that left while the transaction with its job was under way, and came again under a limit, was answered 429 although the job was stored afterwards: a submission that is given up leaves the queue of its part at once. Change: the keys of the transaction under way count as pending. Measured: TestJobUnderWayIsNotRefused: Rejected without the change, Accepted with it. go test -race ./intake passes.

--- a/intake/group.go
+++ b/intake/group.go
@@ -51,6 +51,8 @@
 // partQueue has the submissions of one part that are not decided.
 type partQueue struct {
 	waiting []*submission
+	// inFlight has the state keys of the transaction that was sent last, which may still be stored after its callers have left.
+	inFlight map[string]bool
 	// writing reports that a goroutine runs write.
 	writing bool
 }
@@ -102,12 +104,12 @@
 	g.parts[part].drop(s)
 }
 
-// isPending reports whether a job may still be stored by a submission that is not decided, although the caller may have its answer.
+// isPending reports whether this entry may still store a job, although the caller of the submission may have left.
 func (g *groupWriter) isPending(part, stateKey string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	q, ok := g.parts[part]
-	return ok && slices.ContainsFunc(q.waiting, func(s *submission) bool { return s.stateKey == stateKey })
+	return ok && (q.inFlight[stateKey] || slices.ContainsFunc(q.waiting, func(s *submission) bool { return s.stateKey == stateKey }))
 }
 
 // decide sets the final outcome; the caller holds the writer's lock.
@@ -177,7 +179,7 @@
 			break
 		}
 	}
-	q.writing = len(group) > 0
+	q.writing, q.inFlight = len(group) > 0, keys
 	return group
 }
 
--- a/intake/refusal_test.go
+++ b/intake/refusal_test.go
@@ -1,9 +1,11 @@
 package intake
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -102,6 +104,33 @@
 	assert.Equal(t, b.refused["heavy"], 0)
 }
 
+// blockedTable is a table whose transactions wait for release.
+type blockedTable struct {
+	fakeTable
+	release chan struct{}
+}
+
+func (t *blockedTable) Commit(ctx context.Context, ops []croft.Op) (uint64, error) {
+	<-t.release
+	return t.fakeTable.Commit(ctx, ops)
+}
+
+// Guards against 429 for a job that is stored afterwards: its caller left while the transaction was under way, and comes again while the
+// organisation is limited.
+func TestJobUnderWayIsNotRefused(t *testing.T) {
+	store := &blockedTable{fakeTable: fakeTable{rows: map[string]croft.Row{}}, release: make(chan struct{})}
+	i := New(store, clock.NewSystem(), discardLog{}, func() croft.Millis { return 0 }, croft.Second, 0)
+	target := refusedTarget("heavy", 0.1)
+	outcome, _ := i.Submit(shortContext(t), target, croft.JobSpec{})
+	assert.Equal(t, outcome, Unknown)
+	i.RecordLoads(jobs.Encode(map[croft.QueueID]sched.Load{queue.ID: {Admitted: map[croft.OrganisationID]float64{"heavy": 0.1}}}))
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	time.AfterFunc(50*time.Millisecond, func() { close(store.release) })
+	outcome, _ = i.Submit(ctx, target, croft.JobSpec{})
+	assert.Equal(t, outcome, Accepted)
+}
+
 // Guards against 429 while it is not known whether the job is stored: the answer is that of an outage.
 func TestNothingIsRefusedWithoutTheStore(t *testing.T) {
 	b := newEntryBench()
