sched: published fractions fit a row

Cause: each queue that is short named all limited organisations. With hundreds of these and several queues the row of the loads could be larger than the store takes, and no entry would have heard of any limit. Change: a queue names only organisations that have jobs in it, the lowest fractions first, and all queues together at most half of a row.

--- a/sched/shareload.go
+++ b/sched/shareload.go
@@ -1,8 +1,11 @@
 package sched
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 
 	"waxwing.example/croft"
 	"waxwing.example/croft/shares"
@@ -43,34 +46,63 @@
 		return nil
 	}
 	p.refreshShares()
-	short := map[croft.QueueID]bool{}
+	short := shortQueues{}
 	shortFor := map[*organisation]bool{}
 	for _, po := range p.sortedPools {
 		p.assessQueues(po, loads, short)
 		for _, j := range po.jobs {
-			if j.organisation != nil && short[j.record.Queue] {
+			if submitters, ok := short[j.record.Queue]; ok && j.organisation != nil {
+				submitters[j.organisation] = true
 				shortFor[j.organisation] = true
 			}
 		}
 	}
 	rates, limited := p.updateFractions(shortFor)
-	for id, load := range loads {
-		if short[id] && len(limited) > 0 {
-			load.Admitted = limited
-			loads[id] = load
-			s.published[id] = limited
-		}
+	p.publishFractions(loads, short, limited)
+	for _, load := range loads {
 		s.limiting = s.limiting || load.Ahead > 0 || len(load.Admitted) > 0
 	}
 	return rates
 }
 
-// updateFractions updates the admitted fractions, and returns the rates of all organisations that have any, and the fractions of those that
-// are limited.
-func (p *Planner) updateFractions(shortFor map[*organisation]bool) (map[croft.OrganisationID]OrganisationLoad, map[croft.OrganisationID]float64) {
+// shortQueues has the queues that are short of capacity, with the organisations that have jobs in each.
+type shortQueues map[croft.QueueID]map[*organisation]bool
+
+const (
+	// fractionBytes is the encoded size of a fraction without the name of the organisation.
+	fractionBytes = 10
+	// rowDivisor is the part of a row that fractions may take, the rest is for the other figures.
+	rowDivisor = 2
+)
+
+// publishFractions adds the fractions to the loads of the queues that are short, as many as the row may hold: the lowest ones first.
+func (p *Planner) publishFractions(loads map[croft.QueueID]Load, short shortQueues, limited []*organisation) {
+	slices.SortStableFunc(limited, func(a, b *organisation) int { return cmp.Compare(a.fraction, b.fraction) })
+	size := 0
+	for _, o := range limited {
+		for _, id := range slices.Sorted(maps.Keys(short)) {
+			if !short[id][o] {
+				continue
+			}
+			if size += len(o.id) + fractionBytes; p.options.RowBytes > 0 && size > p.options.RowBytes/rowDivisor {
+				return
+			}
+			load := loads[id]
+			if load.Admitted == nil {
+				load.Admitted = map[croft.OrganisationID]float64{}
+				loads[id] = load
+				p.sharing.published[id] = load.Admitted
+			}
+			load.Admitted[o.id] = o.fraction
+		}
+	}
+}
+
+// updateFractions updates the admitted fractions, and returns the rates of all organisations that have any, and those that are limited.
+func (p *Planner) updateFractions(shortFor map[*organisation]bool) (map[croft.OrganisationID]OrganisationLoad, []*organisation) {
 	s := &p.sharing
 	rates := map[croft.OrganisationID]OrganisationLoad{}
-	limited := map[croft.OrganisationID]float64{}
+	var limited []*organisation
 	for _, o := range s.configured {
 		fraction := s.tracker.Admit(o.id, p.now.Elapsed, shortFor[o])
 		measured := s.tracker.Rates(o.id, p.now.Elapsed)
@@ -79,7 +111,8 @@
 		}
 		if fraction < 1 {
 			// Three digits keep the row short.
-			limited[o.id] = math.Ceil(fraction*1000) / 1000
+			o.fraction = math.Ceil(fraction*1000) / 1000
+			limited = append(limited, o)
 		}
 		p.logFraction(o, fraction, measured)
 	}
@@ -98,7 +131,7 @@
 }
 
 // assessQueues adds to the loads of a pool's queues how long new jobs wait, and marks the queues that are short of capacity.
-func (p *Planner) assessQueues(po *pool, loads map[croft.QueueID]Load, short map[croft.QueueID]bool) {
+func (p *Planner) assessQueues(po *pool, loads map[croft.QueueID]Load, short shortQueues) {
 	if len(po.jobs) == 0 || !po.backlogged {
 		return
 	}
@@ -117,7 +150,7 @@
 		}
 		slack := q.slackSum / croft.Millis(q.jobs)
 		if wait := drainTime(all, present); wait > slack {
-			short[id] = true
+			short[id] = map[*organisation]bool{}
 			load.Wait = wait - slack
 		}
 		load.Ahead = croft.Millis(float64(drainTime(ahead, gettable)) / aheadMargin)
--- a/sched/sharerank_test.go
+++ b/sched/sharerank_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
@@ -155,6 +156,34 @@
 	}
 }
 
+// Guards against loads that the store does not take, so that no entry hears of any limit: 400 organisations with long names are limited in
+// several queues.
+func TestFractionsFitARow(t *testing.T) {
+	b := newTestBench(t)
+	b.planner.options.RowBytes = 16 << 10
+	loads, short := map[croft.QueueID]Load{}, shortQueues{}
+	b.planner.sharing.published = map[croft.QueueID]map[croft.OrganisationID]float64{}
+	var limited []*organisation
+	for i := range 400 {
+		o := &organisation{id: croft.OrganisationID(fmt.Sprintf("organisation-with-a-long-name-%d", i)), fraction: 1 - float64(i)/500}
+		limited = append(limited, o)
+	}
+	for i := range 5 {
+		id := croft.QueueID(fmt.Sprint(i))
+		loads[id], short[id] = Load{Waiting: 1}, map[*organisation]bool{}
+		for _, o := range limited {
+			short[id][o] = true
+		}
+	}
+	b.planner.publishFractions(loads, short, slices.Clone(limited))
+	encoded, err := json.Marshal(loads)
+	assert.NilError(t, err)
+	assert.Assert(t, len(encoded) > 6<<10 && len(encoded) < 10<<10, "%d bytes", len(encoded))
+	_, first := loads["0"].Admitted[limited[0].id]
+	_, last := loads["0"].Admitted[limited[399].id]
+	assert.Assert(t, last && !first)
+}
+
 // Guards against refusals while the capacity of the fleet is not known, such as after a takeover.
 func TestNothingIsRefusedWithoutAListOfVMs(t *testing.T) {
 	b := newTestBench(t)
--- a/sched/shares.go
+++ b/sched/shares.go
@@ -48,6 +48,8 @@
 	weight float64
 	// share is its quantised share of the capacity, as of the last placement pass.
 	share int
+	// fraction is the admitted fraction that is published, if the organisation is limited.
+	fraction float64
 	// loggedFraction is the admitted fraction that was last logged.
 	loggedFraction float64
 }
