leader: the leader row is read before a takeover without news from the feed

Cause: a store that has dropped its history may return no changes of the leader row any more. The entry then took the row that it knew for unchanged and tried to take over; only the version check of the commit stopped it. Change: an entry whose feed has returned no change of the row since the last read of the whole table reads the row first. A newer row restarts the wait; no takeover happens while the row cannot be read.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -102,6 +102,8 @@
 	lastAnswer croft.Millis
 	// rowKnown reports that the leader row has been read, or been found not to exist.
 	rowKnown bool
+	// rowFromFeed reports that the feed has returned a change of the leader row since the table was last read as a whole.
+	rowFromFeed bool
 	// answerDelay is how late the store's last answer without changes was.
 	answerDelay croft.Millis
 	// longestGap is the longest recent gap between renewals by the current leader; it decays.
@@ -220,8 +222,10 @@
 		e.row, e.value = croft.Row{Key: Key}, leaderRow{}
 	}
 	firstRead := e.row.Version == 0 && e.value.Holder == ""
+	e.rowFromFeed = e.rowFromFeed && !whole
 	for _, r := range changes.Rows {
 		if r.Key == Key {
+			e.rowFromFeed = !whole
 			e.applyRow(r, now)
 		}
 	}
@@ -265,11 +269,6 @@
 	e.longestGap = max(now-e.unchangedSince, e.longestGap*gapDecayPercent/100)
 }
 
-// takeoverWait returns how long the row must stay unchanged before this entry takes over.
-func (e *Election) takeoverWait() croft.Millis {
-	return min(max(e.lease*unchangedPercent/100+e.answerDelay*delayFactor, e.longestGap*gapPercent/100), e.lease) + e.rankDelay
-}
-
 // Run takes over and renews the leadership until the context ends; it calls notify with
 // the new term whenever this entry's leadership begins, and with nil when it ends.
 func (e *Election) Run(ctx context.Context, notify func(*Leadership)) error {
@@ -293,16 +292,12 @@
 	e.mu.Lock()
 	leading := e.leadership != nil
 	due := now-e.renewedAt >= e.lease/renewDivisor
-	canTakeOver := e.rowKnown && now-e.lastAnswer < e.lease/2 && (e.value.Holder == "" || e.ownEarlierRow || e.lastAnswer-e.unchangedSince >= e.takeoverWait())
-	if e.rowKnown && e.value.Holder == "" && now-e.unchangedSince < e.rankDelay {
-		// A released leadership is taken over at once by the first candidate, later by those of higher rank.
-		canTakeOver = false
-	}
+	canTakeOver := e.mayTakeOver(now)
 	e.mu.Unlock()
 	switch {
 	case leading && due:
 		e.write(ctx, false)
-	case !leading && canTakeOver:
+	case !leading && canTakeOver && e.confirmRow(ctx):
 		e.write(ctx, true)
 	}
 }
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -24,6 +24,10 @@
 	silent bool
 	// beforeAnswer is called once, after the next commit is applied and before it returns.
 	beforeAnswer func()
+	// getErr is the error that reads return, nil for success.
+	getErr error
+	// commits counts the calls of Commit.
+	commits int
 }
 
 func (t *fakeTable) Get(ctx context.Context, _ string) (croft.Row, error) {
@@ -32,7 +36,13 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.row, nil
+	return t.row, t.getErr
+}
+
+func (t *fakeTable) commitCount() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.commits
 }
 
 func (t *fakeTable) Scan(context.Context, croft.Range) ([]croft.Row, error) { return nil, nil }
@@ -51,6 +61,7 @@
 func (t *fakeTable) commit(ops []croft.Op) (version uint64, beforeAnswer func(), err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.commits++
 	commitErr := t.commitErr
 	t.commitErr = nil
 	if commitErr != nil && !t.applyFailed {
