leader, agent, platform: an entry too weak for the executors waits one lease longer

Cause: an entry with 0.192 cores and 10 Mbit/s took over the lead of some 350 executors from an entry with 0.8 cores, as its rank delays it by 0.6 s at most; then 400 to 600 orders went unanswered in each 2 s. Change: the leader row carries the class of strength of its writer, which is the part of the rank that comes from the CPU share, and the number of executors; both are optional. An entry whose limits (cores, memory, descriptors, link) are below what that number needs waits one lease longer if the last leader was of a stronger class, and then leads all the same. Released leads and entries of equal class are not affected. Measured: go test ./leader ./agent, and go test ./platform -run 'Strength|Settings'; without the longer wait, TestEntryTooWeakForTheExecutorsWaitsOneLeaseLonger fails as the weak entry leads after 1.6 s.

--- a/agent/follow.go
+++ b/agent/follow.go
@@ -136,6 +136,7 @@
 
 // followWorkers follows the registry of executors while the entry leads.
 func (a *Agent) followWorkers(ctx context.Context) {
+	known := map[croft.WorkerID]bool{}
 	a.follow(ctx, "workers", 0, followWait, func(ctx context.Context, after uint64, wait croft.Millis) (uint64, error) {
 		got, err := a.Directory.FollowWorkers(ctx, after, wait)
 		if err != nil {
@@ -143,11 +144,26 @@
 		}
 		if got.Whole || len(got.Entries)+len(got.Unusable) > 0 {
 			a.post(ctx, sched.WorkersRead{Changes: got})
+			applyWorkers(known, got)
+			a.Election.SetExecutors(len(known))
 		}
 		return got.Version, nil
 	})
 }
 
+// applyWorkers applies changes of the registry to the set of registered executors.
+func applyWorkers(known map[croft.WorkerID]bool, changes croft.WorkerChanges) {
+	if changes.Whole {
+		clear(known)
+	}
+	for _, entry := range changes.Entries {
+		known[entry.ID] = true
+	}
+	for _, id := range changes.Unusable {
+		delete(known, id)
+	}
+}
+
 // followJobs passes all stored jobs to the planner and then follows new ones and cancellations while the entry leads; fence
 // is the version at which the leadership began.
 func (a *Agent) followJobs(ctx context.Context, fence uint64) {
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -64,6 +64,10 @@
 	// PredecessorRemaining is set in a released row: for how long, from the release on, a leader before the one that
 	// released the row may still give orders, in milliseconds.
 	PredecessorRemaining croft.Millis `json:",omitempty"`
+	// Class is the class of strength of the entry that wrote the row, nil if it has a version that writes none.
+	Class *int `json:",omitempty"`
+	// Executors is the number of executors that the leader has, zero if it is not known.
+	Executors int `json:",omitempty"`
 }
 
 // unknownHolder stands for the holder of a leader row that can't be decoded: it may be a leader that gives orders.
@@ -89,6 +93,7 @@
 	lease     croft.Millis
 	table     croft.Table
 	clock     croft.Clock
+	strength  Strength
 
 	// writeMu serialises writes of the row, which would conflict with each other.
 	writeMu sync.Mutex
@@ -104,6 +109,8 @@
 	rowKnown bool
 	// rowFromFeed reports that the feed has returned a change of the leader row since the table was last read as a whole.
 	rowFromFeed bool
+	// executors is the number of executors that this entry leads, zero if it is not known.
+	executors int
 	// answerDelay is how late the store's last answer without changes was.
 	answerDelay croft.Millis
 	// longestGap is the longest recent gap between renewals by the current leader; it decays.
@@ -311,7 +318,10 @@
 		e.mu.Unlock()
 		return
 	}
-	value := leaderRow{Holder: e.self, Nonce: uuid.NewString(), Term: e.value.Term, Rank: e.rank}
+	if takeover {
+		e.executors = 0
+	}
+	value := e.newRow(e.self, uuid.NewString())
 	expected := e.row.Version
 	vmsFrom := e.unchangedSince + e.lease
 	if e.value.Holder == "" {
@@ -387,15 +397,15 @@
 	e.writeMu.Lock()
 	defer e.writeMu.Unlock()
 	e.mu.Lock()
-	current, expected, term := e.leadership, e.row.Version, e.value.Term
+	current, expected, value := e.leadership, e.row.Version, e.newRow("", uuid.NewString())
 	e.leadership = nil
 	e.rowKnown = false
 	e.mu.Unlock()
 	if current == nil {
 		return
 	}
-	remaining := max(current.VMOrdersFrom-e.clock.Elapsed(), 0)
-	encoded, err := json.Marshal(leaderRow{Nonce: uuid.NewString(), Term: term, PredecessorRemaining: remaining})
+	value.PredecessorRemaining = max(current.VMOrdersFrom-e.clock.Elapsed(), 0)
+	encoded, err := json.Marshal(value)
 	if err != nil {
 		panic(err)
 	}
