window, sched, agent, stats, model: starts in flight are bounded while the leader is overloaded

Cause: a leader whose starts take longer than they are waited for sent them all again; it gave up most of them before they were carried out, and the load on its link only grew. Change: package window, a limit of starts in flight by additive increase and multiplicative decrease (Chiu and Jain 1989). There is none until starts go unanswered on four executors in three racks and, where there are several, two data centres within 500 ms, and at least one start in five does. sched consults it before each start; what it does not allow keeps waiting, and the pools take turns. Stops, holds, commits and renewals are not bounded. Log lines Window, metric croft_orders_limit. Start carries when it was sent. The model can make each start occupy the leader. Measured: go test ./window ./sched ./agent ./stats, and go test ./model -run 'Overloaded|KeepsUp'.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -12,6 +12,7 @@
 	"waxwing.example/croft/logs"
 	"waxwing.example/croft/sched"
 	"waxwing.example/croft/stats"
+	"waxwing.example/croft/window"
 )
 
 // Options holds the parts and settings of an entry.
@@ -208,6 +209,7 @@
 	}
 	a.mu.Unlock()
 	a.Stats.SetLeading(term != nil)
+	a.Stats.SetOrdersLimit(window.Unlimited)
 	a.post(ctx, sched.LeadershipLost{})
 	if term == nil {
 		a.Log.Warn("Lead", a.Self, "this entry no longer leads")
--- a/agent/perform.go
+++ b/agent/perform.go
@@ -59,6 +59,8 @@
 				a.post(ctx, sched.Woken{})
 			}
 		})
+	case sched.ReportWindow:
+		a.Stats.SetOrdersLimit(e.Limit)
 	case sched.PublishLoads:
 		for id, load := range e.Loads {
 			a.Stats.SetQueue(id, load.Waiting, load.Oldest)
--- a/model/perform.go
+++ b/model/perform.go
@@ -60,10 +60,7 @@
 	}
 	switch e := effect.(type) {
 	case sched.Start:
-		w.sendOrder(e.Order.Worker, func(x *executor) error { return w.handleStart(x, e.Order) },
-			func(clock croft.Millis, err error) sched.Event {
-				return sched.Started{Start: e, Clock: clock, Err: err}
-			})
+		w.sendStart(e)
 	case sched.Stop:
 		w.sendOrder(e.Order.Worker, func(x *executor) error { return w.handleStop(x, e.Order) },
 			func(_ croft.Millis, err error) sched.Event { return sched.Stopped{Stop: e, Err: err} })
@@ -86,6 +83,54 @@
 	}
 }
 
+// sendStart sends a start, after the earlier ones if each of them takes time.
+func (w *World) sendStart(e sched.Start) {
+	send := func() {
+		w.sendOrder(e.Order.Worker, func(x *executor) error { return w.handleStart(x, e.Order) },
+			func(clock croft.Millis, err error) sched.Event {
+				return sched.Started{Start: e, Clock: clock, Err: err}
+			})
+	}
+	if w.options.StartTime == 0 {
+		send()
+		return
+	}
+	w.queueStart(e)
+}
+
+// queueStart carries out a start once the earlier ones of the leader have been sent, and delivers the result, which is an answer only
+// if that takes less than answerTimeout.
+func (w *World) queueStart(e sched.Start) {
+	l, lost := w.leader, &croft.LostAnswerError{Reason: "model"}
+	l.startsInFlight++
+	w.report.InFlight = append(w.report.InFlight, l.startsInFlight)
+	l.startsUntil = max(l.startsUntil, w.now) + w.options.StartTime
+	wait := l.startsUntil - w.now
+	result := func(clock croft.Millis, err error) {
+		l.startsInFlight--
+		w.deliver(sched.Started{Start: e, Clock: clock, Err: err})
+	}
+	sent, unanswered := w.now, wait+networkDelay >= answerTimeout
+	w.schedule(wait, func() {
+		x, ok := w.reachable(l, e.Order.Worker)
+		if !ok {
+			if !unanswered {
+				w.scheduleFor(l, answerTimeout-wait, func() { result(0, lost) })
+			}
+			return
+		}
+		var err error
+		w.runDelayed(sent, func() { err = w.handleStart(x, e.Order) })
+		if clock := x.localTime(w.now); !unanswered {
+			w.scheduleFor(l, networkDelay, func() { result(clock, err) })
+		}
+	})
+	if unanswered {
+		w.report.Unanswered++
+		w.scheduleFor(l, answerTimeout, func() { result(0, lost) })
+	}
+}
+
 // sendOrder sends an order, which handle carries out, to an executor and delivers the result as the event that newEvent
 // returns. Some answers are lost; their orders are carried out seconds later if the executor is reachable then.
 func (w *World) sendOrder(id croft.WorkerID, handle func(*executor) error, newEvent func(croft.Millis, error) sched.Event) {
--- a/model/world.go
+++ b/model/world.go
@@ -57,6 +57,10 @@
 	Schedules bool
 	// ClockLead is the maximum time by which the clock of a leader is ahead.
 	ClockLead croft.Millis
+	// StartTime is how long the leader or its link is occupied with each start, one after another, zero for no time: the more
+	// starts are in flight, the later they are carried out and answered. Those that would take longer than answerTimeout are
+	// carried out all the same, but not answered.
+	StartTime croft.Millis
 	// Varied draws jobs with gangs, schedules, labels, data racks and per-executor limits; otherwise all steps are plain.
 	Varied bool
 }
@@ -150,6 +154,10 @@
 	Broken []string
 	// Waits has the time from submission to first start of each job that started, in milliseconds.
 	Waits []int64
+	// InFlight has, for each start sent, the number of starts in flight, if Options.StartTime is set.
+	InFlight []int
+	// Unanswered counts the starts that were not answered since too many were in flight.
+	Unanswered int
 	// Durations has the time from submission to completion of each job that was done, in milliseconds.
 	Durations []int64
 }
@@ -303,6 +311,9 @@
 	vmOrdersFrom croft.Millis
 	// clockLead is by how much its clock is ahead.
 	clockLead croft.Millis
+	// startsUntil is until when its earlier starts occupy it or its link, and startsInFlight the number without a result.
+	startsUntil    croft.Millis
+	startsInFlight int
 }
 
 // scheduleTakeover starts a new leader after a delay, with only the state in the store; it may give orders for VMs
--- a/sched/events.go
+++ b/sched/events.go
@@ -189,6 +189,8 @@
 type Start struct {
 	effectMarker
 	Order croft.RunOrder
+	// Sent is when the planner emitted the start, by Instant.Elapsed.
+	Sent croft.Millis
 }
 
 // Stop stops a run, answered by Stopped.
@@ -288,6 +290,15 @@
 	Refuse bool
 }
 
+// ReportWindow tells how many starts may be in flight.
+type ReportWindow struct {
+	effectMarker
+	// Limit is window.Unlimited if there is no limit.
+	Limit int
+	// Overloaded reports that this leader or its link is short of capacity.
+	Overloaded bool
+}
+
 // Wake requests a Woken event after a duration.
 type Wake struct {
 	effectMarker
--- a/sched/order.go
+++ b/sched/order.go
@@ -30,7 +30,8 @@
 	if got, ok := p.permitFor(s, w); ok {
 		order.Ticket = got.ticket
 	}
-	p.emit(Start{Order: order})
+	p.window.inFlight++
+	p.emit(Start{Order: order, Sent: p.now.Elapsed})
 }
 
 // markJobBegan records that an executor has begun a task of a job; until then the job counts as waiting.
@@ -202,6 +203,7 @@
 
 // handleStartResult records that a run has begun, or handles the failure of its start.
 func (p *Planner) handleStartResult(e Started) {
+	p.recordStartAnswer(e)
 	w, r := p.findRun(e.Order)
 	if r == nil || p.handleWorkerRefusal(w, e.Order.Fence, e.Order.Address, e.Err) {
 		return
--- a/sched/place.go
+++ b/sched/place.go
@@ -65,7 +65,8 @@
 
 // placePools runs a placement pass over each pool that needs one.
 func (p *Planner) placePools() {
-	for _, po := range p.sortedPools {
+	anyCut := false
+	for _, po := range p.orderedPools() {
 		if len(po.jobs) == 0 || len(po.workers) == 0 || (!po.changed && p.now.Elapsed-po.lastPlacement < placeInterval) {
 			continue
 		}
@@ -73,8 +74,12 @@
 			p.requestWake(pause)
 			continue
 		}
-		po.changed, po.backlogged, po.lastPlacement = false, false, p.now.Elapsed
+		po.changed, po.backlogged, po.windowCut, po.lastPlacement = false, false, false, p.now.Elapsed
 		p.placePool(po)
+		anyCut = anyCut || po.windowCut
+	}
+	if anyCut {
+		p.window.firstPool++
 	}
 }
 
@@ -103,22 +108,12 @@
 	if !unknownRuns {
 		p.giveUpInheritedSuspects(po)
 	}
-	var waiting []rankedStage
-	for _, j := range po.jobs {
-		// The tasks of an inherited job may already run on executors whose runs are not known yet.
-		if (j.inherited && unknownRuns) || p.awaitsSilentPart(j) {
-			continue
-		}
-		for _, s := range j.stages {
-			if s.open && len(s.waiting) > 0 {
-				s.adviceRequired = p.needsAdvice(s)
-				waiting = append(waiting, rankedStage{stage: s, rank: p.rankStage(s)})
-			}
-		}
-	}
-	slices.SortStableFunc(waiting, func(a, b rankedStage) int { return a.rank.compare(b.rank) })
 	unplaceable := unplaceableNeeds{}
-	for _, candidate := range waiting {
+	for _, candidate := range p.waitingStages(po, unknownRuns) {
+		if !p.mayStart() {
+			p.cutPlacement(po)
+			break
+		}
 		switch {
 		case unplaceable.covers(candidate.stage):
 			po.backlogged = true
@@ -137,6 +132,25 @@
 	po.tentative = nil
 }
 
+// waitingStages returns the stages of a pool that have waiting tasks, by rank.
+func (p *Planner) waitingStages(po *pool, unknownRuns bool) []rankedStage {
+	var waiting []rankedStage
+	for _, j := range po.jobs {
+		// The tasks of an inherited job may already run on executors whose runs are not known yet.
+		if (j.inherited && unknownRuns) || p.awaitsSilentPart(j) {
+			continue
+		}
+		for _, s := range j.stages {
+			if s.open && len(s.waiting) > 0 {
+				s.adviceRequired = p.needsAdvice(s)
+				waiting = append(waiting, rankedStage{stage: s, rank: p.rankStage(s)})
+			}
+		}
+	}
+	slices.SortStableFunc(waiting, func(a, b rankedStage) int { return a.rank.compare(b.rank) })
+	return waiting
+}
+
 // unplaceableNeeds are the needs that fitted on no worker in one placement pass; tasks that need as much are not tried
 // again in this pass.
 type unplaceableNeeds []croft.Resources
@@ -189,6 +203,10 @@
 		if !p.mayStartNow(s, index) {
 			continue
 		}
+		if !p.mayStart() {
+			p.cutPlacement(po)
+			return
+		}
 		w := p.chooseWorker(po, s, index)
 		if w == nil {
 			po.backlogged = true
--- a/sched/planner.go
+++ b/sched/planner.go
@@ -70,6 +70,7 @@
 	// inheritedRequested is when the waves were requested by what former leaders stored, as Unix time.
 	inheritedRequested map[int]croft.Millis
 	fleet              fleet
+	window             startWindow
 
 	// pendingAdvice counts the unanswered requests to the advice service.
 	pendingAdvice int
@@ -116,6 +117,7 @@
 	p.tombstones = map[croft.JobID]croft.Millis{}
 	p.parts = map[string]*partWriter{}
 	p.fleet = fleet{}
+	p.window = newStartWindow()
 	p.inheritedBegun = nil
 	p.holdCandidates, p.unresolvedStarts, p.wakeAt = nil, nil, 0
 	p.moves = map[croft.VMID]*move{}
@@ -240,6 +242,7 @@
 	p.sendDueHolds(everyWorker)
 	p.sendDueCommits()
 	p.publishLoads()
+	p.reportWindow()
 }
 
 // recordDoubt records from when on another entry may have taken over, and logs when that time comes or is put off.
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -22,6 +22,8 @@
 	lastPlacement croft.Millis
 	// backlogged reports that the last placement pass left tasks waiting.
 	backlogged bool
+	// windowCut reports that the limit of starts in flight has cut the last placement pass short.
+	windowCut bool
 	// lastSummary is the last summary of the pool that was logged.
 	lastSummary string
 	// tentative is the capacity that the current placement pass holds for jobs whose announcement is not stored.
@@ -214,6 +216,7 @@
 			p.unlist(w)
 		}
 	}
+	p.countDataCentres()
 }
 
 // unlist records that an executor is not registered any more.
--- a/stats/stats.go
+++ b/stats/stats.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"waxwing.example/croft"
+	"waxwing.example/croft/window"
 )
 
 // Stats holds the metrics of one entry. The number of time series is bounded: labels have a few fixed values, except the
@@ -26,6 +27,7 @@
 	queueWaiting   *prometheus.GaugeVec
 	queueOldest    *prometheus.GaugeVec
 	ordersInFlight prometheus.Gauge
+	ordersLimit    prometheus.Gauge
 	removedStates  prometheus.Counter
 	// countedQueues are the queues that have series.
 	countedQueues map[croft.QueueID]bool
@@ -53,11 +55,12 @@
 		leading:        newGauge("croft_leading", "1 on the entry that leads."),
 		configVersion:  newGauge("croft_config_version", "Version of the configuration in use."),
 		ordersInFlight: newGauge("croft_orders_in_flight", "Orders to executors without an answer yet."),
+		ordersLimit:    newGauge("croft_orders_limit", "Starts that may be in flight at once, 0 if there is no limit."),
 		removedStates:  prometheus.NewCounter(prometheus.CounterOpts{Name: "croft_states_removed_total", Help: "States of ended jobs that were removed from the store."}),
 		countedQueues:  map[croft.QueueID]bool{},
 	}
 	s.registry.MustRegister(s.decisions, s.calls, s.storeTimes, s.orderTimes, s.requestTimes, s.feedTimes, s.queueWaiting, s.queueOldest, s.leading,
-		s.configVersion, s.ordersInFlight, s.removedStates, collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
+		s.configVersion, s.ordersInFlight, s.ordersLimit, s.removedStates, collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	return s
 }
 
@@ -108,6 +111,14 @@
 // SetConfigVersion records the version of the configuration in use.
 func (s *Stats) SetConfigVersion(version uint64) { s.configVersion.Set(float64(version)) }
 
+// SetOrdersLimit records how many starts may be in flight at once.
+func (s *Stats) SetOrdersLimit(limit int) {
+	if limit == window.Unlimited {
+		limit = 0
+	}
+	s.ordersLimit.Set(float64(limit))
+}
+
 // SetQueue records the number of waiting jobs of a queue and the age of the oldest, unless maxQueues other queues have
 // series already. It must not be called concurrently.
 func (s *Stats) SetQueue(id croft.QueueID, waiting int, oldest croft.Millis) {
