leader, agent, platform: a leader hands over to a stronger entry that is ready

Cause: an entry with 0.192 cores that had become the leader stayed the leader until the end, although the store had recovered after 2 s and entries with 0.8 cores were ready. Change: an entry of a stronger class that is ready (it serves callers and has copies of all jobs) announces itself in the row lead//candidate, at most once a second and only while no better candidate does. The leader releases its row for that entry by name once both have been steady for two leases, or once it has been overloaded for 2 s. It gives no orders from before the release is sent. If the answer is lost it reads the row, and goes on only by a new term; if the release was certainly not stored, it goes on in its term. Others wait 40 % of the lease longer before they take a lead that was released for another entry. Entries of equal class neither announce themselves nor hand over. Log lines Handover.

--- a/agent/perform.go
+++ b/agent/perform.go
@@ -61,6 +61,7 @@
 		})
 	case sched.ReportWindow:
 		a.Stats.SetOrdersLimit(e.Limit)
+		a.Election.SetOverloaded(e.Overloaded)
 	case sched.PublishLoads:
 		for id, load := range e.Loads {
 			a.Stats.SetQueue(id, load.Waiting, load.Oldest)
--- a/agent/standby.go
+++ b/agent/standby.go
@@ -19,6 +19,7 @@
 // to read them all nor depends on parts of the store that do not answer.
 func (a *Agent) runStandby(ctx context.Context) error {
 	for a.Clock.Sleep(ctx, standbyInterval) == nil {
+		a.Election.SetReady(a.Ready() && a.standby.isComplete())
 		if a.Election.StandsBy() {
 			a.standby.start(ctx, a)
 		} else if a.Election.Leadership() == nil {
@@ -52,6 +53,13 @@
 	go a.followCopy(ctx, jobs.StateTable, &s.copies.states)
 }
 
+// isComplete reports whether the copies have everything that a new leader needs.
+func (s *standby) isComplete() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.copies != nil && s.copies.jobs.isRead() && s.copies.states.isRead()
+}
+
 // take ends the feeds and returns the copies, nil if the entry did not stand by.
 func (s *standby) take() *jobCopies {
 	s.mu.Lock()
@@ -91,6 +99,13 @@
 	taken bool
 }
 
+// isRead reports whether the table has been read.
+func (c *tableCopy) isRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rows != nil
+}
+
 // apply adds changes to the copy, or replaces it if they are the whole table, and returns the version of the copy.
 func (c *tableCopy) apply(changes croft.Changes, whole bool) uint64 {
 	c.mu.Lock()
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"sync"
-	"time"
 
 	"github.com/google/uuid"
 
@@ -68,6 +67,8 @@
 	Class *int `json:",omitempty"`
 	// Executors is the number of executors that the leader has, zero if it is not known.
 	Executors int `json:",omitempty"`
+	// Successor is set in a row that was released for one entry.
+	Successor string `json:",omitempty"`
 }
 
 // unknownHolder stands for the holder of a leader row that can't be decoded: it may be a leader that gives orders.
@@ -94,6 +95,8 @@
 	table     croft.Table
 	clock     croft.Clock
 	strength  Strength
+	// log logs decisions about handovers, if it is set.
+	log func(croft.Decision)
 
 	// writeMu serialises writes of the row, which would conflict with each other.
 	writeMu sync.Mutex
@@ -117,7 +120,10 @@
 	longestGap croft.Millis
 	// stopping reports that this entry is shutting down and must not lead any more.
 	stopping bool
-	// ownEarlierRow reports that the row was written by an earlier process of this entry, which has ended.
+	// stepDowns counts the calls of StepDown.
+	stepDowns int
+	// ownEarlierRow reports that the row was written by an earlier process of this entry, which has ended, or in an earlier term
+	// of this one, which gives no more orders.
 	ownEarlierRow bool
 	// leadership is the current term of this entry, nil if it does not lead. It holds until
 	// validUntil, by the monotonic clock, unless it is renewed; the last renewal was at renewedAt.
@@ -126,6 +132,7 @@
 	renewedAt  croft.Millis
 	// renewedFence is the version of the row after the last renewal by this entry.
 	renewedFence uint64
+	handover     handover
 }
 
 // New returns an Election for the entry named self; candidates of a higher rank take over later.
@@ -200,7 +207,8 @@
 func (e *Election) StandsBy() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.rowKnown && !e.stopping && e.leadership == nil && e.value.Holder != "" && e.rank <= e.value.Rank+standbyRanks
+	near := e.rank <= e.value.Rank+standbyRanks || e.leaderIsWeaker()
+	return e.rowKnown && !e.stopping && e.leadership == nil && e.value.Holder != "" && near
 }
 
 // StepDown ends this entry's leadership at once, for use when a higher fencing token has been seen. The
@@ -210,6 +218,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.leadership, e.unchangedSince = nil, now
+	e.stepDowns++
 }
 
 // Observe processes an answer of the feed, which has the leader row or shows that it did not change;
@@ -235,6 +244,9 @@
 			e.rowFromFeed = !whole
 			e.applyRow(r, now)
 		}
+		if r.Key == CandidateKey {
+			e.applyCandidate(r, now, whole)
+		}
 	}
 	if whole && firstRead && e.value.Holder == e.self && e.leadership == nil {
 		e.ownEarlierRow = true
@@ -299,13 +311,18 @@
 	e.mu.Lock()
 	leading := e.leadership != nil
 	due := now-e.renewedAt >= e.lease/renewDivisor
-	canTakeOver := e.mayTakeOver(now)
+	canTakeOver, canAnnounce := e.mayTakeOver(now), e.mayAnnounce(now)
+	successor, reason := e.successor(now)
 	e.mu.Unlock()
 	switch {
+	case reason != "":
+		e.handOver(ctx, successor, reason)
 	case leading && due:
 		e.write(ctx, false)
 	case !leading && canTakeOver && e.confirmRow(ctx):
 		e.write(ctx, true)
+	case !leading && canAnnounce:
+		e.announce(ctx)
 	}
 }
 
@@ -357,6 +374,7 @@
 	e.ownEarlierRow = false
 	if takeover {
 		e.leadership = &Leadership{Fence: version, Term: value.Term, VMOrdersFrom: vmsFrom}
+		e.handover.leadingSince, e.handover.overloaded = now, false
 	}
 }
 
@@ -388,29 +406,3 @@
 	}
 	return 0, commitErr
 }
-
-// Release releases the leadership at a planned shutdown, so that another entry takes over at once.
-func (e *Election) Release(ctx context.Context) {
-	e.mu.Lock()
-	e.stopping = true
-	e.mu.Unlock()
-	e.writeMu.Lock()
-	defer e.writeMu.Unlock()
-	e.mu.Lock()
-	current, expected, value := e.leadership, e.row.Version, e.newRow("", uuid.NewString())
-	e.leadership = nil
-	e.rowKnown = false
-	e.mu.Unlock()
-	if current == nil {
-		return
-	}
-	value.PredecessorRemaining = max(current.VMOrdersFrom-e.clock.Elapsed(), 0)
-	encoded, err := json.Marshal(value)
-	if err != nil {
-		panic(err)
-	}
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	// Errors are ignored: if the write fails, the leadership expires after the usual time.
-	_, _ = e.table.Commit(ctx, []croft.Op{{Kind: croft.OpPut, Key: Key, Version: expected, Value: encoded}})
-}
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -12,22 +12,23 @@
 	"waxwing.example/croft/clock"
 )
 
-// fakeTable is a table of only the leader row.
+// fakeTable is a table of only the leader row and the candidate row.
 type fakeTable struct {
-	mu  sync.Mutex
-	row croft.Row
+	mu        sync.Mutex
+	row       croft.Row
+	candidate croft.Row
 	// commitErr is the error that the next commit returns, nil for success.
 	commitErr error
 	// applyFailed reports that the commit that returns commitErr is applied nevertheless.
 	applyFailed bool
 	// silent makes commits wait for the end of their contexts.
 	silent bool
-	// beforeAnswer is called once, after the next commit is applied and before it returns.
+	// beforeAnswer is called once, after the next commit of the leader row is carried out or has failed, and before it returns.
 	beforeAnswer func()
 	// getErr is the error that reads return, nil for success.
 	getErr error
-	// commits counts the calls of Commit.
-	commits int
+	// commits counts the calls of Commit for the leader row, and announcements those for the candidate row.
+	commits, announcements int
 }
 
 func (t *fakeTable) Get(ctx context.Context, _ string) (croft.Row, error) {
@@ -61,24 +62,33 @@
 func (t *fakeTable) commit(ops []croft.Op) (version uint64, beforeAnswer func(), err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if ops[0].Key == CandidateKey {
+		t.announcements++
+		t.candidate = croft.Row{Key: CandidateKey, Version: t.candidate.Version + 1, Value: ops[0].Value}
+		return t.candidate.Version, nil, nil
+	}
 	t.commits++
 	commitErr := t.commitErr
 	t.commitErr = nil
+	beforeAnswer, t.beforeAnswer = t.beforeAnswer, nil
 	if commitErr != nil && !t.applyFailed {
-		return 0, nil, commitErr
+		return 0, beforeAnswer, commitErr
 	}
 	if ops[0].Version != t.row.Version {
-		return 0, nil, &croft.ConflictError{Rows: []croft.Row{t.row}}
+		return 0, beforeAnswer, &croft.ConflictError{Rows: []croft.Row{t.row}}
 	}
 	t.row = croft.Row{Key: Key, Version: t.row.Version + 1, Value: ops[0].Value}
-	beforeAnswer, t.beforeAnswer = t.beforeAnswer, nil
 	return t.row.Version, beforeAnswer, commitErr
 }
 
 func (t *fakeTable) changes() croft.Changes {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return croft.Changes{Version: t.row.Version, Rows: []croft.Row{t.row}}
+	changes := croft.Changes{Version: t.row.Version, Rows: []croft.Row{t.row}}
+	if t.candidate.Version > 0 {
+		changes.Rows = append(changes.Rows, t.candidate)
+	}
+	return changes
 }
 
 // lease is the duration of the lease in these tests.
--- a/leader/takeover.go
+++ b/leader/takeover.go
@@ -89,7 +89,7 @@
 	}
 	if e.value.Holder == "" {
 		// A released leadership is taken over at once by the first candidate, later by those of higher rank.
-		return now-e.unchangedSince >= e.rankDelay
+		return now-e.unchangedSince >= e.releasedWait()
 	}
 	return e.ownEarlierRow || e.lastAnswer-e.unchangedSince >= e.takeoverWait()
 }
