--- a/stats/stats_test.go
+++ b/stats/stats_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"waxwing.example/croft"
+	"waxwing.example/croft/window"
 )
 
 // unknownCommitTable is a table whose commits have an unknown outcome.
@@ -45,6 +46,15 @@
 	}
 }
 
+// Guards against a gauge that shows the largest integer while there is no limit.
+func TestOrdersLimitIsZeroWithoutALimit(t *testing.T) {
+	s := New()
+	s.SetOrdersLimit(24)
+	assert.Assert(t, strings.Contains(servedText(s), "croft_orders_limit 24\n"))
+	s.SetOrdersLimit(window.Unlimited)
+	assert.Assert(t, strings.Contains(servedText(s), "croft_orders_limit 0\n"))
+}
+
 // The number of series must not grow with the number of queues.
 func TestQueueSeriesAreLimited(t *testing.T) {
 	s := New()
