--- a/leader/leader.go
+++ b/leader/leader.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"sync"
-	"time"
 
 	"github.com/google/uuid"
 
@@ -64,6 +63,12 @@
 	// PredecessorRemaining is set in a released row: for how long, from the release on, a leader before the one that
 	// released the row may still give orders, in milliseconds.
 	PredecessorRemaining croft.Millis `json:",omitempty"`
+	// Class is the class of strength of the entry that wrote the row, nil if it has a version that writes none.
+	Class *int `json:",omitempty"`
+	// Executors is the number of executors that the leader has, zero if it is not known.
+	Executors int `json:",omitempty"`
+	// Successor is set in a row that was released for one entry.
+	Successor string `json:",omitempty"`
 }
 
 // unknownHolder stands for the holder of a leader row that can't be decoded: it may be a leader that gives orders.
@@ -89,6 +94,9 @@
 	lease     croft.Millis
 	table     croft.Table
 	clock     croft.Clock
+	strength  Strength
+	// log logs decisions about handovers, if it is set.
+	log func(croft.Decision)
 
 	// writeMu serialises writes of the row, which would conflict with each other.
 	writeMu sync.Mutex
@@ -102,13 +110,20 @@
 	lastAnswer croft.Millis
 	// rowKnown reports that the leader row has been read, or been found not to exist.
 	rowKnown bool
+	// rowFromFeed reports that the feed has returned a change of the leader row since the table was last read as a whole.
+	rowFromFeed bool
+	// executors is the number of executors that this entry leads, zero if it is not known.
+	executors int
 	// answerDelay is how late the store's last answer without changes was.
 	answerDelay croft.Millis
 	// longestGap is the longest recent gap between renewals by the current leader; it decays.
 	longestGap croft.Millis
 	// stopping reports that this entry is shutting down and must not lead any more.
 	stopping bool
-	// ownEarlierRow reports that the row was written by an earlier process of this entry, which has ended.
+	// stepDowns counts the calls of StepDown.
+	stepDowns int
+	// ownEarlierRow reports that the row was written by an earlier process of this entry, which has ended, or in an earlier term
+	// of this one, which gives no more orders.
 	ownEarlierRow bool
 	// leadership is the current term of this entry, nil if it does not lead. It holds until
 	// validUntil, by the monotonic clock, unless it is renewed; the last renewal was at renewedAt.
@@ -117,6 +132,7 @@
 	renewedAt  croft.Millis
 	// renewedFence is the version of the row after the last renewal by this entry.
 	renewedFence uint64
+	handover     handover
 }
 
 // New returns an Election for the entry named self; candidates of a higher rank take over later.
@@ -191,7 +207,8 @@
 func (e *Election) StandsBy() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.rowKnown && !e.stopping && e.leadership == nil && e.value.Holder != "" && e.rank <= e.value.Rank+standbyRanks
+	near := e.rank <= e.value.Rank+standbyRanks || e.leaderIsWeaker()
+	return e.rowKnown && !e.stopping && e.leadership == nil && e.value.Holder != "" && near
 }
 
 // StepDown ends this entry's leadership at once, for use when a higher fencing token has been seen. The
@@ -201,6 +218,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.leadership, e.unchangedSince = nil, now
+	e.stepDowns++
 }
 
 // Observe processes an answer of the feed, which has the leader row or shows that it did not change;
@@ -220,10 +238,15 @@
 		e.row, e.value = croft.Row{Key: Key}, leaderRow{}
 	}
 	firstRead := e.row.Version == 0 && e.value.Holder == ""
+	e.rowFromFeed = e.rowFromFeed && !whole
 	for _, r := range changes.Rows {
 		if r.Key == Key {
+			e.rowFromFeed = !whole
 			e.applyRow(r, now)
 		}
+		if r.Key == CandidateKey {
+			e.applyCandidate(r, now, whole)
+		}
 	}
 	if whole && firstRead && e.value.Holder == e.self && e.leadership == nil {
 		e.ownEarlierRow = true
@@ -265,11 +288,6 @@
 	e.longestGap = max(now-e.unchangedSince, e.longestGap*gapDecayPercent/100)
 }
 
-// takeoverWait returns how long the row must stay unchanged before this entry takes over.
-func (e *Election) takeoverWait() croft.Millis {
-	return min(max(e.lease*unchangedPercent/100+e.answerDelay*delayFactor, e.longestGap*gapPercent/100), e.lease) + e.rankDelay
-}
-
 // Run takes over and renews the leadership until the context ends; it calls notify with
 // the new term whenever this entry's leadership begins, and with nil when it ends.
 func (e *Election) Run(ctx context.Context, notify func(*Leadership)) error {
@@ -293,17 +311,18 @@
 	e.mu.Lock()
 	leading := e.leadership != nil
 	due := now-e.renewedAt >= e.lease/renewDivisor
-	canTakeOver := e.rowKnown && now-e.lastAnswer < e.lease/2 && (e.value.Holder == "" || e.ownEarlierRow || e.lastAnswer-e.unchangedSince >= e.takeoverWait())
-	if e.rowKnown && e.value.Holder == "" && now-e.unchangedSince < e.rankDelay {
-		// A released leadership is taken over at once by the first candidate, later by those of higher rank.
-		canTakeOver = false
-	}
+	canTakeOver, canAnnounce := e.mayTakeOver(now), e.mayAnnounce(now)
+	successor, reason := e.successor(now)
 	e.mu.Unlock()
 	switch {
+	case reason != "":
+		e.handOver(ctx, successor, reason)
 	case leading && due:
 		e.write(ctx, false)
-	case !leading && canTakeOver:
+	case !leading && canTakeOver && e.confirmRow(ctx):
 		e.write(ctx, true)
+	case !leading && canAnnounce:
+		e.announce(ctx)
 	}
 }
 
@@ -316,7 +335,10 @@
 		e.mu.Unlock()
 		return
 	}
-	value := leaderRow{Holder: e.self, Nonce: uuid.NewString(), Term: e.value.Term, Rank: e.rank}
+	if takeover {
+		e.executors = 0
+	}
+	value := e.newRow(e.self, uuid.NewString())
 	expected := e.row.Version
 	vmsFrom := e.unchangedSince + e.lease
 	if e.value.Holder == "" {
@@ -352,6 +374,7 @@
 	e.ownEarlierRow = false
 	if takeover {
 		e.leadership = &Leadership{Fence: version, Term: value.Term, VMOrdersFrom: vmsFrom}
+		e.handover.leadingSince, e.handover.overloaded = now, false
 	}
 }
 
@@ -383,29 +406,3 @@
 	}
 	return 0, commitErr
 }
-
-// Release releases the leadership at a planned shutdown, so that another entry takes over at once.
-func (e *Election) Release(ctx context.Context) {
-	e.mu.Lock()
-	e.stopping = true
-	e.mu.Unlock()
-	e.writeMu.Lock()
-	defer e.writeMu.Unlock()
-	e.mu.Lock()
-	current, expected, term := e.leadership, e.row.Version, e.value.Term
-	e.leadership = nil
-	e.rowKnown = false
-	e.mu.Unlock()
-	if current == nil {
-		return
-	}
-	remaining := max(current.VMOrdersFrom-e.clock.Elapsed(), 0)
-	encoded, err := json.Marshal(leaderRow{Nonce: uuid.NewString(), Term: term, PredecessorRemaining: remaining})
-	if err != nil {
-		panic(err)
-	}
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	// Errors are ignored: if the write fails, the leadership expires after the usual time.
-	_, _ = e.table.Commit(ctx, []croft.Op{{Kind: croft.OpPut, Key: Key, Version: expected, Value: encoded}})
-}
