sched: starts ask the caps of organisations

Cause: the planner starts whatever fits, so that one organisation may take more than its cap. Change: addRun and removeRun keep the ledger of package quota, whatever the phase of a run and whether its executor answers. Starts of tasks, gangs and copies ask it. A stage held by its cap is left out of the pass: it is not among the needs that fit nowhere, leaves the pool without a backlog, asks for no advice and preempts nothing; the end of a run has it tried again in whichever pool it is. Its demand for VMs is limited to its cap, in proportion over the pools. A new leader counts the tasks of inherited jobs that may run on executors whose runs it does not know, up to what these have room for.

--- a/sched/describe.go
+++ b/sched/describe.go
@@ -15,8 +15,12 @@
 	}
 	var b strings.Builder
 	fmt.Fprintf(&b, "job %s: %s, queue %s, change %d of %d stored, ended %v, deadline in %d ms", id, j.progress.Status, j.record.Queue, j.storedSequence, j.sequence, j.ended, j.deadline-p.now.Elapsed)
+	b.WriteString(p.describeUse(j))
 	for _, s := range j.stages {
 		fmt.Fprintf(&b, "\n  step %d.%d: open %v, %d of %d left, waiting %v", s.occurrence, s.step, s.open, s.remainingTasks, len(s.tasks), s.waiting)
+		if s.cappedSince != 0 {
+			fmt.Fprintf(&b, ", for its cap since %d ms", p.now.Elapsed-s.cappedSince)
+		}
 		for i, t := range s.tasks {
 			if t.run != nil {
 				fmt.Fprintf(&b, "\n    task %d: run %d on %s, phase %d, %d %%", i, t.run.number, t.run.worker.ID, t.run.phase, t.run.percent)
--- a/sched/job.go
+++ b/sched/job.go
@@ -89,6 +89,10 @@
 	adviceRequired bool
 	// startLogged reports that the first start of the stage was logged.
 	startLogged bool
+	// capped reports that the last placement pass left tasks waiting for the cap of their organisation, and cappedSince since
+	// when passes have done so, zero if the last one has not.
+	capped      bool
+	cappedSince croft.Millis
 }
 
 // task is one task of a stage.
--- a/sched/place.go
+++ b/sched/place.go
@@ -69,11 +69,11 @@
 		if len(po.jobs) == 0 || len(po.workers) == 0 || (!po.changed && p.now.Elapsed-po.lastPlacement < placeInterval) {
 			continue
 		}
-		if pause := po.lastPlacement + minPlaceInterval - p.now.Elapsed; po.backlogged && pause > 0 {
+		if pause := po.lastPlacement + minPlaceInterval - p.now.Elapsed; (po.backlogged || po.heldByCap > maxHeldStages) && pause > 0 {
 			p.requestWake(pause)
 			continue
 		}
-		po.changed, po.backlogged, po.lastPlacement = false, false, p.now.Elapsed
+		po.changed, po.backlogged, po.heldByCap, po.lastPlacement = false, false, 0, p.now.Elapsed
 		p.placePool(po)
 	}
 }
@@ -99,44 +99,55 @@
 
 // placePool starts the waiting tasks of a pool that fit, by rank.
 func (p *Planner) placePool(po *pool) {
+	p.countUnseenRuns()
 	unknownRuns := !p.jobsLoaded || p.mayHaveUnknownRuns(po)
 	if !unknownRuns {
 		p.giveUpInheritedSuspects(po)
 	}
-	var waiting []rankedStage
-	for _, j := range po.jobs {
-		// The tasks of an inherited job may already run on executors whose runs are not known yet.
-		if (j.inherited && unknownRuns) || p.awaitsSilentPart(j) {
-			continue
-		}
-		for _, s := range j.stages {
-			if s.open && len(s.waiting) > 0 {
-				s.adviceRequired = p.needsAdvice(s)
-				waiting = append(waiting, rankedStage{stage: s, rank: p.rankStage(s)})
-			}
-		}
-	}
-	slices.SortStableFunc(waiting, func(a, b rankedStage) int { return a.rank.compare(b.rank) })
+	waiting := p.rankWaiting(po, unknownRuns)
 	unplaceable := unplaceableNeeds{}
 	for _, candidate := range waiting {
 		switch {
+		case p.isCapReached(candidate.stage):
 		case unplaceable.covers(candidate.stage):
 			po.backlogged = true
 		case candidate.stage.spec.Gang:
 			p.placeGang(po, candidate.stage)
 		default:
 			p.placeStage(po, candidate.stage)
-			if p.awaitsCapacity(candidate.stage) {
+			if !candidate.stage.capped && p.awaitsCapacity(candidate.stage) {
 				unplaceable = unplaceable.with(candidate.stage)
 			}
 		}
+		p.recordCapWait(po, candidate.stage)
 	}
 	for _, use := range po.tentative {
 		use.worker.used = use.worker.used.Minus(use.needs)
+		p.removeUse(use.stage)
 	}
 	po.tentative = nil
 }
 
+// rankWaiting returns the stages of a pool that have tasks to start, by rank; unknownRuns reports that executors may have runs that
+// are not known.
+func (p *Planner) rankWaiting(po *pool, unknownRuns bool) []rankedStage {
+	var waiting []rankedStage
+	for _, j := range po.jobs {
+		// The tasks of an inherited job may already run on executors whose runs are not known yet.
+		if (j.inherited && unknownRuns) || p.awaitsSilentPart(j) {
+			continue
+		}
+		for _, s := range j.stages {
+			if s.open && len(s.waiting) > 0 && !p.isHeldByCap(po, s) {
+				s.adviceRequired = p.needsAdvice(s)
+				waiting = append(waiting, rankedStage{stage: s, rank: p.rankStage(s)})
+			}
+		}
+	}
+	slices.SortStableFunc(waiting, func(a, b rankedStage) int { return a.rank.compare(b.rank) })
+	return waiting
+}
+
 // unplaceableNeeds are the needs that fitted on no worker in one placement pass; tasks that need as much are not tried
 // again in this pass.
 type unplaceableNeeds []croft.Resources
@@ -189,6 +200,9 @@
 		if !p.mayStartNow(s, index) {
 			continue
 		}
+		if p.isCapReached(s) {
+			return
+		}
 		w := p.chooseWorker(po, s, index)
 		if w == nil {
 			po.backlogged = true
@@ -210,7 +224,8 @@
 			// The capacity is reserved for this pass only, so that no more jobs are announced than fit.
 			p.announce(s.job)
 			w.used = w.used.Plus(s.needs())
-			po.tentative = append(po.tentative, tentativeUse{worker: w, needs: s.needs()})
+			p.addUse(s)
+			po.tentative = append(po.tentative, tentativeUse{stage: s, worker: w, needs: s.needs()})
 			continue
 		}
 		s.dequeue(index)
@@ -259,6 +274,7 @@
 
 // tentativeUse is capacity of a worker that a placement pass holds for a job whose announcement is not stored yet.
 type tentativeUse struct {
+	stage  *stage
 	worker *worker
 	needs  croft.Resources
 }
@@ -500,7 +516,7 @@
 		if !w.isDraining() && !p.mayEvict(r) {
 			continue
 		}
-		if p.chooseWorker(po, s, r.index) == nil && (w.isDraining() || p.now.Elapsed-w.reservedAt < shortTaskGrace) {
+		if (p.chooseWorker(po, s, r.index) == nil || !p.mayReplace(s)) && (w.isDraining() || p.now.Elapsed-w.reservedAt < shortTaskGrace) {
 			// Wait for capacity elsewhere, but on a reserved worker only for shortTaskGrace: a step with a task on each
 			// VM of the pool never gets any, and its task stays unavailable as long as the VM.
 			continue
--- a/sched/planner.go
+++ b/sched/planner.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"waxwing.example/croft"
+	"waxwing.example/croft/quota"
 )
 
 // Options are the settings that decisions depend on.
@@ -49,6 +50,10 @@
 
 	config croft.QueueConfig
 	queues map[croft.QueueID]croft.Queue
+	// caps has the caps of the organisations that have one.
+	caps map[croft.OrganisationID]croft.Resources
+	// ledger is what the organisations may have running.
+	ledger quota.Ledger
 	pools  map[croft.PoolID]*pool
 	// sortedPools and sortedWorkers are sorted by ID, to make decisions reproducible.
 	sortedPools   []*pool
@@ -123,6 +128,7 @@
 	p.lastNumberUsed = ""
 	p.nextScale, p.nextLoads, p.nextPoolLog, p.pendingAdvice, p.refusing = 0, 0, 0, 0, false
 	p.meanDurations = map[croft.QueueID]float64{}
+	p.ledger = quota.Ledger{}
 	for number, w := range p.waves {
 		p.waves[number] = newWave(w.Wave, w.requestedAt)
 	}
@@ -218,6 +224,7 @@
 	for _, q := range config.Queues {
 		p.queues[q.ID] = q
 	}
+	p.configureCaps()
 }
 
 // plan does what is due after the events of an instant. Work that examines all executors or depends only on time is
--- /dev/null
+++ b/sched/quota.go
@@ -0,0 +1,264 @@
+package sched
+
+import (
+	"fmt"
+	"math"
+
+	"waxwing.example/croft"
+	"waxwing.example/croft/quota"
+)
+
+// maxHeldStages is the number of stages held by caps from which on placement passes over their pool are as far apart as over a
+// backlogged one: each run of the organisation that ends causes a pass, which examines all of them.
+const maxHeldStages = 256
+
+// configureCaps indexes the caps of the configuration, and has all stages tried by the new ones.
+func (p *Planner) configureCaps() {
+	p.caps = map[croft.OrganisationID]croft.Resources{}
+	for _, o := range p.config.Organisations {
+		if quota.IsLimited(o.Cap) {
+			p.caps[o.ID] = o.Cap
+		}
+	}
+	for _, po := range p.sortedPools {
+		po.changed = true
+	}
+}
+
+// capOf returns the cap of a job's organisation, and whether it has one. An organisation that is not in the newest configuration
+// has none.
+func (p *Planner) capOf(j *job) (croft.Resources, bool) {
+	if j.record.Organisation == "" {
+		return croft.Resources{}, false
+	}
+	limit, ok := p.caps[j.record.Organisation]
+	return limit, ok
+}
+
+// addUse counts a run of a stage for its organisation. A run counts from its start until it has certainly ended, whatever its
+// phase and whether its executor answers, and a filler with all that it may use.
+func (p *Planner) addUse(s *stage) {
+	if org := s.job.record.Organisation; org != "" {
+		p.ledger.Add(org, s.spec.Needs)
+	}
+}
+
+// removeUse no longer counts a run of a stage.
+func (p *Planner) removeUse(s *stage) {
+	if org := s.job.record.Organisation; org != "" {
+		p.ledger.Remove(org, s.spec.Needs)
+	}
+}
+
+// releaseUse no longer counts a run of a stage, and has the stages tried that caps hold, which may be of any pool.
+func (p *Planner) releaseUse(s *stage) {
+	if s.job.record.Organisation == "" {
+		return
+	}
+	p.removeUse(s)
+	for _, po := range p.sortedPools {
+		po.changed = po.changed || po.heldByCap > 0
+	}
+}
+
+// isCapReached records and reports whether the cap of its organisation keeps a stage from starting its next task, or its gang. A
+// gang of which a former leader started some members only is stopped first, whatever the cap.
+func (p *Planner) isCapReached(s *stage) bool {
+	s.capped = false
+	limit, ok := p.capOf(s.job)
+	if !ok || (s.spec.Gang && len(s.waiting) < s.remainingTasks) {
+		return false
+	}
+	s.capped = !p.ledger.Allows(s.job.record.Organisation, limit, p.nextNeeds(s))
+	return s.capped
+}
+
+// nextNeeds returns what the next start of a stage adds to the use of its organisation.
+func (p *Planner) nextNeeds(s *stage) croft.Resources {
+	if s.spec.Gang {
+		return quota.Times(s.spec.Needs, len(s.waiting))
+	}
+	return s.spec.Needs
+}
+
+// isHeldByCap reports whether a placement pass has nothing to try of a stage because of the cap of its organisation.
+func (p *Planner) isHeldByCap(po *pool, s *stage) bool {
+	if !p.isCapReached(s) {
+		return false
+	}
+	p.recordCapWait(po, s)
+	return true
+}
+
+// recordCapWait records whether a placement pass has left a stage waiting for the cap of its organisation, and logs the changes.
+func (p *Planner) recordCapWait(po *pool, s *stage) {
+	if s.capped {
+		po.heldByCap++
+	}
+	if s.capped == (s.cappedSince != 0) {
+		return
+	}
+	first := s.id(0)
+	name := fmt.Sprintf("%s.%d.%d", first.Job, first.Occurrence, first.Step)
+	if s.capped {
+		s.cappedSince = p.now.Elapsed
+		org := s.job.record.Organisation
+		p.log("Cap", name, "Wait", p.ledger.Reason(org, p.caps[org], p.nextNeeds(s)))
+		return
+	}
+	p.log("Cap", name, "Go", fmt.Sprintf("organisation %s: %d tasks wait, no longer for its cap after %d ms", s.job.record.Organisation, len(s.waiting), p.now.Elapsed-s.cappedSince))
+	s.cappedSince = 0
+}
+
+// mayReplace reports whether the cap of its organisation allows a stage to start a task again in place of one that is stopped.
+func (p *Planner) mayReplace(s *stage) bool {
+	limit, ok := p.capOf(s.job)
+	if !ok {
+		return true
+	}
+	p.removeUse(s)
+	defer p.addUse(s)
+	return p.ledger.Allows(s.job.record.Organisation, limit, s.spec.Needs)
+}
+
+// countUnseenRuns counts the tasks of inherited jobs that may run on executors whose runs are not known yet.
+func (p *Planner) countUnseenRuns() {
+	if len(p.caps) == 0 {
+		return
+	}
+	p.ledger.SetUnseen(nil)
+	if p.now.Elapsed >= p.predecessorLeasesEnd() {
+		return
+	}
+	unseen := map[croft.OrganisationID]croft.Resources{}
+	for _, po := range p.sortedPools {
+		if !p.mayHaveUnknownRuns(po) {
+			continue
+		}
+		room, known := p.unseenRoom(po)
+		if known && room == (croft.Resources{}) {
+			continue
+		}
+		for org, use := range p.unseenTasks(po) {
+			if known {
+				use = leastOf(use, room)
+			}
+			unseen[org] = unseen[org].Plus(use)
+		}
+	}
+	p.ledger.SetUnseen(unseen)
+}
+
+// unseenRoom returns what runs that are not known may use of the executors of a pool, and whether all of these are known.
+func (p *Planner) unseenRoom(po *pool) (room croft.Resources, known bool) {
+	for _, w := range po.workers {
+		if !w.verified && p.now.Elapsed < w.leasesEnd {
+			room = room.Plus(w.Room.Minus(w.used))
+		}
+	}
+	for _, vm := range p.fleet.unregistered {
+		if vm.Pool == po.id {
+			room = room.Plus(vm.Room)
+		}
+	}
+	return room, p.fleet.loaded
+}
+
+// unseenTasks returns what the tasks of a pool's inherited jobs need that may have runs which are not known, by organisation.
+func (p *Planner) unseenTasks(po *pool) map[croft.OrganisationID]croft.Resources {
+	sums := map[croft.OrganisationID]croft.Resources{}
+	for _, j := range po.jobs {
+		if _, ok := p.capOf(j); !ok || !j.inherited {
+			continue
+		}
+		for _, s := range j.stages {
+			sums[j.record.Organisation] = sums[j.record.Organisation].Plus(quota.Times(s.spec.Needs, s.unseenTasks()))
+		}
+	}
+	return sums
+}
+
+// unseenTasks returns how many tasks of an inherited stage may have runs that are not known: those that wait, all without a run while
+// the end of an earlier step may not be known, and, of a step that allows copies, all.
+func (s *stage) unseenTasks() int {
+	switch {
+	case s.spec.Duplicates:
+		return len(s.tasks)
+	case !s.open:
+		return max(s.remainingTasks-s.liveRuns, 0)
+	default:
+		return len(s.waiting)
+	}
+}
+
+func leastOf(a, b croft.Resources) croft.Resources {
+	return croft.Resources{
+		MilliCores:   min(a.MilliCores, b.MilliCores),
+		MemoryMB:     min(a.MemoryMB, b.MemoryMB),
+		Accelerators: min(a.Accelerators, b.Accelerators),
+	}
+}
+
+// minVMs returns how many VMs a stage needs at the same time: its own minimum, or as many as hold what the cap of its organisation
+// allows to run.
+func (p *Planner) minVMs(s *stage, capacity croft.Resources) int {
+	n := s.minVMs(capacity)
+	if limit, ok := p.capOf(s.job); ok && n > 1 && !s.spec.Gang {
+		n = min(n, quota.Count(limit, s.spec.Needs, s.remainingTasks))
+	}
+	return n
+}
+
+// cappedDemand returns what the work of organisations with caps needs at the same time, by pool: all of it to complete within
+// backlogTarget, or as large a part as the cap allows to run, in proportion over the pools.
+func (p *Planner) cappedDemand() map[croft.PoolID]croft.Resources {
+	if len(p.caps) == 0 {
+		return nil
+	}
+	demands := map[croft.OrganisationID]*orgDemand{}
+	for _, po := range p.sortedPools {
+		for _, j := range po.jobs {
+			if _, ok := p.capOf(j); !ok || p.isUseless(j) {
+				continue
+			}
+			d := demands[j.record.Organisation]
+			if d == nil {
+				d = &orgDemand{byPool: map[croft.PoolID]croft.Resources{}}
+				demands[j.record.Organisation] = d
+			}
+			for _, s := range j.stages {
+				d.use = d.use.Plus(p.needsAtOnce(s, s.spec.Needs))
+				d.byPool[po.id] = d.byPool[po.id].Plus(p.needsAtOnce(s, s.needs()))
+			}
+		}
+	}
+	capped := map[croft.PoolID]croft.Resources{}
+	for org, d := range demands {
+		share := quota.Share(p.caps[org], d.use)
+		for id, needs := range d.byPool {
+			capped[id] = capped[id].Plus(partOf(needs, share))
+		}
+	}
+	return capped
+}
+
+// orgDemand is what the work of an organisation needs at the same time: by what its cap counts, and of the VMs of each pool.
+type orgDemand struct {
+	use    croft.Resources
+	byPool map[croft.PoolID]croft.Resources
+}
+
+// partOf returns a part of the resources, rounded up.
+func partOf(r croft.Resources, share float64) croft.Resources {
+	part := func(n int64) int64 { return int64(math.Ceil(float64(n) * share)) }
+	return croft.Resources{MilliCores: part(r.MilliCores), MemoryMB: part(r.MemoryMB), Accelerators: part(r.Accelerators)}
+}
+
+// describeUse returns what the organisation of a job uses of its cap, for debugging.
+func (p *Planner) describeUse(j *job) string {
+	org := j.record.Organisation
+	if org == "" {
+		return ""
+	}
+	return fmt.Sprintf("\n  organisation %s: uses %v, cap %v", org, p.ledger.Use(org), p.caps[org])
+}
--- a/sched/scale.go
+++ b/sched/scale.go
@@ -100,10 +100,11 @@
 	}
 	p.nextScale = p.now.Elapsed + scaleInterval
 	p.expireTombstones()
+	capped := p.cappedDemand()
 	var pools []*pool
 	for _, po := range p.sortedPools {
 		if !p.poolRule(po.id).Spare {
-			p.assessDemand(po)
+			p.assessDemand(po, capped[po.id])
 			pools = append(pools, po)
 		}
 	}
@@ -151,33 +152,44 @@
 	}
 }
 
-// assessDemand computes how many VMs a pool needs.
-func (p *Planner) assessDemand(po *pool) {
-	var work, endless croft.Resources
+// assessDemand computes how many VMs a pool needs; capped is what the work of organisations with caps needs.
+func (p *Planner) assessDemand(po *pool, capped croft.Resources) {
+	work := capped
 	capacity := p.meanCapacity(po)
 	minimum := 1
 	for _, j := range po.jobs {
-		if p.now.Elapsed > j.receivedAt+usefulFactor*(j.deadline-j.receivedAt) && !j.endless() {
+		if p.isUseless(j) {
 			continue
 		}
+		_, hasCap := p.capOf(j)
 		for _, s := range j.stages {
-			needs := s.needs()
-			minimum = max(minimum, s.minVMs(capacity))
-			if s.spec.Endless {
-				endless = endless.Plus(scaleResources(needs, int64(s.remainingTasks), 1))
-				continue
+			minimum = max(minimum, p.minVMs(s, capacity))
+			if !hasCap {
+				work = work.Plus(p.needsAtOnce(s, s.needs()))
 			}
-			work = work.Plus(scaleResources(needs, int64(s.remainingTasks)*int64(p.expectedDuration(s)), int64(backlogTarget)))
 		}
 	}
 	d := &po.demand
-	d.current = max(vmsNeeded(endless.Plus(work), capacity), minimum)
+	d.current = max(vmsNeeded(work, capacity), minimum)
 	d.peak = max(d.peak*peakDecay, float64(d.current))
 	if p.availableVMs(po) <= d.current {
 		d.surplusSince = p.now.Elapsed
 	}
 }
 
+// isUseless reports whether the result of a job comes too late to be of use.
+func (p *Planner) isUseless(j *job) bool {
+	return p.now.Elapsed > j.receivedAt+usefulFactor*(j.deadline-j.receivedAt) && !j.endless()
+}
+
+// needsAtOnce returns what a stage must have at the same time to complete within backlogTarget, if each of its tasks has some needs.
+func (p *Planner) needsAtOnce(s *stage, needs croft.Resources) croft.Resources {
+	if s.spec.Endless {
+		return scaleResources(needs, int64(s.remainingTasks), 1)
+	}
+	return scaleResources(needs, int64(s.remainingTasks)*int64(p.expectedDuration(s)), int64(backlogTarget))
+}
+
 // minVMs returns how many VMs a stage needs at the same time, regardless of how much work remains.
 func (s *stage) minVMs(capacity croft.Resources) int {
 	n := 0
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -26,6 +26,8 @@
 	lastSummary string
 	// tentative is the capacity that the current placement pass holds for jobs whose announcement is not stored.
 	tentative []tentativeUse
+	// heldByCap counts the stages that the last placement pass left waiting for the caps of their organisations.
+	heldByCap int
 }
 
 // worker is the planner's state of one executor, over all its incarnations.
@@ -374,6 +376,7 @@
 	r.stage.liveRuns++
 	r.stage.tasks[r.index].liveRuns++
 	r.stage.job.liveRuns++
+	p.addUse(r.stage)
 }
 
 // removeRun removes a run and releases its capacity.
@@ -400,6 +403,7 @@
 	}
 	t.liveRuns--
 	r.stage.job.liveRuns--
+	p.releaseUse(r.stage)
 	p.releaseOccurrences(r.stage.job)
 	p.removeFinishedJob(r.stage.job)
 }
