--- a/intake/index.go
+++ b/intake/index.go
@@ -19,6 +19,8 @@
 	HeaderBytes int
 	// keys has the API keys of the organisations.
 	keys orgs.Keys
+	// caps has the caps of the organisations.
+	caps map[croft.OrganisationID]croft.Resources
 	// queuesByHost has the queues of each host, those with the longest path prefix first.
 	queuesByHost map[string][]croft.Queue
 }
@@ -27,7 +29,10 @@
 func NewIndex(config croft.QueueConfig) *Index {
 	x := &Index{
 		Version: config.Version, BodyBytes: config.BodyBytes, HeaderBytes: config.HeaderBytes,
-		keys: orgs.NewKeys(config.Organisations), queuesByHost: map[string][]croft.Queue{},
+		keys: orgs.NewKeys(config.Organisations), caps: map[croft.OrganisationID]croft.Resources{}, queuesByHost: map[string][]croft.Queue{},
+	}
+	for _, o := range config.Organisations {
+		x.caps[o.ID] = o.Cap
 	}
 	for _, q := range config.Queues {
 		q.Public = q.Public || !config.RequiresKeys
@@ -57,3 +62,6 @@
 	}
 	return x.keys.Authenticate(authorization)
 }
+
+// Cap returns the cap of an organisation, which limits nothing if it has none.
+func (x *Index) Cap(org croft.OrganisationID) croft.Resources { return x.caps[org] }
