sched, model: a stage that fits nowhere no longer logs its cap again and again

Change: a stage counts as waiting no longer once nothing of it waits, or its cap has not held it for a second.

--- a/model/world.go
+++ b/model/world.go
@@ -299,6 +299,8 @@
 type leader struct {
 	planner *sched.Planner
 	alive   bool
+	// term is the number of takeovers up to its own.
+	term int
 	// storeUnreachable reports that the store rejects its commits, while executors and VMs still accept its orders.
 	storeUnreachable bool
 	// cutUntil is when a cut ends in which it reaches only the executors of its own rack and, if listsVMs, the list of VMs.
@@ -323,7 +325,7 @@
 		w.report.Takeovers++
 		clear(w.caps.held)
 		w.version++
-		w.leader = &leader{alive: true, vmOrdersFrom: lastRenewal + leaderLease, planner: sched.New(sched.Options{
+		w.leader = &leader{alive: true, term: w.term, vmOrdersFrom: lastRenewal + leaderLease, planner: sched.New(sched.Options{
 			Holder: fmt.Sprintf("entry-%d", w.term), Lease: maxLease, Stop: maxStopDuration, Maintain: maintenanceDuration,
 			RowBytes: w.options.RowBytes, Uncounted: w.options.Uncounted,
 		})}
--- a/sched/describe.go
+++ b/sched/describe.go
@@ -18,7 +18,7 @@
 	b.WriteString(p.describeUse(j))
 	for _, s := range j.stages {
 		fmt.Fprintf(&b, "\n  step %d.%d: open %v, %d of %d left, waiting %v", s.occurrence, s.step, s.open, s.remainingTasks, len(s.tasks), s.waiting)
-		if s.cappedSince != 0 {
+		if s.awaitsCap {
 			fmt.Fprintf(&b, ", for its cap since %d ms", p.now.Elapsed-s.cappedSince)
 		}
 		for i, t := range s.tasks {
--- a/sched/job.go
+++ b/sched/job.go
@@ -89,9 +89,12 @@
 	adviceRequired bool
 	// startLogged reports that the first start of the stage was logged.
 	startLogged bool
-	// capped reports that the last placement pass left tasks waiting for the cap of their organisation, and cappedSince since
-	// when passes have done so, zero if the last one has not.
-	capped      bool
+	// capped reports that the last placement pass left tasks waiting for the cap of their organisation, and lastCapped when a pass
+	// last did.
+	capped     bool
+	lastCapped croft.Millis
+	// awaitsCap reports that the stage is logged as waiting for the cap, since cappedSince.
+	awaitsCap   bool
 	cappedSince croft.Millis
 }
 
--- a/sched/quota.go
+++ b/sched/quota.go
@@ -91,24 +91,30 @@
 	return s.capped
 }
 
-// recordCapWait records whether a placement pass has left a stage waiting for the cap of its organisation, and logs the changes.
+// capCalm is how long the cap must not have held a stage for the stage to count as waiting no longer for it: a stage that fits nowhere
+// is held again and again, as others of its organisation start and end.
+const capCalm = 1 * croft.Second
+
+// recordCapWait records whether a placement pass has left a stage waiting for the cap of its organisation, and logs when that begins
+// and when it is over.
 func (p *Planner) recordCapWait(po *pool, s *stage) {
 	if s.capped {
 		po.heldByCap++
+		s.lastCapped = p.now.Elapsed
 	}
-	if s.capped == (s.cappedSince != 0) {
+	over := !s.capped && (len(s.waiting) == 0 || p.now.Elapsed-s.lastCapped >= capCalm)
+	if s.capped == s.awaitsCap || (s.awaitsCap && !over) {
 		return
 	}
-	first := s.id(0)
+	s.awaitsCap = s.capped
+	first, org := s.id(0), s.job.record.Organisation
 	name := fmt.Sprintf("%s.%d.%d", first.Job, first.Occurrence, first.Step)
 	if s.capped {
 		s.cappedSince = p.now.Elapsed
-		org := s.job.record.Organisation
 		p.log("Cap", name, "Wait", p.ledger.Reason(org, p.caps[org], p.nextNeeds(s)))
 		return
 	}
-	p.log("Cap", name, "Go", fmt.Sprintf("organisation %s: %d tasks wait, no longer for its cap after %d ms", s.job.record.Organisation, len(s.waiting), p.now.Elapsed-s.cappedSince))
-	s.cappedSince = 0
+	p.log("Cap", name, "Go", fmt.Sprintf("organisation %s: %d tasks wait, not for its cap; it held the stage at times for %d ms", org, len(s.waiting), s.lastCapped-s.cappedSince))
 }
 
 // mayReplace reports whether the cap of its organisation allows a stage to start a task again in place of one that is stopped.
