sched, agent, stats: the use of each organisation among the metrics

Cause: operators do not see how much of its cap an organisation uses. Change: with the loads the planner gives the uses to the metrics of its own entry, croft_organisation_use, for the first 64 organisations; the others are added up under other. They are not written to the store. A benchmark of a pass over what a cap holds. Result: go test ./stats passes.

--- a/agent/perform.go
+++ b/agent/perform.go
@@ -63,6 +63,7 @@
 		for id, load := range e.Loads {
 			a.Stats.SetQueue(id, load.Waiting, load.Oldest)
 		}
+		a.Stats.SetUses(e.Uses)
 		if e.Shared {
 			a.loadReports.submit(ctx, e)
 		}
--- a/sched/events.go
+++ b/sched/events.go
@@ -273,6 +273,8 @@
 type PublishLoads struct {
 	effectMarker
 	Loads map[croft.QueueID]Load
+	// Uses is what each organisation may have running, for the metrics of this entry.
+	Uses map[croft.OrganisationID]croft.Resources
 	// Shared reports that other entries need the loads too, since queues refuse jobs or have just ceased to.
 	Shared bool
 }
--- a/sched/load.go
+++ b/sched/load.go
@@ -35,7 +35,7 @@
 			loads[j.record.Queue] = load
 		}
 	}
-	p.emit(PublishLoads{Loads: loads, Shared: refuse || p.refusing})
+	p.emit(PublishLoads{Loads: loads, Uses: p.ledger.Uses(), Shared: refuse || p.refusing})
 	p.logPools()
 	if refuse != p.refusing {
 		p.log("Load", "queues", fmt.Sprintf("refusing %v", refuse), "queues refuse jobs while the backlog of their pool takes longer than the jobs are of use")
--- a/sched/quota_test.go
+++ b/sched/quota_test.go
@@ -171,3 +171,29 @@
 		assert.Equal(t, len(effectsOf[OrderVM](effects)), c.moves, c.org)
 	}
 }
+
+// BenchmarkCaps measures a placement pass over 30,000 waiting tasks of 350 executors after the end of a run: without organisations while
+// the pool is full, and with one whose cap is in use.
+func BenchmarkCaps(b *testing.B) {
+	for _, org := range []croft.OrganisationID{"", "red"} {
+		b.Run("organisation="+string(org), func(b *testing.B) {
+			bench := &testBench{now: 1000, planner: New(Options{Lease: 10 * croft.Second, Stop: 200})}
+			var rows []JobRow
+			for i := range 5000 {
+				rows = append(rows, jobOf(org, croft.JobID(fmt.Sprintf("j%04d", i)), step(8, 2)))
+			}
+			bench.takeLeadership(1, 350)
+			bench.setCap(20_000)
+			bench.event(JobsRead{Jobs: rows})
+			po := bench.planner.pool(testPool)
+			b.ResetTimer()
+			for range b.N {
+				po.changed = true
+				bench.now += minPlaceInterval
+				bench.planner.now.Elapsed = bench.now
+				bench.planner.placePools()
+			}
+			b.ReportMetric(float64(len(po.jobs)), "jobs")
+		})
+	}
+}
--- a/stats/stats.go
+++ b/stats/stats.go
@@ -12,23 +12,26 @@
 )
 
 // Stats holds the metrics of one entry. The number of time series is bounded: labels have a few fixed values, except the
-// label queue, which has a value for each of the first maxQueues queues only.
+// labels queue and organisation, which have a value for each of the first maxQueues queues and maxOrganisations organisations only.
 type Stats struct {
-	registry       *prometheus.Registry
-	decisions      *prometheus.CounterVec
-	calls          *prometheus.CounterVec
-	storeTimes     *prometheus.HistogramVec
-	orderTimes     *prometheus.HistogramVec
-	requestTimes   *prometheus.HistogramVec
-	feedTimes      *prometheus.GaugeVec
-	leading        prometheus.Gauge
-	configVersion  prometheus.Gauge
-	queueWaiting   *prometheus.GaugeVec
-	queueOldest    *prometheus.GaugeVec
-	ordersInFlight prometheus.Gauge
-	removedStates  prometheus.Counter
+	registry        *prometheus.Registry
+	decisions       *prometheus.CounterVec
+	calls           *prometheus.CounterVec
+	storeTimes      *prometheus.HistogramVec
+	orderTimes      *prometheus.HistogramVec
+	requestTimes    *prometheus.HistogramVec
+	feedTimes       *prometheus.GaugeVec
+	leading         prometheus.Gauge
+	configVersion   prometheus.Gauge
+	queueWaiting    *prometheus.GaugeVec
+	queueOldest     *prometheus.GaugeVec
+	organisationUse *prometheus.GaugeVec
+	ordersInFlight  prometheus.Gauge
+	removedStates   prometheus.Counter
 	// countedQueues are the queues that have series.
 	countedQueues map[croft.QueueID]bool
+	// countedOrganisations are the organisations that have series.
+	countedOrganisations map[croft.OrganisationID]bool
 }
 
 // maxQueues is the number of queues that get series; any further queue is not counted.
@@ -41,22 +44,24 @@
 // New returns metrics that are all zero.
 func New() *Stats {
 	s := &Stats{
-		registry:       prometheus.NewRegistry(),
-		decisions:      newCounterVec("croft_decisions_total", "Decisions that were logged or would have been, by action.", "action"),
-		calls:          newCounterVec("croft_calls_total", "Calls to the platform, executors and the advice service, by outcome.", "call", "outcome"),
-		storeTimes:     newHistogramVec("croft_store_seconds", "Time of the store's answers.", "call"),
-		orderTimes:     newHistogramVec("croft_order_seconds", "Time of executors' answers to orders.", "order"),
-		requestTimes:   newHistogramVec("croft_request_seconds", "Time of answers to callers.", "request", "status"),
-		feedTimes:      newGaugeVec("croft_feed_time_seconds", "When each feed last had an answer, since 1970.", "feed"),
-		queueWaiting:   newGaugeVec("croft_queue_waiting", "Jobs of a queue that have not begun, as the leader knows.", "queue"),
-		queueOldest:    newGaugeVec("croft_queue_oldest_seconds", "Age of the oldest job of a queue that has not begun.", "queue"),
-		leading:        newGauge("croft_leading", "1 on the entry that leads."),
-		configVersion:  newGauge("croft_config_version", "Version of the configuration in use."),
-		ordersInFlight: newGauge("croft_orders_in_flight", "Orders to executors without an answer yet."),
-		removedStates:  prometheus.NewCounter(prometheus.CounterOpts{Name: "croft_states_removed_total", Help: "States of ended jobs that were removed from the store."}),
-		countedQueues:  map[croft.QueueID]bool{},
+		registry:             prometheus.NewRegistry(),
+		decisions:            newCounterVec("croft_decisions_total", "Decisions that were logged or would have been, by action.", "action"),
+		calls:                newCounterVec("croft_calls_total", "Calls to the platform, executors and the advice service, by outcome.", "call", "outcome"),
+		storeTimes:           newHistogramVec("croft_store_seconds", "Time of the store's answers.", "call"),
+		orderTimes:           newHistogramVec("croft_order_seconds", "Time of executors' answers to orders.", "order"),
+		requestTimes:         newHistogramVec("croft_request_seconds", "Time of answers to callers.", "request", "status"),
+		feedTimes:            newGaugeVec("croft_feed_time_seconds", "When each feed last had an answer, since 1970.", "feed"),
+		queueWaiting:         newGaugeVec("croft_queue_waiting", "Jobs of a queue that have not begun, as the leader knows.", "queue"),
+		queueOldest:          newGaugeVec("croft_queue_oldest_seconds", "Age of the oldest job of a queue that has not begun.", "queue"),
+		leading:              newGauge("croft_leading", "1 on the entry that leads."),
+		configVersion:        newGauge("croft_config_version", "Version of the configuration in use."),
+		ordersInFlight:       newGauge("croft_orders_in_flight", "Orders to executors without an answer yet."),
+		removedStates:        prometheus.NewCounter(prometheus.CounterOpts{Name: "croft_states_removed_total", Help: "States of ended jobs that were removed from the store."}),
+		countedQueues:        map[croft.QueueID]bool{},
+		organisationUse:      newGaugeVec("croft_organisation_use", "What an organisation may have running, as the leader knows.", "organisation", "resource"),
+		countedOrganisations: map[croft.OrganisationID]bool{},
 	}
-	s.registry.MustRegister(s.decisions, s.calls, s.storeTimes, s.orderTimes, s.requestTimes, s.feedTimes, s.queueWaiting, s.queueOldest, s.leading,
+	s.registry.MustRegister(s.decisions, s.calls, s.storeTimes, s.orderTimes, s.requestTimes, s.feedTimes, s.queueWaiting, s.queueOldest, s.organisationUse, s.leading,
 		s.configVersion, s.ordersInFlight, s.removedStates, collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	return s
 }
@@ -101,6 +106,8 @@
 	value := 0.0
 	if leads {
 		value = 1
+	} else {
+		s.organisationUse.Reset()
 	}
 	s.leading.Set(value)
 }
--- a/stats/stats_test.go
+++ b/stats/stats_test.go
@@ -53,3 +53,20 @@
 	}
 	assert.Equal(t, strings.Count(servedText(s), "croft_queue_waiting{"), maxQueues)
 }
+
+// The number of series must not grow with the number of organisations, and what has ended must not stay in them.
+func TestOrganisationSeriesAreLimited(t *testing.T) {
+	s := New()
+	uses := map[croft.OrganisationID]croft.Resources{}
+	for i := range 100 {
+		uses[croft.OrganisationID(fmt.Sprintf("o%03d", i))] = croft.Resources{MilliCores: 5}
+	}
+	s.SetUses(uses)
+	got := servedText(s)
+	assert.Equal(t, strings.Count(got, "croft_organisation_use{"), 3*(maxOrganisations+1))
+	assert.Assert(t, strings.Contains(got, `croft_organisation_use{organisation="other",resource="millicores"} 180`))
+	s.SetUses(nil)
+	got = servedText(s)
+	assert.Assert(t, strings.Contains(got, `croft_organisation_use{organisation="o003",resource="millicores"} 0`))
+	assert.Assert(t, strings.Contains(got, `croft_organisation_use{organisation="other",resource="millicores"} 0`))
+}
