--- a/agent/perform.go
+++ b/agent/perform.go
@@ -67,6 +67,7 @@
 			a.Stats.SetQueue(id, load.Waiting, load.Oldest)
 		}
 		a.Stats.SetOrganisations(e.Organisations)
+		a.Stats.SetUses(e.Uses)
 		if e.Shared {
 			a.loadReports.submit(ctx, e)
 		}
--- a/sched/events.go
+++ b/sched/events.go
@@ -277,6 +277,8 @@
 	Loads map[croft.QueueID]Load
 	// Organisations has the rates of the organisations that have submitted jobs lately.
 	Organisations map[croft.OrganisationID]OrganisationLoad
+	// Uses is what each organisation may have running, for the metrics of this entry.
+	Uses map[croft.OrganisationID]croft.Resources
 	// Shared reports that other entries need the loads too, since queues refuse jobs or have just ceased to.
 	Shared bool
 }
--- a/sched/place.go
+++ b/sched/place.go
@@ -81,11 +81,11 @@
 		if len(po.jobs) == 0 || len(po.workers) == 0 || (!po.changed && p.now.Elapsed-po.lastPlacement < placeInterval) {
 			continue
 		}
-		if pause := po.lastPlacement + minPlaceInterval - p.now.Elapsed; po.backlogged && pause > 0 {
+		if pause := po.lastPlacement + minPlaceInterval - p.now.Elapsed; (po.backlogged || po.heldByCap > maxHeldStages) && pause > 0 {
 			p.requestWake(pause)
 			continue
 		}
-		po.changed, po.backlogged, po.windowCut, po.lastPlacement = false, false, false, p.now.Elapsed
+		po.changed, po.backlogged, po.windowCut, po.heldByCap, po.lastPlacement = false, false, false, 0, p.now.Elapsed
 		p.placePool(po)
 		anyCut = anyCut || po.windowCut
 	}
@@ -115,6 +115,7 @@
 
 // placePool starts the waiting tasks of a pool that fit, by rank.
 func (p *Planner) placePool(po *pool) {
+	p.countUnseenRuns()
 	unknownRuns := !p.jobsLoaded || p.mayHaveUnknownRuns(po)
 	if !unknownRuns {
 		p.giveUpInheritedSuspects(po)
@@ -127,19 +128,22 @@
 			break
 		}
 		switch {
+		case p.isCapReached(candidate.stage):
 		case unplaceable.covers(candidate.stage):
 			po.backlogged = true
 		case candidate.stage.spec.Gang:
 			p.placeGang(po, candidate.stage)
 		default:
 			p.placeStage(po, candidate.stage)
-			if p.awaitsCapacity(candidate.stage) {
+			if !candidate.stage.capped && p.awaitsCapacity(candidate.stage) {
 				unplaceable = unplaceable.with(candidate.stage)
 			}
 		}
+		p.recordCapWait(po, candidate.stage)
 	}
 	for _, use := range po.tentative {
 		use.worker.used = use.worker.used.Minus(use.needs)
+		p.removeUse(use.stage)
 	}
 	po.tentative = nil
 }
@@ -153,7 +157,7 @@
 			continue
 		}
 		for _, s := range j.stages {
-			if s.open && len(s.waiting) > 0 {
+			if s.open && !p.isHeldByCap(po, s) && len(s.waiting) > 0 {
 				s.adviceRequired = p.needsAdvice(s)
 				waiting = append(waiting, rankedStage{stage: s, rank: p.rankStage(s)})
 			}
@@ -219,6 +223,9 @@
 			p.cutPlacement(po)
 			return
 		}
+		if p.isCapReached(s) {
+			return
+		}
 		w := p.chooseWorker(po, s, index)
 		if w == nil {
 			po.backlogged = true
@@ -240,7 +247,8 @@
 			// The capacity is reserved for this pass only, so that no more jobs are announced than fit.
 			p.announce(s.job)
 			w.used = w.used.Plus(s.needs())
-			po.tentative = append(po.tentative, tentativeUse{worker: w, needs: s.needs()})
+			p.addUse(s)
+			po.tentative = append(po.tentative, tentativeUse{stage: s, worker: w, needs: s.needs()})
 			continue
 		}
 		s.dequeue(index)
@@ -289,6 +297,7 @@
 
 // tentativeUse is capacity of a worker that a placement pass holds for a job whose announcement is not stored yet.
 type tentativeUse struct {
+	stage  *stage
 	worker *worker
 	needs  croft.Resources
 }
@@ -530,7 +539,7 @@
 		if !w.isDraining() && !p.mayEvict(r) {
 			continue
 		}
-		if p.chooseWorker(po, s, r.index) == nil && (w.isDraining() || p.now.Elapsed-w.reservedAt < shortTaskGrace) {
+		if (p.chooseWorker(po, s, r.index) == nil || !p.mayReplace(s)) && (w.isDraining() || p.now.Elapsed-w.reservedAt < shortTaskGrace) {
 			// Wait for capacity elsewhere, but on a reserved worker only for shortTaskGrace: a step with a task on each
 			// VM of the pool never gets any, and its task stays unavailable as long as the VM.
 			continue
--- a/sched/planner.go
+++ b/sched/planner.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"waxwing.example/croft"
+	"waxwing.example/croft/quota"
 )
 
 // Options are the settings that decisions depend on.
@@ -20,6 +21,8 @@
 	Maintain croft.Millis
 	// RowBytes is the maximum size of the value of a row in the store, zero if it is not known.
 	RowBytes int
+	// Uncounted is what does not count for the caps of organisations; tests of the invariants set it, to show that they fail then.
+	Uncounted Uncounted
 }
 
 // Planner holds the leader's state and decides on each event; only one goroutine may use it.
@@ -49,6 +52,10 @@
 
 	config croft.QueueConfig
 	queues map[croft.QueueID]croft.Queue
+	// caps has the caps of the organisations that have one.
+	caps map[croft.OrganisationID]croft.Resources
+	// ledger is what the organisations may have running.
+	ledger quota.Ledger
 	pools  map[croft.PoolID]*pool
 	// sortedPools and sortedWorkers are sorted by ID, to make decisions reproducible.
 	sortedPools   []*pool
@@ -126,7 +133,8 @@
 	p.lastNumberUsed = ""
 	p.nextScale, p.nextLoads, p.nextPoolLog, p.pendingAdvice, p.refusing = 0, 0, 0, 0, false
 	p.meanDurations = map[croft.QueueID]float64{}
-	p.sharing = newSharing(p.config.Organisations)
+	p.ledger = quota.Ledger{}
+	p.sharing = newSharing(p.config.Organisations, &p.ledger)
 	for number, w := range p.waves {
 		p.waves[number] = newWave(w.Wave, w.requestedAt)
 	}
@@ -223,6 +231,7 @@
 		p.queues[q.ID] = q
 	}
 	p.sharing.configure(config.Organisations)
+	p.configureCaps()
 }
 
 // plan does what is due after the events of an instant. Work that examines all executors or depends only on time is
--- a/sched/shares.go
+++ b/sched/shares.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"waxwing.example/croft"
+	"waxwing.example/croft/quota"
 	"waxwing.example/croft/shares"
 )
 
@@ -20,27 +21,6 @@
 	shareAgeing = 5 * croft.Second
 )
 
-// useLedger has the needs of the runs that may be active on executors, by organisation.
-type useLedger interface {
-	Use(org croft.OrganisationID) croft.Resources
-	Add(org croft.OrganisationID, needs croft.Resources)
-	Remove(org croft.OrganisationID, needs croft.Resources)
-}
-
-// useCounter is a useLedger that keeps a sum for each organisation.
-type useCounter map[croft.OrganisationID]croft.Resources
-
-// Use returns what an organisation may have in use.
-func (c useCounter) Use(org croft.OrganisationID) croft.Resources { return c[org] }
-
-// Add adds the needs of a run.
-func (c useCounter) Add(org croft.OrganisationID, needs croft.Resources) { c[org] = c[org].Plus(needs) }
-
-// Remove subtracts the needs of a run.
-func (c useCounter) Remove(org croft.OrganisationID, needs croft.Resources) {
-	c[org] = c[org].Minus(needs)
-}
-
 // organisation is the planner's state of one organisation.
 type organisation struct {
 	id croft.OrganisationID
@@ -57,7 +37,8 @@
 // sharing is the planner's state of the sharing of capacity among organisations.
 type sharing struct {
 	tracker       *shares.Tracker
-	use           useLedger
+	// use is what each organisation may have running.
+	use           *quota.Ledger
 	organisations map[croft.OrganisationID]*organisation
 	// configured has the organisations of the configuration, in its order.
 	configured []*organisation
@@ -69,8 +50,8 @@
 	names    shares.Names
 }
 
-func newSharing(configured []croft.Organisation) sharing {
-	s := sharing{tracker: shares.NewTracker(burstWindow), use: useCounter{}, organisations: map[croft.OrganisationID]*organisation{}, refreshed: -1}
+func newSharing(configured []croft.Organisation, use *quota.Ledger) sharing {
+	s := sharing{tracker: shares.NewTracker(burstWindow), use: use, organisations: map[croft.OrganisationID]*organisation{}, refreshed: -1}
 	s.configure(configured)
 	return s
 }
@@ -101,20 +82,6 @@
 	return o
 }
 
-// addUse counts a run that may be active.
-func (s *sharing) addUse(r *run) {
-	if o := r.stage.job.organisation; o != nil {
-		s.use.Add(o.id, r.needs())
-	}
-}
-
-// removeUse subtracts a run that has certainly ended.
-func (s *sharing) removeUse(r *run) {
-	if o := r.stage.job.organisation; o != nil {
-		s.use.Remove(o.id, r.needs())
-	}
-}
-
 // fraction returns the fraction of an organisation's jobs in a queue that entries admit: of the last two that were published the
 // higher one, so that the rate of its submissions is not overestimated.
 func (s *sharing) fraction(queue croft.QueueID, org croft.OrganisationID) float64 {
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -28,6 +28,8 @@
 	lastSummary string
 	// tentative is the capacity that the current placement pass holds for jobs whose announcement is not stored.
 	tentative []tentativeUse
+	// heldByCap counts the stages that the last placement pass left waiting for the caps of their organisations.
+	heldByCap int
 }
 
 // worker is the planner's state of one executor, over all its incarnations.
@@ -366,7 +368,6 @@
 func (p *Planner) addRun(r *run) {
 	r.worker.runs[r.stage.id(r.index)] = r
 	r.worker.used = r.worker.used.Plus(r.needs())
-	p.sharing.addUse(r)
 	if r.stage.spec.Endless {
 		r.worker.endlessRuns++
 	}
@@ -378,6 +379,7 @@
 	r.stage.liveRuns++
 	r.stage.tasks[r.index].liveRuns++
 	r.stage.job.liveRuns++
+	p.addUse(r.stage)
 }
 
 // removeRun removes a run and releases its capacity.
@@ -385,7 +387,6 @@
 	w := r.worker
 	delete(w.runs, r.stage.id(r.index))
 	w.used = w.used.Minus(r.needs())
-	p.sharing.removeUse(r)
 	if r.stage.spec.Endless {
 		w.endlessRuns--
 	}
@@ -405,6 +406,7 @@
 	}
 	t.liveRuns--
 	r.stage.job.liveRuns--
+	p.releaseUse(r.stage)
 	p.releaseOccurrences(r.stage.job)
 	p.removeFinishedJob(r.stage.job)
 }
--- a/stats/organisations.go
+++ b/stats/organisations.go
@@ -16,6 +16,9 @@
 	offered  *prometheus.GaugeVec
 	admitted *prometheus.GaugeVec
 	refusals *prometheus.CounterVec
+	use      *prometheus.GaugeVec
+	// usedLabels are the labels that use has series for.
+	usedLabels map[string]bool
 
 	mu    *sync.Mutex
 	names *shares.Names
@@ -28,12 +31,13 @@
 		offered:  newGaugeVec("croft_organisation_offered_rate", "Submissions of an organisation per second, as the leader estimates.", label),
 		admitted: newGaugeVec("croft_organisation_admitted", "Fraction of an organisation's jobs to admit while capacity is short; the least of several organisations.", label),
 		refusals: newCounterVec("croft_organisation_refusals_total", "Jobs of an organisation that this entry refused because of the load.", label),
-		mu:       &sync.Mutex{}, names: &shares.Names{},
+		use:      newGaugeVec("croft_organisation_use", "What an organisation may have running, as the leader knows.", label, "resource"),
+		mu:       &sync.Mutex{}, names: &shares.Names{}, usedLabels: map[string]bool{},
 	}
 }
 
 func (o organisationStats) register(r *prometheus.Registry) {
-	r.MustRegister(o.accepted, o.offered, o.admitted, o.refusals)
+	r.MustRegister(o.accepted, o.offered, o.admitted, o.refusals, o.use)
 }
 
 // label returns the value of the label of an organisation.
--- a/stats/stats.go
+++ b/stats/stats.go
@@ -107,6 +107,8 @@
 	value := 0.0
 	if leads {
 		value = 1
+	} else {
+		s.organisations.use.Reset()
 	}
 	s.leading.Set(value)
 }
