crowd, platform: tests of many clients that hold connections and bodies open

Cause: an entry reads every body whole and accepts every connection, so such clients take more than its memory and descriptors (section 6 of docs/design/overload.md). The tests start the real program; the crowd (400 clients, bodies of 262,144 bytes less 64, one client in ten whole) and the bounds (memory_mb 64 for the largest resident size and the unread bytes, max_fds 256) stay as they are.

--- /dev/null
+++ b/crowd/crowd_test.go
@@ -0,0 +1,164 @@
+package crowd
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// The crowd. Its bodies take more than the entry's memory and its connections more than its descriptors.
+const (
+	clients = 400
+	// missingBytes is how much of its body a client does not send.
+	missingBytes = 64
+	// wholeEvery is the share of clients that send their bodies whole: one in so many.
+	wholeEvery = 10
+	// clientTimeout ends the writes of a client that the entry neither reads nor closes.
+	clientTimeout = 30 * time.Second
+)
+
+// largeBody is a valid job of exactly maxBodyBytes.
+func largeBody() []byte {
+	const steps, label = 256, 900
+	step := `{"count":39,"cpu":500,"requires":"` + strings.Repeat("r", label) + `"},`
+	body := `{"spec":"s","steps":[` + strings.TrimSuffix(strings.Repeat(step, steps), ",") + `]`
+	return []byte(body + strings.Repeat(" ", maxBodyBytes-len(body)-1) + "}")
+}
+
+// chunked returns the body in chunks of a size, without the last chunk.
+func chunked(body []byte, size int) []byte {
+	out := make([]byte, 0, len(body)+len(body)/size*10+20)
+	for len(body) > 0 {
+		n := min(size, len(body))
+		out = fmt.Appendf(out, "%x\r\n", n)
+		out = append(append(out, body[:n]...), "\r\n"...)
+		body = body[n:]
+	}
+	return out
+}
+
+// script is what a client sends.
+type script struct {
+	address string
+	// head is sent first, then body in pieces of pieceBytes, and end only by those that send their requests whole.
+	head       func(number int) string
+	body, end  []byte
+	pieceBytes int
+}
+
+// play connects and sends; it returns the connection, which stays open, nil if none was made.
+func (s script) play(number int) net.Conn {
+	conn, err := net.DialTimeout("tcp", s.address, clientTimeout)
+	if err != nil {
+		return nil
+	}
+	_ = conn.SetWriteDeadline(time.Now().Add(clientTimeout))
+	parts := [][]byte{[]byte(s.head(number))}
+	for rest := s.body; len(rest) > 0; {
+		n := min(s.pieceBytes, len(rest))
+		parts = append(parts, rest[:n])
+		rest = rest[n:]
+	}
+	if number%wholeEvery == 0 {
+		parts = append(parts, s.end)
+	}
+	for _, part := range parts {
+		// An error means that the entry has closed the connection, which it may do.
+		if _, err := conn.Write(part); err != nil {
+			break
+		}
+	}
+	return conn
+}
+
+// gather plays the script as all clients at once and returns when each has sent what it can. The connections stay open until
+// the test ends.
+func gather(t *testing.T, s script) {
+	t.Helper()
+	conns := make([]net.Conn, clients)
+	var group sync.WaitGroup
+	for i := range conns {
+		group.Go(func() { conns[i] = s.play(i) })
+	}
+	group.Wait()
+	t.Cleanup(func() {
+		for _, conn := range conns {
+			if conn != nil {
+				conn.Close()
+			}
+		}
+	})
+}
+
+func submitHead(headers string) func(int) string {
+	return func(number int) string {
+		return fmt.Sprintf("POST /q/%016x HTTP/1.1\r\nHost: h\r\n%s\r\n\r\n", number+1, headers)
+	}
+}
+
+// scripts returns the scripts of the crowds by name.
+func scripts(e *entry) map[string]script {
+	body := largeBody()
+	short, end := body[:len(body)-missingBytes], body[len(body)-missingBytes:]
+	sized := submitHead(fmt.Sprintf("Content-Length: %d", len(body)))
+	streamed := submitHead("Transfer-Encoding: chunked")
+	lastChunk := append(chunked(end, missingBytes), "0\r\n\r\n"...)
+	partOfHead := func(int) string { return "GET / HTTP/1.1\r\nHost: h\r\nA: " + strings.Repeat("a", 15<<10) }
+	endOfHead := []byte("\r\n\r\n")
+	statusRequests := []byte(strings.Repeat("GET /q/00000000000000ff HTTP/1.1\r\nHost: h\r\n\r\n", 2000))
+	metricsRequests := []byte(strings.Repeat("GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n", 2000))
+	none := func(int) string { return "" }
+	return map[string]script{
+		"whole":           {e.callers, sized, short, end, len(body)},
+		"pieces":          {e.callers, sized, short, end, 2 << 10},
+		"large-chunks":    {e.callers, streamed, chunked(short, 16<<10), lastChunk, 64 << 10},
+		"small-chunks":    {e.callers, streamed, chunked(short, 4), lastChunk, 4 << 10},
+		"headers":         {e.callers, partOfHead, nil, endOfHead, 1},
+		"idle":            {e.callers, none, nil, nil, 1},
+		"no-reading":      {e.callers, none, statusRequests, nil, 16 << 10},
+		"ready-headers":   {e.ready, partOfHead, nil, endOfHead, 1},
+		"ready-bodies":    {e.ready, sized, short, end, len(body)},
+		"metrics-headers": {e.metrics, partOfHead, nil, endOfHead, 1},
+		"metrics-reading": {e.metrics, none, metricsRequests, nil, 16 << 10},
+	}
+}
+
+// Guards against clients that end or stall an entry by holding connections and bodies open: the entry exceeded its memory and
+// its descriptors, for which the platform kills it or refuses its calls.
+func TestEntryStandsCrowds(t *testing.T) {
+	for _, name := range []string{
+		"whole", "pieces", "large-chunks", "small-chunks", "headers", "idle", "no-reading",
+		"ready-headers", "ready-bodies", "metrics-headers", "metrics-reading",
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := startEntry(t)
+			idleKB, idleDescriptors := e.peakKB(t), e.descriptors(t)
+			gather(t, scripts(e)[name])
+			unread := e.unreadKB(t)
+			status, probe := e.submit("abcdef0123456789"), e.probe()
+			assert.Assert(t, e.lives(), "the entry has ended")
+			peak, descriptors := e.peakKB(t), e.descriptors(t)
+			t.Logf("peak %d KB (%d before) and %d KB unread, %d descriptors (%d before), job %d, probe %d",
+				peak, idleKB, unread, descriptors, idleDescriptors, status, probe)
+			assert.Check(t, peak+unread <= memoryMB<<10, "memory: %d KB and %d KB unread, at most %d MB", peak, unread, memoryMB)
+			assert.Check(t, descriptors <= maxFDs, "%d descriptors, at most %d", descriptors, maxFDs)
+			assert.Check(t, status == http.StatusOK, "an ordinary job was answered %d", status)
+			assert.Check(t, probe == http.StatusOK, "a readiness probe was answered %d", probe)
+		})
+	}
+}
+
+// Guards against limits that refuse a single request within the documented limits.
+func TestEntryServesTheLargestBody(t *testing.T) {
+	e := startEntry(t)
+	body := `{"spec":"s","steps":[{"count":10000,"cpu":500}]`
+	body += strings.Repeat(" ", maxBodyBytes-len(body)-1) + "}"
+	assert.Equal(t, statusOf(http.MethodPost, e.callers, "/q/abcdef0123456789", body), http.StatusOK)
+	assert.Equal(t, statusOf(http.MethodPost, e.callers, "/q/abcdef012345678a", body+" "), http.StatusRequestEntityTooLarge)
+}
