inflow, platform, intake, stats: limits of what clients hold open at an entry

Change: package inflow decides, without I/O, which connection or body is dropped for another, and applies it to the listeners of callers, readiness and metrics. Limits follow from memory_mb and max_fds; header limits and timeouts from the configuration, with a new http.Server for each change of them. A body has the timeout_ms of its route; responses have a write deadline. Small kernel buffers and a short queue of connections to be accepted, since unread bytes count as memory. Two changes of the tests: the settings give a configuration 60 s to be confirmed, since a busy machine made entries answer 503 for it (seen in metrics-reading, load average 43); and four further subtests (-one-task) with the same crowd whose bodies are one-task jobs.

--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -23,7 +23,7 @@
 	clientTimeout = 30 * time.Second
 )
 
-// largeBody is a valid job of exactly maxBodyBytes.
+// largeBody is a valid job of exactly maxBodyBytes with 9,984 tasks.
 func largeBody() []byte {
 	const steps, label = 256, 900
 	step := `{"count":39,"cpu":500,"requires":"` + strings.Repeat("r", label) + `"},`
@@ -31,6 +31,12 @@
 	return []byte(body + strings.Repeat(" ", maxBodyBytes-len(body)-1) + "}")
 }
 
+// paddedBody is a valid job of exactly maxBodyBytes with one task, which takes no memory of the planner once it is stored.
+func paddedBody() []byte {
+	const body = `{"spec":"s","steps":[{"count":1,"cpu":500}]`
+	return []byte(body + strings.Repeat(" ", maxBodyBytes-len(body)-1) + "}")
+}
+
 // chunked returns the body in chunks of a size, without the last chunk.
 func chunked(body []byte, size int) []byte {
 	out := make([]byte, 0, len(body)+len(body)/size*10+20)
@@ -104,21 +110,32 @@
 
 // scripts returns the scripts of the crowds by name.
 func scripts(e *entry) map[string]script {
+	out := otherScripts(e)
+	for suffix, body := range map[string][]byte{"": largeBody(), "-one-task": paddedBody()} {
+		short, end := body[:len(body)-missingBytes], body[len(body)-missingBytes:]
+		streamed := submitHead("Transfer-Encoding: chunked")
+		lastChunk := append(chunked(end, missingBytes), "0\r\n\r\n"...)
+		out["whole"+suffix] = script{e.callers, sized, short, end, len(body)}
+		out["pieces"+suffix] = script{e.callers, sized, short, end, 2 << 10}
+		out["large-chunks"+suffix] = script{e.callers, streamed, chunked(short, 16<<10), lastChunk, 64 << 10}
+		out["small-chunks"+suffix] = script{e.callers, streamed, chunked(short, 4), lastChunk, 4 << 10}
+	}
+	return out
+}
+
+// sized begins a request whose body has maxBodyBytes.
+var sized = submitHead(fmt.Sprintf("Content-Length: %d", maxBodyBytes))
+
+// otherScripts returns the scripts that are not about the bodies of callers.
+func otherScripts(e *entry) map[string]script {
 	body := largeBody()
 	short, end := body[:len(body)-missingBytes], body[len(body)-missingBytes:]
-	sized := submitHead(fmt.Sprintf("Content-Length: %d", len(body)))
-	streamed := submitHead("Transfer-Encoding: chunked")
-	lastChunk := append(chunked(end, missingBytes), "0\r\n\r\n"...)
 	partOfHead := func(int) string { return "GET / HTTP/1.1\r\nHost: h\r\nA: " + strings.Repeat("a", 15<<10) }
 	endOfHead := []byte("\r\n\r\n")
 	statusRequests := []byte(strings.Repeat("GET /q/00000000000000ff HTTP/1.1\r\nHost: h\r\n\r\n", 2000))
 	metricsRequests := []byte(strings.Repeat("GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n", 2000))
 	none := func(int) string { return "" }
 	return map[string]script{
-		"whole":           {e.callers, sized, short, end, len(body)},
-		"pieces":          {e.callers, sized, short, end, 2 << 10},
-		"large-chunks":    {e.callers, streamed, chunked(short, 16<<10), lastChunk, 64 << 10},
-		"small-chunks":    {e.callers, streamed, chunked(short, 4), lastChunk, 4 << 10},
 		"headers":         {e.callers, partOfHead, nil, endOfHead, 1},
 		"idle":            {e.callers, none, nil, nil, 1},
 		"no-reading":      {e.callers, none, statusRequests, nil, 16 << 10},
@@ -133,7 +150,8 @@
 // its descriptors, for which the platform kills it or refuses its calls.
 func TestEntryStandsCrowds(t *testing.T) {
 	for _, name := range []string{
-		"whole", "pieces", "large-chunks", "small-chunks", "headers", "idle", "no-reading",
+		"whole", "pieces", "large-chunks", "small-chunks",
+		"whole-one-task", "pieces-one-task", "large-chunks-one-task", "small-chunks-one-task", "headers", "idle", "no-reading",
 		"ready-headers", "ready-bodies", "metrics-headers", "metrics-reading",
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/crowd/entry_test.go
+++ b/crowd/entry_test.go
@@ -64,6 +64,8 @@
 	storeAddress := newStore(t, config)
 	settings := filepath.Join(t.TempDir(), "settings.yaml")
 	text := fmt.Sprintf("node_name: e1\nzone: a\nlisten: {front: %q, ready: %q, metrics: %q}\nlimits: {cpu_share: 0.8, memory_mb: %d, max_fds: %d}\n"+
+		// A configuration that is not confirmed in time, since the machine is busy, makes an entry answer 503 without any crowd.
+		"bounds: {config_apply_ms: 60000}\n"+
 		"platform: {address: %q}\ncloud: {address: %q}\n", e.callers, e.ready, e.metrics, memoryMB, maxFDs, storeAddress, storeAddress)
 	assert.NilError(t, os.WriteFile(settings, []byte(text), 0o600))
 	var out bytes.Buffer
--- /dev/null
+++ b/inflow/conn.go
@@ -0,0 +1,213 @@
+package inflow
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"waxwing.example/croft"
+)
+
+// writeTimeout is how long a client may take to read a part of a response: as long as the default timeout of a request.
+const writeTimeout = 3 * croft.Second
+
+// tooLargePrefix begins the response that net/http sends if headers are too large, without calling a handler.
+var tooLargePrefix = []byte("HTTP/1.1 431")
+
+// Listen listens on an address, with as many connections waiting to be accepted as may be open. Bytes that were received and not
+// read count as memory of the process, so the kernel's buffers are small and few.
+func Listen(address string, limits Limits) (net.Listener, error) {
+	var optErr error
+	control := func(set func(fd int) error) func(uintptr) {
+		return func(fd uintptr) { optErr = errors.Join(optErr, set(int(fd))) }
+	}
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return errors.Join(raw.Control(control(setBuffers)), optErr)
+	}}
+	l, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	raw, err := l.(*net.TCPListener).SyscallConn()
+	if err == nil {
+		// Listening again only changes the number of connections that may wait; package net uses the system's maximum.
+		err = errors.Join(raw.Control(control(func(fd int) error { return unix.Listen(fd, limits.Connections) })), optErr)
+	}
+	if err != nil {
+		l.Close()
+		return nil, err
+	}
+	return l, nil
+}
+
+// setBuffers sets the sizes of a socket's buffers, which accepted connections inherit.
+func setBuffers(fd int) error {
+	return errors.Join(
+		unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes),
+		unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, sendBufferBytes))
+}
+
+// Wrap returns a listener whose connections are subject to the gate.
+func (g *Gate) Wrap(l net.Listener) net.Listener { return &gateListener{Listener: l, gate: g} }
+
+// gateListener is a listener that accepts every connection and closes another one if there are too many. A listener that waits
+// for a connection to end, such as netutil.LimitListener, would let a crowd keep out everyone else.
+type gateListener struct {
+	net.Listener
+	gate *Gate
+}
+
+// Accept returns the next connection.
+func (l *gateListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &Conn{Conn: conn, gate: l.gate}
+	l.gate.open(c)
+	return c, nil
+}
+
+// Conn is a connection that is subject to a gate.
+type Conn struct {
+	net.Conn
+	gate *Gate
+	id   ID
+	// cancel ends the wait of a body that was received whole, nil if none waits.
+	cancel atomic.Pointer[context.CancelFunc]
+	closed sync.Once
+}
+
+// connKey is the context key of a request's Conn.
+type connKey struct{}
+
+// ConnContext stores a connection in the context of its requests; it is for http.Server.ConnContext.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// FromContext returns the connection of a request, nil if it is not subject to a gate.
+func FromContext(ctx context.Context) *Conn {
+	c, _ := ctx.Value(connKey{}).(*Conn)
+	return c
+}
+
+// Begin records that the headers of a request have been received, and whether it has a body. It returns false if the connection
+// was dropped.
+func (c *Conn) Begin(hasBody bool) bool {
+	if c == nil {
+		return true
+	}
+	ok, at := false, c.gate.options.Clock.Elapsed()
+	c.gate.update(func(t *Table) { ok = t.Begin(c.id, hasBody, at) })
+	return ok
+}
+
+// Idle records that a response has been sent.
+func (c *Conn) Idle() {
+	at := c.gate.options.Clock.Elapsed()
+	c.gate.update(func(t *Table) { t.Idle(c.id, at) })
+}
+
+// SetBodyTimeout bounds the time until the body of a request has been received, zero for no bound.
+func (c *Conn) SetBodyTimeout(timeout croft.Millis) {
+	if c == nil {
+		return
+	}
+	deadline := time.Time{}
+	if timeout > 0 {
+		deadline = time.Now().Add(timeout.Duration())
+	}
+	// An error means that the connection is closed, which the next read reports.
+	_ = c.SetReadDeadline(deadline)
+}
+
+// Read reads, and counts a read that timed out.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+		var reason Reason
+		c.gate.update(func(t *Table) { reason = t.TimedOut(c.id) })
+		if reason != "" {
+			c.gate.record(reason)
+		}
+	}
+	return n, err
+}
+
+// Write writes, and fails if the client does not read for writeTimeout.
+func (c *Conn) Write(b []byte) (int, error) {
+	at := c.gate.options.Clock.Elapsed()
+	c.gate.update(func(t *Table) { t.Send(c.id, at) })
+	if bytes.HasPrefix(b, tooLargePrefix) {
+		c.gate.record(ReasonHeaderBytes)
+	}
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout.Duration())); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.gate.record(ReasonWriteTime)
+	}
+	return n, err
+}
+
+// CloseWrite closes the sending half; net/http needs it to end a connection whose client is still sending.
+func (c *Conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// Close closes the connection and removes it from the gate.
+func (c *Conn) Close() error {
+	c.closed.Do(func() { c.gate.close(c) })
+	return c.Conn.Close()
+}
+
+// firstBufferBytes is the size of a body's first buffer; most bodies are smaller.
+const firstBufferBytes = 4 << 10
+
+// ReadBody reads a body whose announced size is size, negative if unknown. The buffer grows with what has arrived, and the gate
+// counts it. A body of more than limit bytes is cut after the first excess byte, which makes http.MaxBytesReader fail.
+func (c *Conn) ReadBody(r io.Reader, size, limit int64) ([]byte, error) {
+	if size < 0 || size > limit {
+		size = limit
+	}
+	capacity := min(size+1, firstBufferBytes)
+	if !c.grow(capacity) {
+		return nil, ErrDropped
+	}
+	buffer := make([]byte, 0, capacity)
+	for {
+		n, err := r.Read(buffer[len(buffer):cap(buffer)])
+		buffer = buffer[:len(buffer)+n]
+		if err == io.EOF {
+			return buffer, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		if len(buffer) < cap(buffer) {
+			continue
+		}
+		capacity = max(min(2*int64(cap(buffer)), size+1), int64(cap(buffer))+1)
+		if !c.grow(capacity - int64(cap(buffer))) {
+			return nil, ErrDropped
+		}
+		buffer = append(make([]byte, 0, capacity), buffer...)
+	}
+}
+
+// grow counts the growth of a body's buffer; it returns false if the body is dropped.
+func (c *Conn) grow(bytes int64) bool { return c == nil || c.gate.receive(c, bytes) }
--- a/intake/index.go
+++ b/intake/index.go
@@ -17,6 +17,8 @@
 	BodyBytes int64
 	// HeaderBytes is the maximum size of the headers of a request.
 	HeaderBytes int
+	// HeaderTimeout and IdleTimeout bound the arrival of headers and the time between requests of a connection.
+	HeaderTimeout, IdleTimeout croft.Millis
 	// keys has the API keys of the organisations.
 	keys orgs.Keys
 	// queuesByHost has the queues of each host, those with the longest path prefix first.
@@ -27,6 +29,7 @@
 func NewIndex(config croft.QueueConfig) *Index {
 	x := &Index{
 		Version: config.Version, BodyBytes: config.BodyBytes, HeaderBytes: config.HeaderBytes,
+		HeaderTimeout: config.HeaderTimeout, IdleTimeout: config.IdleTimeout,
 		keys: orgs.NewKeys(config.Organisations), queuesByHost: map[string][]croft.Queue{},
 	}
 	for _, q := range config.Queues {
--- a/queue.go
+++ b/queue.go
@@ -17,6 +17,10 @@
 	BodyBytes int64
 	// HeaderBytes is the maximum size of the headers of a request.
 	HeaderBytes int
+	// HeaderTimeout is how long the headers of a request may take to arrive.
+	HeaderTimeout Millis
+	// IdleTimeout is how long a connection stays open without a request.
+	IdleTimeout Millis
 }
 
 // Queue is a queue of jobs, to which callers submit under a host and a path prefix.
@@ -33,6 +37,8 @@
 	// critical path, plus Latency.
 	Stretch float64
 	Latency Millis
+	// Timeout is how long callers wait for the response to a request.
+	Timeout Millis
 	// NeedsAdvice means that the advice service decides which executors may run a step.
 	NeedsAdvice bool
 	// Public means that callers need no API key, and that jobs belong to no organisation.
--- a/stats/stats.go
+++ b/stats/stats.go
@@ -27,6 +27,9 @@
 	queueOldest    *prometheus.GaugeVec
 	ordersInFlight prometheus.Gauge
 	removedStates  prometheus.Counter
+	inflowDrops    *prometheus.CounterVec
+	inflowConns    *prometheus.GaugeVec
+	inflowBytes    *prometheus.GaugeVec
 	// countedQueues are the queues that have series.
 	countedQueues map[croft.QueueID]bool
 }
@@ -54,10 +57,13 @@
 		configVersion:  newGauge("croft_config_version", "Version of the configuration in use."),
 		ordersInFlight: newGauge("croft_orders_in_flight", "Orders to executors without an answer yet."),
 		removedStates:  prometheus.NewCounter(prometheus.CounterOpts{Name: "croft_states_removed_total", Help: "States of ended jobs that were removed from the store."}),
+		inflowDrops:    newCounterVec("croft_inflow_dropped_total", "Connections and requests that a limit ended, by listener and limit.", "listener", "limit"),
+		inflowConns:    newGaugeVec("croft_inflow_connections", "Open connections of a listener.", "listener"),
+		inflowBytes:    newGaugeVec("croft_inflow_body_bytes", "Size of the buffers of bodies that are being received or wait.", "listener"),
 		countedQueues:  map[croft.QueueID]bool{},
 	}
 	s.registry.MustRegister(s.decisions, s.calls, s.storeTimes, s.orderTimes, s.requestTimes, s.feedTimes, s.queueWaiting, s.queueOldest, s.leading,
-		s.configVersion, s.ordersInFlight, s.removedStates, collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
+		s.configVersion, s.ordersInFlight, s.removedStates, s.inflowDrops, s.inflowConns, s.inflowBytes, collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	return s
 }
 
@@ -77,9 +83,12 @@
 	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: name, Help: help, Buckets: callBuckets}, labels)
 }
 
+// maxScrapes is the number of requests for the metrics that are served at once; further ones are answered 503.
+const maxScrapes = 2
+
 // Handler returns a handler that serves the metrics.
 func (s *Stats) Handler() http.Handler {
-	return promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{})
+	return promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes})
 }
 
 // CountDecision counts a decision by its action.
@@ -96,6 +105,20 @@
 // CountRemovedStates counts states of ended jobs that were removed from the store.
 func (s *Stats) CountRemovedStates(n int) { s.removedStates.Add(float64(n)) }
 
+// CountInflowDrops returns a function that counts what a limit of a listener ended.
+func (s *Stats) CountInflowDrops(listener string) func(limit string) {
+	return func(limit string) { s.inflowDrops.WithLabelValues(listener, limit).Inc() }
+}
+
+// RecordInflow returns a function that records what is open at a listener.
+func (s *Stats) RecordInflow(listener string) func(connections int, bodyBytes int64) {
+	connectionGauge, byteGauge := s.inflowConns.WithLabelValues(listener), s.inflowBytes.WithLabelValues(listener)
+	return func(connections int, bodyBytes int64) {
+		connectionGauge.Set(float64(connections))
+		byteGauge.Set(float64(bodyBytes))
+	}
+}
+
 // SetLeading records whether this entry is the leader.
 func (s *Stats) SetLeading(leads bool) {
 	value := 0.0
--- a/stats/stats_test.go
+++ b/stats/stats_test.go
@@ -32,6 +32,8 @@
 	s.CountDecision(croft.Decision{Action: "End"})
 	s.RecordRequest("submit", "200", 30*time.Millisecond)
 	s.SetLeading(true)
+	s.CountInflowDrops("callers")("connections")
+	s.RecordInflow("callers")(7, 4096)
 	_, err := s.Table(unknownCommitTable{}).Commit(context.Background(), nil)
 	assert.ErrorContains(t, err, "answer lost")
 	got := servedText(s)
@@ -40,6 +42,9 @@
 		`croft_request_seconds_bucket{request="submit",status="200",le="0.05"} 1`,
 		`croft_calls_total{call="commit",outcome="no answer"} 1`,
 		`croft_leading 1`,
+		`croft_inflow_dropped_total{limit="connections",listener="callers"} 1`,
+		`croft_inflow_connections{listener="callers"} 7`,
+		`croft_inflow_body_bytes{listener="callers"} 4096`,
 	} {
 		assert.Assert(t, strings.Contains(got, line), line)
 	}
