--- a/inflow/conn.go
+++ b/inflow/conn.go
@@ -104,19 +104,11 @@
 // Begin records that the headers of a request have been received, and whether it has a body. It returns false if the connection
 // was dropped.
 func (c *Conn) Begin(hasBody bool) bool {
-	if c == nil {
-		return true
-	}
-	ok, at := false, c.gate.options.Clock.Elapsed()
-	c.gate.update(func(t *Table) { ok = t.Begin(c.id, hasBody, at) })
-	return ok
+	return c == nil || c.gate.begin(c, hasBody)
 }
 
 // Idle records that a response has been sent.
-func (c *Conn) Idle() {
-	at := c.gate.options.Clock.Elapsed()
-	c.gate.update(func(t *Table) { t.Idle(c.id, at) })
-}
+func (c *Conn) Idle() { c.gate.idle(c) }
 
 // SetBodyTimeout bounds the time until the body of a request has been received, zero for no bound.
 func (c *Conn) SetBodyTimeout(timeout croft.Millis) {
@@ -135,9 +127,7 @@
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if err != nil && errors.Is(err, os.ErrDeadlineExceeded) {
-		var reason Reason
-		c.gate.update(func(t *Table) { reason = t.TimedOut(c.id) })
-		if reason != "" {
+		if reason := c.gate.timedOut(c); reason != "" {
 			c.gate.record(reason)
 		}
 	}
@@ -146,8 +136,7 @@
 
 // Write writes, and fails if the client does not read for writeTimeout.
 func (c *Conn) Write(b []byte) (int, error) {
-	at := c.gate.options.Clock.Elapsed()
-	c.gate.update(func(t *Table) { t.Send(c.id, at) })
+	c.gate.send(c)
 	if bytes.HasPrefix(b, tooLargePrefix) {
 		c.gate.record(ReasonHeaderBytes)
 	}
--- a/inflow/gate.go
+++ b/inflow/gate.go
@@ -122,13 +122,6 @@
 	return out
 }
 
-// update runs a function of the table.
-func (g *Gate) update(f func(*Table)) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	f(g.table)
-}
-
 // close removes a connection.
 func (g *Gate) close(c *Conn) {
 	g.mu.Lock()
@@ -169,13 +162,9 @@
 			return nil, err
 		}
 	}
-	if c != nil {
-		ok := false
-		g.update(func(t *Table) { ok = t.Process(c.id) })
-		if !ok {
-			g.processing.Release(need)
-			return nil, ErrDropped
-		}
+	if c != nil && !g.process(c) {
+		g.processing.Release(need)
+		return nil, ErrDropped
 	}
 	return func() { g.processing.Release(need) }, nil
 }
@@ -185,11 +174,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if c != nil {
-		ok := false
 		c.cancel.Store(&cancel)
 		defer c.cancel.Store(nil)
-		g.update(func(t *Table) { ok = t.Wait(c.id) })
-		if !ok {
+		if !g.wait(c) {
 			return ErrDropped
 		}
 	}
@@ -199,3 +186,43 @@
 	}
 	return nil
 }
+
+func (g *Gate) process(c *Conn) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	defer g.report()
+	return g.table.Process(c.id)
+}
+
+func (g *Gate) wait(c *Conn) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Wait(c.id)
+}
+
+func (g *Gate) begin(c *Conn, hasBody bool) bool {
+	at := g.options.Clock.Elapsed()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Begin(c.id, hasBody, at)
+}
+
+func (g *Gate) send(c *Conn) {
+	at := g.options.Clock.Elapsed()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.Send(c.id, at)
+}
+
+func (g *Gate) idle(c *Conn) {
+	at := g.options.Clock.Elapsed()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.Idle(c.id, at)
+}
+
+func (g *Gate) timedOut(c *Conn) Reason {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.TimedOut(c.id)
+}
--- a/inflow/table.go
+++ b/inflow/table.go
@@ -32,7 +32,7 @@
 type entry struct {
 	id    ID
 	phase phase
-	// element is the entry's place in the list of its phase.
+	// element is the entry's place in the list of its phase, nil if it is busy.
 	element *list.Element
 	// order grows with each connection and each body.
 	order uint64
@@ -253,12 +253,21 @@
 	return nil
 }
 
-// enter moves an entry to the end of a phase's list.
+// enter moves an entry to the end of a phase's list. Busy entries are in no list, since none of them is ever chosen.
 func (t *Table) enter(e *entry, p phase) {
+	t.leave(e)
+	e.phase = p
+	if p != busy {
+		e.element = t.byPhase[p].PushBack(e)
+	}
+}
+
+// leave takes an entry out of its phase's list.
+func (t *Table) leave(e *entry) {
 	if e.element != nil {
 		t.byPhase[e.phase].Remove(e.element)
+		e.element = nil
 	}
-	e.phase, e.element = p, t.byPhase[p].PushBack(e)
 }
 
 func (t *Table) add(e *entry, bytes int64) {
@@ -268,6 +277,6 @@
 
 func (t *Table) remove(e *entry) {
 	t.add(e, -e.bytes)
-	t.byPhase[e.phase].Remove(e.element)
+	t.leave(e)
 	delete(t.entries, e.id)
 }
