inflow: closing a listener ends the wait of a connection that found no room

Cause: with all connections busy beyond the grace period, the accepting goroutine went on waiting and delayed the end of a planned stop.

--- a/inflow/conn.go
+++ b/inflow/conn.go
@@ -63,7 +63,8 @@
 // for a connection to end, such as netutil.LimitListener, would let a crowd keep out everyone else.
 type gateListener struct {
 	net.Listener
-	gate *Gate
+	gate   *Gate
+	closed atomic.Bool
 }
 
 // Accept returns the next connection.
@@ -73,10 +74,19 @@
 		return nil, err
 	}
 	c := &Conn{Conn: conn, gate: l.gate}
-	l.gate.open(c)
+	if !l.gate.open(c, &l.closed) {
+		conn.Close()
+		return nil, net.ErrClosed
+	}
 	return c, nil
 }
 
+// Close makes Accept fail, also one that waits for room.
+func (l *gateListener) Close() error {
+	l.closed.Store(true)
+	return l.Listener.Close()
+}
+
 // Conn is a connection that is subject to a gate.
 type Conn struct {
 	net.Conn
--- a/inflow/gate.go
+++ b/inflow/gate.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 
 	"golang.org/x/sync/semaphore"
 
@@ -52,9 +53,10 @@
 	}
 }
 
-// open adds a connection as soon as there is room for it, and closes the one that it replaces.
-func (g *Gate) open(c *Conn) {
-	for delayed := false; ; delayed = true {
+// open adds a connection as soon as there is room for it, and closes the one that it replaces. It returns false if the listener is
+// closed before.
+func (g *Gate) open(c *Conn, closed *atomic.Bool) bool {
+	for delayed := false; !closed.Load(); delayed = true {
 		opening, old := g.tryOpen(c)
 		if opening.Wait == 0 {
 			if old != nil {
@@ -62,13 +64,14 @@
 				// An error means that the client has closed it as well.
 				_ = old.Close()
 			}
-			return
+			return true
 		}
 		if !delayed {
 			g.record(ReasonDelayed)
 		}
 		_ = g.options.Clock.Sleep(context.Background(), opening.Wait)
 	}
+	return false
 }
 
 // tryOpen returns the table's decision about a new connection, and the connection to close, nil if there is none.
