--- a/leader/takeover.go
+++ b/leader/takeover.go
@@ -22,7 +22,7 @@
 	// MemoryMB is the memory above which the process is killed.
 	MemoryMB int64
 	// Descriptors is the maximum number of open descriptors.
-	Descriptors int
+	Descriptors int64
 	// LinkMbps is the bandwidth of the network link, in Mbit/s.
 	LinkMbps float64
 }
--- a/sched/shares.go
+++ b/sched/shares.go
@@ -36,7 +36,7 @@
 
 // sharing is the planner's state of the sharing of capacity among organisations.
 type sharing struct {
-	tracker       *shares.Tracker
+	tracker *shares.Tracker
 	// use is what each organisation may have running.
 	use           *quota.Ledger
 	organisations map[croft.OrganisationID]*organisation
