sched: configurations without caps cause no placement pass

Cause: each new configuration had all pools placed again, also where no organisation has a cap. Change: only configurations with caps, or after one with caps, do.

--- a/sched/quota.go
+++ b/sched/quota.go
@@ -14,6 +14,7 @@
 
 // configureCaps indexes the caps of the configuration, and has all stages tried by the new ones.
 func (p *Planner) configureCaps() {
+	had := len(p.caps) > 0
 	p.caps = map[croft.OrganisationID]croft.Resources{}
 	for _, o := range p.config.Organisations {
 		if quota.IsLimited(o.Cap) {
@@ -21,7 +22,7 @@
 		}
 	}
 	for _, po := range p.sortedPools {
-		po.changed = true
+		po.changed = po.changed || had || len(p.caps) > 0
 	}
 }
 
