sched: reservations for large tasks, gangs and wide stages

Cause: a task that needs most of an executor, a gang or a wide stage with a limit per executor starts only if enough capacity is free by chance.

Change: sched.Options.Reservations switches on EASY backfilling (package resv). The first large stage by rank that has been held back for 100 ms and 3 placement passes gets a reservation, one for each pool; other tasks of the same or a less urgent priority start on its executors only if they end before its expected start or fit beside it. It is released when the tasks start, the job ends, it expires, or an executor crashes, drains, moves or joins a wave, and is then planned anew. The mean relative error of the durations is measured for each queue. Reserve and Release lines, the counter croft_reservations_total and Planner.Describe show it. The option is off in platform/serve.go.

--- a/agent/perform.go
+++ b/agent/perform.go
@@ -11,13 +11,16 @@
 )
 
 // perform carries out an effect of the planner without blocking the planner's goroutine. Effects other than log
-// lines and stepping down are dropped while the entry does not lead.
+// lines, counts and stepping down are dropped while the entry does not lead.
 func (a *Agent) perform(effect sched.Effect) {
 	switch e := effect.(type) {
 	case sched.Log:
 		a.Stats.CountDecision(e.Decision)
 		a.Log.Log(e.Decision)
 		return
+	case sched.CountReservation:
+		a.Stats.CountReservation(e.Outcome)
+		return
 	case sched.StepDown:
 		a.Election.StepDown()
 		return
--- a/resv/plan.go
+++ b/resv/plan.go
@@ -117,7 +117,10 @@
 // compareRuns orders runs by their ends. Runs that end at the same time are ordered by the rest of their values, so that a plan
 // does not depend on the order in which they are listed.
 func compareRuns(a, b Run) int {
-	return cmp.Or(cmp.Compare(a.End, b.End), cmp.Compare(a.Error, b.Error), cmp.Compare(a.Needs.MilliCores, b.Needs.MilliCores),
+	if a.End != b.End {
+		return cmp.Compare(a.End, b.End)
+	}
+	return cmp.Or(cmp.Compare(a.Error, b.Error), cmp.Compare(a.Needs.MilliCores, b.Needs.MilliCores),
 		cmp.Compare(a.Needs.MemoryMB, b.Needs.MemoryMB), cmp.Compare(a.Needs.Accelerators, b.Needs.Accelerators), compareLimited(a, b))
 }
 
--- a/sched/describe.go
+++ b/sched/describe.go
@@ -17,6 +17,7 @@
 	fmt.Fprintf(&b, "job %s: %s, queue %s, change %d of %d stored, ended %v, deadline in %d ms", id, j.progress.Status, j.record.Queue, j.storedSequence, j.sequence, j.ended, j.deadline-p.now.Elapsed)
 	for _, s := range j.stages {
 		fmt.Fprintf(&b, "\n  step %d.%d: open %v, %d of %d left, waiting %v", s.occurrence, s.step, s.open, s.remainingTasks, len(s.tasks), s.waiting)
+		b.WriteString(p.describeReservation(s))
 		for i, t := range s.tasks {
 			if t.run != nil {
 				fmt.Fprintf(&b, "\n    task %d: run %d on %s, phase %d, %d %%", i, t.run.number, t.run.worker.ID, t.run.phase, t.run.percent)
--- a/sched/events.go
+++ b/sched/events.go
@@ -294,6 +294,12 @@
 	After croft.Millis
 }
 
+// CountReservation counts a reservation of executors that was made, or released with an outcome.
+type CountReservation struct {
+	effectMarker
+	Outcome string
+}
+
 // Log writes a log line about a decision.
 type Log struct {
 	effectMarker
--- a/sched/job.go
+++ b/sched/job.go
@@ -89,6 +89,7 @@
 	adviceRequired bool
 	// startLogged reports that the first start of the stage was logged.
 	startLogged bool
+	heldBack    heldBack
 }
 
 // task is one task of a stage.
--- a/sched/order.go
+++ b/sched/order.go
@@ -25,6 +25,7 @@
 	r.startedAsSuspect = t.suspect
 	t.run, t.unlistedEnd = r, false
 	p.addRun(r)
+	p.recordStartInReservation(r)
 	order := p.newRunOrder(w, id, number)
 	order.Payload, order.Checkpoint, order.Until = s.job.record.Spec.Payload, t.checkpoint, p.grantLease(w)
 	if got, ok := p.permitFor(s, w); ok {
--- a/sched/place.go
+++ b/sched/place.go
@@ -118,18 +118,18 @@
 	}
 	slices.SortStableFunc(waiting, func(a, b rankedStage) int { return a.rank.compare(b.rank) })
 	unplaceable := unplaceableNeeds{}
+	p.beginBackfill(po)
 	for _, candidate := range waiting {
 		switch {
-		case unplaceable.covers(candidate.stage):
+		case p.fitsNowhere(po, unplaceable, candidate.stage):
 			po.backlogged = true
 		case candidate.stage.spec.Gang:
 			p.placeGang(po, candidate.stage)
 		default:
 			p.placeStage(po, candidate.stage)
-			if p.awaitsCapacity(candidate.stage) {
-				unplaceable = unplaceable.with(candidate.stage)
-			}
+			unplaceable = p.recordUnplaced(po, unplaceable, candidate.stage)
 		}
+		p.considerReservation(po, candidate.stage)
 	}
 	for _, use := range po.tentative {
 		use.worker.used = use.worker.used.Minus(use.needs)
@@ -210,7 +210,7 @@
 			// The capacity is reserved for this pass only, so that no more jobs are announced than fit.
 			p.announce(s.job)
 			w.used = w.used.Plus(s.needs())
-			po.tentative = append(po.tentative, tentativeUse{worker: w, needs: s.needs()})
+			po.tentative = append(po.tentative, tentativeUse{worker: w, needs: s.needs(), stage: s})
 			continue
 		}
 		s.dequeue(index)
@@ -261,6 +261,7 @@
 type tentativeUse struct {
 	worker *worker
 	needs  croft.Resources
+	stage  *stage
 }
 
 // placeGang starts all tasks of a gang at once or none.
@@ -326,7 +327,7 @@
 	var bestScore int64
 	for _, w := range po.workers {
 		// Capacity is compared first: it is the cheapest condition and the one that most workers fail.
-		if !w.used.Plus(needs).Fits(w.Room) || !p.schedulable(w) || !p.admitsTask(w, s, index) {
+		if !w.used.Plus(needs).Fits(w.Room) || !p.schedulable(w) || !p.admitsTask(w, s, index) || p.delaysReserved(po, w, s, index) {
 			continue
 		}
 		if score := p.score(w, s, index); best == nil || score < bestScore {
--- a/sched/planner.go
+++ b/sched/planner.go
@@ -20,6 +20,9 @@
 	Maintain croft.Millis
 	// RowBytes is the maximum size of the value of a row in the store, zero if it is not known.
 	RowBytes int
+	// Reservations switches on that large tasks, gangs and wide stages which small tasks keep waiting get a reservation of executors
+	// (package resv). Otherwise waiting tasks are placed by rank alone.
+	Reservations bool
 }
 
 // Planner holds the leader's state and decides on each event; only one goroutine may use it.
@@ -94,6 +97,8 @@
 	refusing bool
 	// meanDurations has the moving average of each queue's task durations, in milliseconds.
 	meanDurations map[croft.QueueID]float64
+	// durationErrors has the moving average of the relative errors of these expectations.
+	durationErrors map[croft.QueueID]float64
 
 	// effects are those of the current Reduce call.
 	effects []Effect
@@ -122,7 +127,7 @@
 	p.refusedMoves = map[moveRoute]bool{}
 	p.lastNumberUsed = ""
 	p.nextScale, p.nextLoads, p.nextPoolLog, p.pendingAdvice, p.refusing = 0, 0, 0, 0, false
-	p.meanDurations = map[croft.QueueID]float64{}
+	p.meanDurations, p.durationErrors = map[croft.QueueID]float64{}, map[croft.QueueID]float64{}
 	for number, w := range p.waves {
 		p.waves[number] = newWave(w.Wave, w.requestedAt)
 	}
@@ -236,6 +241,7 @@
 		p.checkSuspects()
 	}
 	p.resolveUnansweredStarts()
+	p.releaseReservations()
 	p.placePools()
 	p.sendDueHolds(everyWorker)
 	p.sendDueCommits()
--- a/sched/scale.go
+++ b/sched/scale.go
@@ -62,13 +62,14 @@
 	durationWeight = 0.02
 )
 
-// recordDuration adds the duration of a finished run to the moving average of its queue.
+// recordDuration adds the duration of a finished run, and its relative error, to the moving averages of its queue.
 func (p *Planner) recordDuration(r *run) {
 	if r == nil || r.stage.spec.Endless {
 		return
 	}
 	id := r.stage.job.record.Queue
 	duration := float64(p.now.Elapsed - r.startedAt)
+	p.recordDurationError(id, duration, float64(p.expectedDuration(r.stage)))
 	if mean, ok := p.meanDurations[id]; ok {
 		p.meanDurations[id] = mean + durationWeight*(duration-mean)
 		return
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -26,6 +26,7 @@
 	lastSummary string
 	// tentative is the capacity that the current placement pass holds for jobs whose announcement is not stored.
 	tentative []tentativeUse
+	backfill  backfill
 }
 
 // worker is the planner's state of one executor, over all its incarnations.
--- a/stats/stats.go
+++ b/stats/stats.go
@@ -27,6 +27,7 @@
 	queueOldest    *prometheus.GaugeVec
 	ordersInFlight prometheus.Gauge
 	removedStates  prometheus.Counter
+	reservations   *prometheus.CounterVec
 	// countedQueues are the queues that have series.
 	countedQueues map[croft.QueueID]bool
 }
@@ -54,10 +55,11 @@
 		configVersion:  newGauge("croft_config_version", "Version of the configuration in use."),
 		ordersInFlight: newGauge("croft_orders_in_flight", "Orders to executors without an answer yet."),
 		removedStates:  prometheus.NewCounter(prometheus.CounterOpts{Name: "croft_states_removed_total", Help: "States of ended jobs that were removed from the store."}),
+		reservations:   newCounterVec("croft_reservations_total", "Reservations of executors for large tasks that the leader made or released, by outcome.", "outcome"),
 		countedQueues:  map[croft.QueueID]bool{},
 	}
 	s.registry.MustRegister(s.decisions, s.calls, s.storeTimes, s.orderTimes, s.requestTimes, s.feedTimes, s.queueWaiting, s.queueOldest, s.leading,
-		s.configVersion, s.ordersInFlight, s.removedStates, collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
+		s.configVersion, s.ordersInFlight, s.removedStates, s.reservations, collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	return s
 }
 
@@ -96,6 +98,9 @@
 // CountRemovedStates counts states of ended jobs that were removed from the store.
 func (s *Stats) CountRemovedStates(n int) { s.removedStates.Add(float64(n)) }
 
+// CountReservation counts a reservation of executors that was made, or released with an outcome.
+func (s *Stats) CountReservation(outcome string) { s.reservations.WithLabelValues(outcome).Inc() }
+
 // SetLeading records whether this entry is the leader.
 func (s *Stats) SetLeading(leads bool) {
 	value := 0.0
