model: reservations in all seeds, and a load of large tasks

Change: each seed of each test of the invariants runs a second time with reservations on, as TEST/reservations/SEED.

--- a/model/model_test.go
+++ b/model/model_test.go
@@ -31,7 +31,7 @@
 	}
 }
 
-// checkSeeds simulates consecutive seeds from the first one on, each in a test named after it.
+// checkSeeds simulates consecutive seeds from the first one on, each in a test named after it, without and with reservations.
 func checkSeeds(t *testing.T, first uint64, options func(seed uint64) Options) {
 	t.Helper()
 	for seed := first; seed < first+uint64(seedCount(t)); seed++ {
@@ -40,6 +40,13 @@
 			report := Run(options(seed))
 			assert.Check(t, len(report.Broken) == 0, "%v", report.Broken)
 		})
+		t.Run("reservations/"+strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			reserving := options(seed)
+			reserving.Reservations = true
+			report := Run(reserving)
+			assert.Check(t, len(report.Broken) == 0, "%v", report.Broken)
+		})
 	}
 }
 
--- a/model/perform.go
+++ b/model/perform.go
@@ -59,6 +59,10 @@
 		onEffect(w, effect)
 	}
 	switch e := effect.(type) {
+	case sched.CountReservation:
+		if e.Outcome == "Made" {
+			w.report.Reserved++
+		}
 	case sched.Start:
 		w.sendOrder(e.Order.Worker, func(x *executor) error { return w.handleStart(x, e.Order) },
 			func(clock croft.Millis, err error) sched.Event {
--- a/model/trace_test.go
+++ b/model/trace_test.go
@@ -16,7 +16,8 @@
 // TestTrace simulates the seed in WAXWING_TRACE as the tests of the invariants do, with zone cuts if WAXWING_TRACE_CUTS is
 // set, executors that return under their IDs if WAXWING_TRACE_RETURNS is (with start times that go back if it is back),
 // tasks that crash executors if WAXWING_TRACE_DEADLY is, schedules if WAXWING_TRACE_SCHEDULES is, and endless tasks whose runs end by
-// themselves if WAXWING_TRACE_ENDLESS is. WAXWING_TRACE_WAVES names options of waves, such as more,late. It prints the planner's log and orders; if WAXWING_TRACE_JOB is a job's id, it also prints the job's state at the end.
+// themselves if WAXWING_TRACE_ENDLESS is, and large tasks if WAXWING_TRACE_LARGE is. WAXWING_TRACE_RESERVATIONS switches reservations on.
+// WAXWING_TRACE_WAVES names options of waves, such as more,late. It prints the planner's log and orders; if WAXWING_TRACE_JOB is a job's id, it also prints the job's state at the end.
 func TestTrace(t *testing.T) {
 	text := os.Getenv("WAXWING_TRACE")
 	if text == "" {
@@ -40,6 +41,10 @@
 	if os.Getenv("WAXWING_TRACE_SCHEDULES") != "" {
 		options = scheduleOptions(seed)
 	}
+	if os.Getenv("WAXWING_TRACE_LARGE") != "" {
+		options = largeOptions(seed)
+	}
+	options.Reservations = os.Getenv("WAXWING_TRACE_RESERVATIONS") != ""
 	if names := os.Getenv("WAXWING_TRACE_WAVES"); names != "" {
 		options.Wave = true
 		for _, name := range strings.Split(names, ",") {
--- a/model/workload.go
+++ b/model/workload.go
@@ -42,6 +42,7 @@
 	deadlyJobShare     = 0.05
 	cancelledJobShare  = 0.05
 	maxStepTasks       = 12
+	largeStepShare     = 0.15
 	scheduleShare      = 0.05
 	endlessJobsPerPool = 2
 )
@@ -188,6 +189,13 @@
 	if number > 0 {
 		s.After = []int{number - 1}
 	}
+	if w.options.LargeTasks && w.chance(largeStepShare) {
+		// Gangs of more such tasks may wait for ever, with and without reservations: the sizes of the pools follow the sum of the
+		// needs, also if only one task fits on an executor.
+		s.Count, s.Gang = 1+w.rng.IntN(2), w.chance(0.5)
+		s.Needs.MilliCores = executorMilliCores/3 + w.rng.Int64N(executorMilliCores/4)
+		return s
+	}
 	if !w.options.Varied {
 		return s
 	}
--- a/model/world.go
+++ b/model/world.go
@@ -59,6 +59,10 @@
 	ClockLead croft.Millis
 	// Varied draws jobs with gangs, schedules, labels, data racks and per-executor limits; otherwise all steps are plain.
 	Varied bool
+	// LargeTasks makes the tasks of some steps need most of what endless tasks leave of an executor.
+	LargeTasks bool
+	// Reservations switches the reservations of the planner on.
+	Reservations bool
 }
 
 // Timings and sizes of the simulated platform, those of the platform's example settings.
@@ -141,6 +145,8 @@
 	// Starts, Moves and Maintained count orders carried out, Takeovers the terms that began, Commits the commits that
 	// planners requested.
 	Starts, Moves, Maintained, Takeovers, Commits int
+	// Reserved counts the reservations of executors.
+	Reserved int
 }
 
 // Report is the result of a simulation.
@@ -314,7 +320,7 @@
 		w.version++
 		w.leader = &leader{alive: true, vmOrdersFrom: lastRenewal + leaderLease, planner: sched.New(sched.Options{
 			Holder: fmt.Sprintf("entry-%d", w.term), Lease: maxLease, Stop: maxStopDuration, Maintain: maintenanceDuration,
-			RowBytes: w.options.RowBytes,
+			RowBytes: w.options.RowBytes, Reservations: w.options.Reservations,
 		})}
 		if w.options.ClockLead > 0 {
 			w.leader.clockLead = w.between(0, w.options.ClockLead)
