--- a/model/world.go
+++ b/model/world.go
@@ -67,6 +67,10 @@
 	Caps bool
 	// Uncounted is what the planners do not count for caps, see sched.Options.
 	Uncounted sched.Uncounted
+	// LargeTasks makes the tasks of some steps need most of what endless tasks leave of an executor.
+	LargeTasks bool
+	// Reservations switches the reservations of the planner on.
+	Reservations bool
 }
 
 // Timings and sizes of the simulated platform, those of the platform's example settings.
@@ -150,6 +154,8 @@
 	// Starts, Moves and Maintained count orders carried out, Takeovers the terms that began, Commits the commits that
 	// planners requested.
 	Starts, Moves, Maintained, Takeovers, Commits int
+	// Reserved counts the reservations of executors.
+	Reserved int
 }
 
 // Report is the result of a simulation.
@@ -338,7 +344,7 @@
 		w.version++
 		w.leader = &leader{alive: true, term: w.term, vmOrdersFrom: lastRenewal + leaderLease, planner: sched.New(sched.Options{
 			Holder: fmt.Sprintf("entry-%d", w.term), Lease: maxLease, Stop: maxStopDuration, Maintain: maintenanceDuration,
-			RowBytes: w.options.RowBytes, Uncounted: w.options.Uncounted,
+			RowBytes: w.options.RowBytes, Uncounted: w.options.Uncounted, Reservations: w.options.Reservations,
 		})}
 		if w.options.ClockLead > 0 {
 			w.leader.clockLead = w.between(0, w.options.ClockLead)
--- a/sched/describe.go
+++ b/sched/describe.go
@@ -22,6 +22,7 @@
 		if s.awaitsCap {
 			fmt.Fprintf(&b, ", for its cap since %d ms", p.now.Elapsed-s.cappedSince)
 		}
+		b.WriteString(p.describeReservation(s))
 		for i, t := range s.tasks {
 			if t.run != nil {
 				fmt.Fprintf(&b, "\n    task %d: run %d on %s, phase %d, %d %%", i, t.run.number, t.run.worker.ID, t.run.phase, t.run.percent)
--- a/sched/job.go
+++ b/sched/job.go
@@ -99,6 +99,7 @@
 	// awaitsCap reports that the stage is logged as waiting for the cap, since cappedSince.
 	awaitsCap   bool
 	cappedSince croft.Millis
+	heldBack    heldBack
 }
 
 // task is one task of a stage.
--- a/sched/place.go
+++ b/sched/place.go
@@ -122,6 +122,7 @@
 	}
 	p.refreshShares()
 	unplaceable := unplaceableNeeds{}
+	p.beginBackfill(po)
 	for _, candidate := range p.waitingStages(po, unknownRuns) {
 		if !p.mayStart() {
 			p.cutPlacement(po)
@@ -129,17 +130,16 @@
 		}
 		switch {
 		case p.isCapReached(candidate.stage):
-		case unplaceable.covers(candidate.stage):
+		case p.fitsNowhere(po, unplaceable, candidate.stage):
 			po.backlogged = true
 		case candidate.stage.spec.Gang:
 			p.placeGang(po, candidate.stage)
 		default:
 			p.placeStage(po, candidate.stage)
-			if !candidate.stage.capped && p.awaitsCapacity(candidate.stage) {
-				unplaceable = unplaceable.with(candidate.stage)
-			}
+			unplaceable = p.recordUnplaced(po, unplaceable, candidate.stage)
 		}
 		p.recordCapWait(po, candidate.stage)
+		p.considerReservation(po, candidate.stage)
 	}
 	for _, use := range po.tentative {
 		use.worker.used = use.worker.used.Minus(use.needs)
@@ -365,7 +365,7 @@
 	var bestScore int64
 	for _, w := range po.workers {
 		// Capacity is compared first: it is the cheapest condition and the one that most workers fail.
-		if !w.used.Plus(needs).Fits(w.Room) || !p.schedulable(w) || !p.admitsTask(w, s, index) {
+		if !w.used.Plus(needs).Fits(w.Room) || !p.schedulable(w) || !p.admitsTask(w, s, index) || p.delaysReserved(po, w, s, index) {
 			continue
 		}
 		if score := p.score(w, s, index); best == nil || score < bestScore {
--- a/sched/planner.go
+++ b/sched/planner.go
@@ -23,6 +23,9 @@
 	RowBytes int
 	// Uncounted is what does not count for the caps of organisations; tests of the invariants set it, to show that they fail then.
 	Uncounted Uncounted
+	// Reservations switches on that large tasks, gangs and wide stages which small tasks keep waiting get a reservation of executors
+	// (package resv). Otherwise waiting tasks are placed by rank alone.
+	Reservations bool
 }
 
 // Planner holds the leader's state and decides on each event; only one goroutine may use it.
@@ -103,6 +106,8 @@
 	// meanDurations has the moving average of each queue's task durations, in milliseconds.
 	meanDurations map[croft.QueueID]float64
 	sharing       sharing
+	// durationErrors has the moving average of the relative errors of these expectations.
+	durationErrors map[croft.QueueID]float64
 
 	// effects are those of the current Reduce call.
 	effects []Effect
@@ -132,7 +137,7 @@
 	p.refusedMoves = map[moveRoute]bool{}
 	p.lastNumberUsed = ""
 	p.nextScale, p.nextLoads, p.nextPoolLog, p.pendingAdvice, p.refusing = 0, 0, 0, 0, false
-	p.meanDurations = map[croft.QueueID]float64{}
+	p.meanDurations, p.durationErrors = map[croft.QueueID]float64{}, map[croft.QueueID]float64{}
 	p.ledger = quota.Ledger{}
 	p.sharing = newSharing(p.config.Organisations, &p.ledger)
 	for number, w := range p.waves {
@@ -250,6 +255,7 @@
 		p.checkSuspects()
 	}
 	p.resolveUnansweredStarts()
+	p.releaseReservations()
 	p.placePools()
 	p.sendDueHolds(everyWorker)
 	p.sendDueCommits()
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -30,6 +30,7 @@
 	tentative []tentativeUse
 	// heldByCap counts the stages that the last placement pass left waiting for the caps of their organisations.
 	heldByCap int
+	backfill  backfill
 }
 
 // worker is the planner's state of one executor, over all its incarnations.
--- a/stats/stats.go
+++ b/stats/stats.go
@@ -32,6 +32,7 @@
 	inflowDrops    *prometheus.CounterVec
 	inflowConns    *prometheus.GaugeVec
 	inflowBytes    *prometheus.GaugeVec
+	reservations   *prometheus.CounterVec
 	// countedQueues are the queues that have series.
 	countedQueues map[croft.QueueID]bool
 	organisations organisationStats
@@ -64,11 +65,12 @@
 		inflowDrops:    newCounterVec("croft_inflow_dropped_total", "Connections and requests that a limit ended, by listener and limit.", "listener", "limit"),
 		inflowConns:    newGaugeVec("croft_inflow_connections", "Open connections of a listener.", "listener"),
 		inflowBytes:    newGaugeVec("croft_inflow_body_bytes", "Size of the buffers of bodies that are being received or wait.", "listener"),
+		reservations:   newCounterVec("croft_reservations_total", "Reservations of executors for large tasks that the leader made or released, by outcome.", "outcome"),
 		countedQueues:  map[croft.QueueID]bool{},
 		organisations:  newOrganisationStats(),
 	}
 	s.registry.MustRegister(s.decisions, s.calls, s.storeTimes, s.orderTimes, s.requestTimes, s.feedTimes, s.queueWaiting, s.queueOldest, s.leading,
-		s.configVersion, s.ordersInFlight, s.ordersLimit, s.removedStates, s.inflowDrops, s.inflowConns, s.inflowBytes, collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
+		s.configVersion, s.ordersInFlight, s.ordersLimit, s.removedStates, s.reservations, s.inflowDrops, s.inflowConns, s.inflowBytes, collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	s.organisations.register(s.registry)
 	return s
 }
@@ -125,6 +127,9 @@
 	}
 }
 
+// CountReservation counts a reservation of executors that was made, or released with an outcome.
+func (s *Stats) CountReservation(outcome string) { s.reservations.WithLabelValues(outcome).Inc() }
+
 // SetLeading records whether this entry is the leader.
 func (s *Stats) SetLeading(leads bool) {
 	value := 0.0
