sizing, sched: pools are sized by the tasks that may run at once, and by their growth

Cause: a pool's need was all its work over 600 ms. Change: where the configuration has a spare pool, whose VMs cost nothing, a pool needs room for the tasks that may run now, 40 % of headroom, and half of the later steps; what the need grew by in 600 ms is added, within what the caps of organisations allow; a surplus is released after 1 s, eight VMs at a time. The former rule is the baseline (sched.Options.SizeByBacklog) and is used without a spare pool.

--- a/sched/load.go
+++ b/sched/load.go
@@ -68,7 +68,7 @@
 			}
 		}
 		line := fmt.Sprintf("%d jobs, %d not begun, needs %d VMs, has %d, %d schedulable, %d of %d cores in use",
-			len(po.jobs), waiting, po.demand.current, p.availableVMs(po), schedulable, used/1000, capacity/1000)
+			len(po.jobs), waiting, po.demand.Current, p.availableVMs(po), schedulable, used/1000, capacity/1000)
 		if line != po.lastSummary {
 			po.lastSummary = line
 			p.log("Pool", string(po.id), "", line)
--- a/sched/maintain.go
+++ b/sched/maintain.go
@@ -115,7 +115,7 @@
 		return false
 	}
 	po := p.pool(vm.Pool)
-	return p.availableVMs(po) <= po.demand.current
+	return p.availableVMs(po) <= po.demand.Current
 }
 
 // runsOnVM returns the number of runs on a VM.
--- a/sched/planner.go
+++ b/sched/planner.go
@@ -7,6 +7,7 @@
 
 	"waxwing.example/croft"
 	"waxwing.example/croft/quota"
+	"waxwing.example/croft/sizing"
 )
 
 // Options are the settings that decisions depend on.
@@ -23,6 +24,8 @@
 	RowBytes int
 	// Uncounted is what does not count for the caps of organisations; tests of the invariants set it, to show that they fail then.
 	Uncounted Uncounted
+	// SizeByBacklog sizes pools by their work also where the configuration has a spare pool; it is the baseline.
+	SizeByBacklog bool
 	// Reservations switches on that large tasks, gangs and wide stages which small tasks keep waiting get a reservation of executors
 	// (package resv). Otherwise waiting tasks are placed by rank alone.
 	Reservations bool
@@ -60,6 +63,8 @@
 	// ledger is what the organisations may have running.
 	ledger quota.Ledger
 	pools  map[croft.PoolID]*pool
+	// sizing is the policy by which pools are sized.
+	sizing sizing.Policy
 	// sortedPools and sortedWorkers are sorted by ID, to make decisions reproducible.
 	sortedPools   []*pool
 	sortedWorkers []*worker
@@ -115,7 +120,7 @@
 
 // New returns a planner that does not lead yet.
 func New(options Options) *Planner {
-	p := &Planner{options: options, waves: map[int]*wave{}}
+	p := &Planner{options: options, waves: map[int]*wave{}, sizing: sizing.ByBacklog()}
 	p.resetLeaderState()
 	return p
 }
@@ -237,6 +242,7 @@
 	}
 	p.sharing.configure(config.Organisations)
 	p.configureCaps()
+	p.chooseSizing()
 }
 
 // plan does what is due after the events of an instant. Work that examines all executors or depends only on time is
--- a/sched/quota.go
+++ b/sched/quota.go
@@ -220,9 +220,12 @@
 	return n
 }
 
-// cappedDemand returns what the work of organisations with caps needs at the same time, by pool: all of it to complete within
-// backlogTarget, or as large a part as the cap allows to run, in proportion over the pools.
-func (p *Planner) cappedDemand() map[croft.PoolID]croft.Resources {
+// poolLoad is what the work of a pool needs at the same time, and the most that it may need if it grows while VMs move.
+type poolLoad struct{ needs, most croft.Resources }
+
+// cappedDemand returns what the work of organisations with caps needs at the same time, by pool: all of it, or as large a part as
+// the cap allows to run, in proportion over the pools.
+func (p *Planner) cappedDemand() map[croft.PoolID]poolLoad {
 	if len(p.caps) == 0 {
 		return nil
 	}
@@ -243,11 +246,12 @@
 			}
 		}
 	}
-	capped := map[croft.PoolID]croft.Resources{}
+	capped := map[croft.PoolID]poolLoad{}
 	for org, d := range demands {
 		share := quota.Share(p.caps[org], d.use)
+		mostShare := p.maxGrowth() * quota.Share(p.caps[org], partOf(d.use, p.maxGrowth()))
 		for id, needs := range d.byPool {
-			capped[id] = capped[id].Plus(partOf(needs, share))
+			capped[id] = poolLoad{needs: capped[id].needs.Plus(partOf(needs, share)), most: capped[id].most.Plus(partOf(needs, mostShare))}
 		}
 	}
 	return capped
--- a/sched/scale.go
+++ b/sched/scale.go
@@ -22,18 +22,6 @@
 	retryAt croft.Millis
 }
 
-// demand is the number of VMs that a pool needs.
-type demand struct {
-	// current is the number that completes the present work within backlogTarget.
-	current int
-	// contract is the part of it without excess jobs, for which no other pool goes short.
-	contract int
-	// peak is the highest recent value of current, with a decay over time.
-	peak float64
-	// surplusSince is since when the pool has had more than current VMs.
-	surplusSince croft.Millis
-}
-
 // Parameters of moves between pools.
 const (
 	// scaleInterval is how often the sizes of the pools are compared; a move takes over a second.
@@ -51,15 +39,6 @@
 	// reservePercent of an equal share of all VMs stays in a pool that lends: its own demand will rise again, and a VM
 	// takes over a second to return.
 	reservePercent = 50
-	// keepMarginVMs is how many VMs beyond its current demand a pool keeps when it releases others.
-	keepMarginVMs = 1
-	// peakPercent of the recent peak demand stays in the pool: a VM that is released takes longer to return than most
-	// jobs have.
-	peakPercent = 60
-	// peakDecay multiplies the peak at each comparison; it halves in about a minute.
-	peakDecay = 0.9983
-	// surplusDelay is how long a pool must have a surplus before it releases a VM.
-	surplusDelay = 2 * croft.Second
 	// durationWeight is the weight of the newest task in the moving average of a queue's task durations.
 	durationWeight = 0.02
 )
@@ -113,10 +92,10 @@
 	}
 	// The pool with the largest deficit is served first; what excess jobs need comes last.
 	slices.SortFunc(pools, func(a, b *pool) int {
-		return cmp.Or(cmp.Compare(b.demand.contract-p.availableVMs(b), a.demand.contract-p.availableVMs(a)), cmp.Compare(b.demand.current-p.availableVMs(b), a.demand.current-p.availableVMs(a)), cmp.Compare(a.id, b.id))
+		return cmp.Or(cmp.Compare(b.demand.contract-p.availableVMs(b), a.demand.contract-p.availableVMs(a)), cmp.Compare(b.demand.Current-p.availableVMs(b), a.demand.Current-p.availableVMs(a)), cmp.Compare(a.id, b.id))
 	})
 	for _, po := range pools {
-		for deficit := po.demand.current - p.availableVMs(po); deficit > 0; deficit-- {
+		for deficit := po.demand.Current - p.availableVMs(po); deficit > 0; deficit-- {
 			if !p.borrowVM(po, pools) {
 				break
 			}
@@ -127,7 +106,9 @@
 		return
 	}
 	for _, po := range pools {
-		p.releaseSurplusVM(po)
+		for range p.sizing.MaxReleases {
+			p.releaseSurplusVM(po)
+		}
 	}
 }
 
@@ -136,7 +117,7 @@
 	var shortest *pool
 	most := 0
 	for _, po := range pools {
-		if deficit := po.demand.current - p.availableVMs(po); deficit > most {
+		if deficit := po.demand.Current - p.availableVMs(po); deficit > most {
 			shortest, most = po, deficit
 		}
 	}
@@ -146,7 +127,7 @@
 // lendSurplusVMs begins the moves of VMs that other pools would release to the spare pool to one that is short.
 func (p *Planner) lendSurplusVMs(short *pool, pools []*pool) {
 	for _, po := range pools {
-		if po == short || p.refusedMoves[moveRoute{po.id, short.id}] || p.availableVMs(short) >= short.demand.current {
+		if po == short || p.refusedMoves[moveRoute{po.id, short.id}] || p.availableVMs(short) >= short.demand.Current {
 			continue
 		}
 		if id, ok := p.surplusVM(po); ok {
@@ -155,66 +136,6 @@
 	}
 }
 
-// assessDemand computes how many VMs a pool needs; capped is what the work of organisations with caps needs.
-func (p *Planner) assessDemand(po *pool, capped croft.Resources) {
-	work := capped
-	var excess croft.Resources
-	capacity := p.meanCapacity(po)
-	minimum := 1
-	for _, j := range po.jobs {
-		if p.isUseless(j) {
-			continue
-		}
-		_, hasCap := p.capOf(j)
-		for _, s := range j.stages {
-			minimum = max(minimum, p.minVMs(s, capacity))
-			if !hasCap {
-				work = work.Plus(p.needsAtOnce(s, s.needs()))
-			}
-			if p.isExcess(j) {
-				excess = excess.Plus(p.needsAtOnce(s, s.needs()))
-			}
-		}
-	}
-	d := &po.demand
-	d.current = max(vmsNeeded(work, capacity), minimum)
-	d.contract = max(vmsNeeded(work.Minus(excess), capacity), minimum)
-	d.peak = max(d.peak*peakDecay, float64(d.current))
-	if p.availableVMs(po) <= d.current {
-		d.surplusSince = p.now.Elapsed
-	}
-}
-
-// isUseless reports whether the result of a job comes too late to be of use.
-func (p *Planner) isUseless(j *job) bool {
-	return p.now.Elapsed > j.receivedAt+usefulFactor*(j.deadline-j.receivedAt) && !j.endless()
-}
-
-// needsAtOnce returns what a stage must have at the same time to complete within backlogTarget, if each of its tasks has some needs.
-func (p *Planner) needsAtOnce(s *stage, needs croft.Resources) croft.Resources {
-	if s.spec.Endless {
-		return scaleResources(needs, int64(s.remainingTasks), 1)
-	}
-	return scaleResources(needs, int64(s.remainingTasks)*int64(p.expectedDuration(s)), int64(backlogTarget))
-}
-
-// minVMs returns how many VMs a stage needs at the same time, regardless of how much work remains.
-func (s *stage) minVMs(capacity croft.Resources) int {
-	n := 0
-	if s.spec.MostPerWorker > 0 && (s.spec.Endless || (s.spec.Gang && s.open)) {
-		n = (s.remainingTasks + s.spec.MostPerWorker - 1) / s.spec.MostPerWorker
-	}
-	if s.spec.Gang && s.open {
-		n = max(n, vmsNeeded(scaleResources(s.needs(), int64(s.remainingTasks), 1), capacity))
-	}
-	return n
-}
-
-// endless reports whether the job has an endless step.
-func (j *job) endless() bool {
-	return slices.ContainsFunc(j.record.Spec.Steps, func(s croft.Step) bool { return s.Endless })
-}
-
 // scaleResources returns the resources times a factor, divided by a divisor.
 func scaleResources(r croft.Resources, factor, divisor int64) croft.Resources {
 	return croft.Resources{
@@ -284,7 +205,7 @@
 		}
 		supply := other.supplyRatio(remaining)
 		// A pool that keeps enough VMs for its own demand lends one even if its supply is not better by the margin.
-		if supply > best || (lender == nil && remaining >= other.demand.current && p.availableVMs(po) < po.demand.current) {
+		if supply > best || (lender == nil && remaining >= other.demand.Current && p.availableVMs(po) < po.demand.Current) {
 			lender, best = other, max(supply, best)
 		}
 	}
@@ -356,7 +277,7 @@
 	if w := p.workerOn(id); w != nil {
 		p.reserve(w)
 	}
-	p.log("Move", string(id), string(to), fmt.Sprintf("from pool %s; the new pool needs %d VMs and has %d", vm.Pool, p.pool(to).demand.current, p.availableVMs(p.pool(to))-1))
+	p.log("Move", string(id), string(to), fmt.Sprintf("from pool %s; the new pool needs %d VMs and has %d", vm.Pool, p.pool(to).demand.Current, p.availableVMs(p.pool(to))-1))
 }
 
 // advanceMoves orders the moves of VMs that have become empty, cancels moves of VMs that did not become empty in time,
@@ -465,9 +386,7 @@
 
 // surplusVM returns a VM without runs of a pool that has had a surplus for some time.
 func (p *Planner) surplusVM(po *pool) (croft.VMID, bool) {
-	d := &po.demand
-	keep := max(d.current+keepMarginVMs, int(d.peak*peakPercent/100))
-	if p.availableVMs(po) <= keep || p.now.Elapsed-d.surplusSince < surplusDelay {
+	if !po.demand.HasSurplus(p.sizing, p.now.Elapsed, p.availableVMs(po)) {
 		return "", false
 	}
 	id, ok := p.leastBusyVM(po)
--- a/sched/shareload.go
+++ b/sched/shareload.go
@@ -9,6 +9,7 @@
 
 	"waxwing.example/croft"
 	"waxwing.example/croft/shares"
+	"waxwing.example/croft/sizing"
 )
 
 // aheadMargin divides the estimated work ahead of a new job before it is refused: estimates of durations are off by up to a half, and
@@ -256,7 +257,7 @@
 	}
 	kept := len(p.fleet.vms) * reservePercent / 100 / max(pools, 1)
 	for _, other := range p.sortedPools {
-		lendable[other.id] = max(p.availableVMs(other)-min(kept, other.demand.current+keepMarginVMs), 0)
+		lendable[other.id] = max(p.availableVMs(other)-min(kept, other.demand.Current+sizing.KeepMargin), 0)
 	}
 	var sum croft.Resources
 	for _, id := range p.fleet.vmIDs {
