verbs: wax check --as queues

Operators had no means to check a configuration of job queues before it is sent.

Exit code 0 for warnings and differences, 1 for errors and contradictions, 2 if a file cannot be used.

--- a/verbs/exit.go
+++ b/verbs/exit.go
@@ -29,7 +29,7 @@
 func exitMeanings() []exitMeaning {
 	return []exitMeaning{
 		{exitDone, "done"},
-		{exitRefused, "refused: nothing was done; or the demo failed"},
+		{exitRefused, "refused: nothing was done; or the demo failed; or check found errors or contradictions"},
 		{exitUsage, "wrong arguments, settings or file: nothing was done"},
 		{exitUnreachable, "the entry or the platform is unreachable: nothing was done"},
 		{exitRace, "another acceptance came first: nothing was done"},
--- a/verbs/table.go
+++ b/verbs/table.go
@@ -13,6 +13,8 @@
 	Demo func(ctx context.Context, stdout io.Writer) error
 	// Generator generates configurations from answers to the questionnaire.
 	Generator ConfigGenerator
+	// Queues decodes configurations of job queues.
+	Queues QueueDecoder
 }
 
 // ConfigGenerator generates configurations from answers to a questionnaire.
--- a/verbs/verbs_test.go
+++ b/verbs/verbs_test.go
@@ -18,6 +18,7 @@
 
 	"waxwing.example/croft"
 	"waxwing.example/croft/ops"
+	"waxwing.example/croft/platform"
 	"waxwing.example/croft/setup"
 )
 
@@ -130,6 +131,7 @@
 func testDependencies() Dependencies {
 	return Dependencies{
 		Generator: stubGenerator{},
+		Queues:    QueueDecoder{Config: platform.DecodeStrict, Job: platform.DecodeJob},
 		Demo: func(_ context.Context, stdout io.Writer) error {
 			_, err := io.WriteString(stdout, "demonstrated\n")
 			return err
--- a/wax/main.go
+++ b/wax/main.go
@@ -5,10 +5,14 @@
 	"os"
 
 	"waxwing.example/croft/demo"
+	"waxwing.example/croft/platform"
 	"waxwing.example/croft/verbs"
 )
 
 func main() {
-	dependencies := verbs.Dependencies{Demo: demo.Run, Generator: verbs.Questionnaire{}}
+	dependencies := verbs.Dependencies{
+		Demo: demo.Run, Generator: verbs.Questionnaire{},
+		Queues: verbs.QueueDecoder{Config: platform.DecodeStrict, Job: platform.DecodeJob},
+	}
 	os.Exit(verbs.Main(dependencies, os.Args[1:], os.Stdout, os.Stderr))
 }
