--- a/scen/docs_test.go
+++ b/scen/docs_test.go
@@ -51,7 +51,7 @@
 func buildDocsScript(t *testing.T) string {
 	t.Helper()
 	script := preamble
-	files := recordedLogs(t)
+	files := sampleFiles(t)
 	for _, page := range pages {
 		script += "\n# " + page + "\n"
 		blocks := readCodeBlocks(t, page)
@@ -72,13 +72,15 @@
 	return script + files
 }
 
-// recordedLogs returns, as files of the scenario, the logs that OPERATIONS.md explains.
-func recordedLogs(t *testing.T) string {
+// sampleFiles returns, as files of the scenario, the logs and the configurations that OPERATIONS.md explains.
+func sampleFiles(t *testing.T) string {
 	t.Helper()
-	names, err := filepath.Glob("../verbs/testdata/why/*.log")
+	logs, err := filepath.Glob("../verbs/testdata/why/*.log")
+	assert.NilError(t, err)
+	configurations, err := filepath.Glob("../platform/testdata/queues/*.json")
 	assert.NilError(t, err)
 	files := ""
-	for _, name := range names {
+	for _, name := range append(logs, configurations...) {
 		body, err := os.ReadFile(name)
 		assert.NilError(t, err)
 		files += "-- " + strings.TrimPrefix(name, "../") + " --\n" + string(body)
--- a/scen/scen_test.go
+++ b/scen/scen_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"waxwing.example/croft/daemon"
+	"waxwing.example/croft/platform"
 	"waxwing.example/croft/stubs"
 	"waxwing.example/croft/verbs"
 )
@@ -85,7 +86,11 @@
 
 // waxMain runs wax without its demo command.
 func waxMain(args []string, stdout, stderr io.Writer) int {
-	return verbs.Main(verbs.Dependencies{Generator: verbs.Questionnaire{}}, args, stdout, stderr)
+	dependencies := verbs.Dependencies{
+		Generator: verbs.Questionnaire{},
+		Queues:    verbs.QueueDecoder{Config: platform.DecodeStrict, Job: platform.DecodeJob},
+	}
+	return verbs.Main(dependencies, args, stdout, stderr)
 }
 
 // exitWith turns a function that returns an exit code into a main function.
