sched, shares: organisations are limited to their part of what an overloaded queue can serve

Change: while all VMs that a pool can get do not work off what waits within the slack of its jobs, the leader divides the rate that it can serve by weighted max-min fairness, contracts before excess, and publishes the fraction of each organisation in the queue. Log lines Overload.

--- a/sched/shareload.go
+++ b/sched/shareload.go
@@ -25,6 +25,8 @@
 type queueState struct {
 	priority int
 	jobs     int
+	// work is all that the jobs need from their beginning to their end, in resources times milliseconds.
+	work croft.Resources
 	// slackSum is the sum of the times that the jobs could wait and still meet their objectives.
 	slackSum croft.Millis
 	// leastObjective is that of the job with the shortest one.
@@ -48,9 +50,10 @@
 	}
 	p.refreshShares()
 	short := shortQueues{}
+	overloaded := map[croft.QueueID]float64{}
 	shortFor := map[*organisation]bool{}
 	for _, po := range p.sortedPools {
-		p.assessQueues(po, loads, short)
+		p.assessQueues(po, loads, short, overloaded)
 		for _, j := range po.jobs {
 			if submitters, ok := short[j.record.Queue]; ok && j.organisation != nil {
 				submitters[j.organisation] = true
@@ -59,7 +62,7 @@
 		}
 	}
 	rates, limited := p.updateFractions(shortFor)
-	p.publishFractions(loads, short, limited)
+	p.publishFractions(loads, append(p.limitByContract(short, limited), p.limitOverloaded(overloaded)...))
 	for _, load := range loads {
 		s.limiting = s.limiting || load.Ahead > 0 || len(load.Admitted) > 0
 	}
@@ -76,27 +79,104 @@
 	rowDivisor = 2
 )
 
-// publishFractions adds the fractions to the loads of the queues that are short, as many as the row may hold: the lowest ones first.
-func (p *Planner) publishFractions(loads map[croft.QueueID]Load, short shortQueues, limited []*organisation) {
-	slices.SortStableFunc(limited, func(a, b *organisation) int { return cmp.Compare(a.fraction, b.fraction) })
-	size := 0
+// admission is the fraction of an organisation's jobs in a queue that entries are to admit.
+type admission struct {
+	queue    croft.QueueID
+	org      croft.OrganisationID
+	fraction float64
+}
+
+// roundFraction keeps three digits, so that the row stays short.
+func roundFraction(fraction float64) float64 { return math.Ceil(fraction*1000) / 1000 }
+
+// limitByContract returns the fractions of organisations that submit more than their contracts, in the queues that are short.
+func (p *Planner) limitByContract(short shortQueues, limited []*organisation) []admission {
+	var out []admission
 	for _, o := range limited {
-		for _, id := range slices.Sorted(maps.Keys(short)) {
-			if !short[id][o] {
-				continue
+		for id, submitters := range short {
+			if submitters[o] {
+				out = append(out, admission{queue: id, org: o.id, fraction: o.fraction})
 			}
-			if size += len(o.id) + fractionBytes; p.options.RowBytes > 0 && size > p.options.RowBytes/rowDivisor {
-				return
+		}
+	}
+	return out
+}
+
+// limitOverloaded returns the fractions of organisations that submit more than their part of what the capacity of a queue serves;
+// overloaded has the jobs per second that each overloaded queue can serve. Jobs that are refused at once can come again, those that
+// are accepted beyond the capacity end too late to be of use, or make others late.
+func (p *Planner) limitOverloaded(overloaded map[croft.QueueID]float64) []admission {
+	var out []admission
+	for id, tracker := range p.sharing.queueTrackers {
+		served, isOverloaded := overloaded[id]
+		claims := p.claims(tracker)
+		rates := shares.FairRates(served, claims)
+		for _, c := range claims {
+			allowed := math.Inf(1)
+			if isOverloaded {
+				allowed = rates[c.Organisation]
 			}
-			load := loads[id]
-			if load.Admitted == nil {
-				load.Admitted = map[croft.OrganisationID]float64{}
-				loads[id] = load
-				p.sharing.published[id] = load.Admitted
+			if fraction := tracker.AdmitRate(c.Organisation, p.now.Elapsed, allowed); fraction < 1 {
+				out = append(out, admission{queue: id, org: c.Organisation, fraction: roundFraction(fraction)})
 			}
-			load.Admitted[o.id] = o.fraction
+		}
+		tracker.DropIdle(p.now.Elapsed)
+	}
+	p.logOverload(overloaded, len(out))
+	return out
+}
+
+// claims returns the rates at which organisations submit jobs to a queue.
+func (p *Planner) claims(tracker *shares.Tracker) []shares.Claim {
+	var out []shares.Claim
+	for _, o := range p.sharing.configured {
+		if rates := tracker.Rates(o.id, p.now.Elapsed); rates.Offered > 0 {
+			out = append(out, shares.Claim{Organisation: o.id, Rate: rates.Offered, Weight: o.weight})
+		}
+	}
+	return out
+}
+
+// logOverload logs when a queue begins or ceases to be overloaded.
+func (p *Planner) logOverload(overloaded map[croft.QueueID]float64, limited int) {
+	s := &p.sharing
+	for _, id := range slices.Sorted(maps.Keys(overloaded)) {
+		if !s.overloaded[id] {
+			p.log("Overload", string(id), "Begun", fmt.Sprintf("all VMs that its pool can get serve %.1f jobs per second; %d fractions of organisations are published", overloaded[id], limited))
 		}
 	}
+	for _, id := range slices.Sorted(maps.Keys(s.overloaded)) {
+		if _, still := overloaded[id]; !still {
+			p.log("Overload", string(id), "Ended", "the jobs that wait can be served in time")
+		}
+	}
+	s.overloaded = map[croft.QueueID]bool{}
+	for id := range overloaded {
+		s.overloaded[id] = true
+	}
+}
+
+// publishFractions adds fractions to the loads, as many as the row may hold: the lowest ones first.
+func (p *Planner) publishFractions(loads map[croft.QueueID]Load, admissions []admission) {
+	slices.SortFunc(admissions, func(a, b admission) int {
+		return cmp.Or(cmp.Compare(a.fraction, b.fraction), cmp.Compare(a.queue, b.queue), cmp.Compare(a.org, b.org))
+	})
+	size := 0
+	for _, a := range admissions {
+		load := loads[a.queue]
+		if _, published := load.Admitted[a.org]; published {
+			continue
+		}
+		if size += len(a.org) + fractionBytes; p.options.RowBytes > 0 && size > p.options.RowBytes/rowDivisor {
+			return
+		}
+		if load.Admitted == nil {
+			load.Admitted = map[croft.OrganisationID]float64{}
+			loads[a.queue] = load
+			p.sharing.published[a.queue] = load.Admitted
+		}
+		load.Admitted[a.org] = a.fraction
+	}
 }
 
 // updateFractions updates the admitted fractions, and returns the rates of all organisations that have any, and those that are limited.
@@ -111,8 +191,7 @@
 			rates[o.id] = OrganisationLoad{Accepted: measured.Accepted, Offered: measured.Offered, Admitted: fraction}
 		}
 		if fraction < 1 {
-			// Three digits keep the row short.
-			o.fraction = math.Ceil(fraction*1000) / 1000
+			o.fraction = roundFraction(fraction)
 			limited = append(limited, o)
 		}
 		p.logFraction(o, fraction, measured)
@@ -131,8 +210,9 @@
 		fmt.Sprintf("fraction of jobs to admit while capacity is short: %.1f jobs accepted per second, %.1f submitted as estimated, weight %g", rates.Accepted, rates.Offered, o.weight))
 }
 
-// assessQueues adds to the loads of a pool's queues how long new jobs wait, and marks the queues that are short of capacity.
-func (p *Planner) assessQueues(po *pool, loads map[croft.QueueID]Load, short shortQueues) {
+// assessQueues adds to the loads of a pool's queues how long new jobs wait, marks the queues that are short of capacity, and adds to
+// overloaded how many jobs per second those can serve that are short even with all VMs that the pool can get.
+func (p *Planner) assessQueues(po *pool, loads map[croft.QueueID]Load, short shortQueues, overloaded map[croft.QueueID]float64) {
 	if len(po.jobs) == 0 || !po.backlogged {
 		return
 	}
@@ -154,6 +234,10 @@
 			short[id] = map[*organisation]bool{}
 			load.Wait = wait - slack
 		}
+		if wait := drainTime(all, gettable); wait > slack {
+			overloaded[id] = servedRate(q, gettable) * float64(slack) / float64(wait)
+			load.Wait = max(load.Wait, wait-slack)
+		}
 		load.Ahead = croft.Millis(float64(drainTime(ahead, gettable)) / aheadMargin)
 		if load.Ahead <= usefulFactor*q.leastObjective {
 			load.Ahead = 0
@@ -162,6 +246,15 @@
 	}
 }
 
+// servedRate returns how many jobs like those of a queue a capacity serves per second.
+func servedRate(q *queueState, capacity croft.Resources) float64 {
+	perAll := drainTime(q.work, capacity)
+	if perAll <= 0 {
+		return math.Inf(1)
+	}
+	return float64(q.jobs) * float64(croft.Second) / float64(perAll)
+}
+
 // isAheadOf reports whether the work ranks before any new job of a queue that is within its organisation's contract: the organisation may
 // use no capacity at all, and the job may be the most urgent one of the queue.
 func (w stageWork) isAheadOf(q *queueState, now croft.Millis) bool {
@@ -190,6 +283,9 @@
 		}
 		objective := j.deadline - j.receivedAt
 		q.jobs++
+		for _, s := range j.stages {
+			q.work = q.work.Plus(scaleResources(s.needs(), int64(len(s.tasks))*int64(p.expectedDuration(s)), 1))
+		}
 		q.slackSum += objective - longestPath(j.criticalPath)
 		q.leastObjective = min(q.leastObjective, objective)
 		for _, s := range j.stages {
--- a/sched/sharerank_test.go
+++ b/sched/sharerank_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"slices"
 	"strings"
 	"testing"
 
@@ -175,7 +174,7 @@
 			short[id][o] = true
 		}
 	}
-	b.planner.publishFractions(loads, short, slices.Clone(limited))
+	b.planner.publishFractions(loads, b.planner.limitByContract(short, limited))
 	encoded, err := json.Marshal(loads)
 	assert.NilError(t, err)
 	assert.Assert(t, len(encoded) > 6<<10 && len(encoded) < 10<<10, "%d bytes", len(encoded))
--- a/sched/shares.go
+++ b/sched/shares.go
@@ -37,6 +37,8 @@
 // sharing is the planner's state of the sharing of capacity among organisations.
 type sharing struct {
 	tracker *shares.Tracker
+	// queueTrackers measure the rates of the organisations in each queue, and hold the fractions by which overload limits them.
+	queueTrackers map[croft.QueueID]*shares.Tracker
 	// use is what each organisation may have running.
 	use           *quota.Ledger
 	organisations map[croft.OrganisationID]*organisation
@@ -45,13 +47,15 @@
 	refreshed  croft.Millis
 	// published has the fractions that were published last, by queue, and formerly those before: entries use these for some time on.
 	published, formerly map[croft.QueueID]map[croft.OrganisationID]float64
+	// overloaded has the queues that could not serve their jobs in time with all VMs when the loads were last published.
+	overloaded map[croft.QueueID]bool
 	// limiting reports that the last loads limit new jobs.
 	limiting bool
 	names    shares.Names
 }
 
 func newSharing(configured []croft.Organisation, use *quota.Ledger) sharing {
-	s := sharing{tracker: shares.NewTracker(burstWindow), use: use, organisations: map[croft.OrganisationID]*organisation{}, refreshed: -1}
+	s := sharing{tracker: shares.NewTracker(burstWindow), queueTrackers: map[croft.QueueID]*shares.Tracker{}, use: use, organisations: map[croft.OrganisationID]*organisation{}, refreshed: -1}
 	s.configure(configured)
 	return s
 }
@@ -82,6 +86,16 @@
 	return o
 }
 
+// queueTracker returns the tracker of a queue, which it creates if needed.
+func (s *sharing) queueTracker(id croft.QueueID) *shares.Tracker {
+	t, ok := s.queueTrackers[id]
+	if !ok {
+		t = shares.NewTracker(burstWindow)
+		s.queueTrackers[id] = t
+	}
+	return t
+}
+
 // fraction returns the fraction of an organisation's jobs in a queue that entries admit: of the last two that were published the
 // higher one, so that the rate of its submissions is not overestimated.
 func (s *sharing) fraction(queue croft.QueueID, org croft.OrganisationID) float64 {
@@ -110,7 +124,9 @@
 	})
 	for _, j := range added {
 		if o := j.organisation; o != nil {
-			j.excess = p.sharing.tracker.Arrived(o.id, j.receivedAt, o.weight, p.sharing.fraction(j.record.Queue, o.id))
+			fraction := p.sharing.fraction(j.record.Queue, o.id)
+			j.excess = p.sharing.tracker.Arrived(o.id, j.receivedAt, o.weight, fraction)
+			p.sharing.queueTracker(j.record.Queue).Arrived(o.id, j.receivedAt, o.weight, fraction)
 		}
 	}
 }
--- a/sched/shares_test.go
+++ b/sched/shares_test.go
@@ -62,6 +62,25 @@
 	assert.Assert(t, float64(len(b.turnarounds[heavy])) >= benchWeight*12, "%d finished", len(b.turnarounds[heavy]))
 }
 
+// Load: the same burst, for longer, of an organisation whose contract allows ten times as much. All VMs together cannot serve it. Guards
+// against jobs that are accepted and end too late, and against other organisations that pay for them.
+func TestBurstWithinItsContractIsRefusedBeyondTheCapacity(t *testing.T) {
+	b := newShareBench(t, benchExecutors, benchOrganisations, 10*benchWeight)
+	b.advance(20*croft.Second, func(at croft.Millis) {
+		b.submitEvenly(at, 0, 1, 2*heavyFactor*benchWeight, step(8, 2))
+		b.submitEvenly(at, 1, benchOrganisations, benchWeight, step(8, 2))
+	})
+	heavy := orgName(0)
+	assert.Assert(t, b.refused[heavy] > 50, "%d of %d refused", b.refused[heavy], b.submitted[heavy])
+	for i := 1; i < benchOrganisations; i++ {
+		assert.Equal(t, b.refused[orgName(i)], 0)
+	}
+	b.advance(10*croft.Second, b.submitCalm)
+	before := b.refused[heavy]
+	b.advance(5*croft.Second, b.submitCalm)
+	assert.Equal(t, b.refused[heavy], before, "the limit ends with the burst")
+}
+
 // Load: the same burst on a fleet with capacity to spare. Excess jobs are neither refused nor delayed.
 func TestExcessJobsRunWhileThereIsCapacity(t *testing.T) {
 	b := newShareBench(t, 2*benchExecutors, benchOrganisations, benchWeight)
--- a/shares/tracker.go
+++ b/shares/tracker.go
@@ -157,18 +157,23 @@
 	if accepted == 0 || tokens >= t.capacity(a.weight)-rounding {
 		return 1
 	}
-	// The last token is kept for the next job, and one of the jobs does not count: a single job shows no rate.
+	// The last token is kept for the next job.
 	allowed := a.weight + max(tokens-1, 0)*float64(croft.Second)/float64(spendTime)
 	if accepted/span > ignoredFactor*allowed && accepted < offered/ignoredFactor {
 		offered = accepted
 	}
-	rate := offered / span * (accepted - 1) / accepted
+	rate := rateOf(accepted, offered, span)
 	if rate <= allowed {
 		return 1
 	}
 	return allowed / rate
 }
 
+// rateOf returns the rate of submissions. One of the jobs does not count: a single job shows no rate.
+func rateOf(accepted, offered, span float64) float64 {
+	return offered / span * (accepted - 1) / accepted
+}
+
 // Admit returns the fraction of an organisation's jobs to admit; short reports that capacity for them is short. The fraction changes
 // at most once in each Interval.
 func (t *Tracker) Admit(org croft.OrganisationID, at croft.Millis, short bool) float64 {
@@ -176,14 +181,36 @@
 	if !ok {
 		return 1
 	}
-	if at-a.changedAt < Interval && a.changedAt != 0 {
-		return a.admitted
-	}
-	a.changedAt = at
 	target := 1.0
 	if short {
 		target = t.target(a, at)
 	}
+	return a.approach(target, at)
+}
+
+// AdmitRate returns the fraction of an organisation's jobs to admit so that an allowed number of them arrives per second. The
+// fraction changes at most once in each Interval.
+func (t *Tracker) AdmitRate(org croft.OrganisationID, at croft.Millis, allowed float64) float64 {
+	a, ok := t.accounts[org]
+	if !ok {
+		return 1
+	}
+	target := 1.0
+	accepted, offered, span := a.sum(at)
+	if accepted > 0 {
+		if rate := rateOf(accepted, offered, span); rate > allowed {
+			target = allowed / rate
+		}
+	}
+	return a.approach(target, at)
+}
+
+// approach changes the admitted fraction towards a target, by maxStep at most, unless it was changed within the Interval.
+func (a *account) approach(target float64, at croft.Millis) float64 {
+	if at-a.changedAt < Interval && a.changedAt != 0 {
+		return a.admitted
+	}
+	a.changedAt = at
 	target = min(max(target, a.admitted/maxStep), a.admitted*maxStep)
 	a.admitted = min(max(target, minAdmitted), 1)
 	return a.admitted
