agent, sched: loads of unknown age are ignored

Fault: the row of the loads is never deleted, and an entry stamped it with the time of reading. An entry that started, that read the whole table after a lost history, or whose feed answered again after an outage refused jobs for up to 2 s by the loads of a leader that may have been gone for long. A successor that limited nothing did not replace the row. Change: an entry ignores the loads of a read of the whole table, and those that come after more than LoadValidity without an answer of the feed. A new leader's first loads are published also while it limits nothing.

--- a/agent/follow.go
+++ b/agent/follow.go
@@ -6,6 +6,7 @@
 	"fmt"
 
 	"waxwing.example/croft"
+	"waxwing.example/croft/intake"
 	"waxwing.example/croft/jobs"
 	"waxwing.example/croft/leader"
 	"waxwing.example/croft/sched"
@@ -106,6 +107,7 @@
 
 // followLeader follows the leader row and the loads that the leader publishes; every entry does.
 func (a *Agent) followLeader(ctx context.Context) error {
+	answeredAt := a.Clock.Elapsed()
 	a.follow(ctx, "lead", 0, leaderFollowWait, func(ctx context.Context, after uint64, wait croft.Millis) (uint64, error) {
 		began := a.Clock.Elapsed()
 		got, err := a.readOrFollow(ctx, leader.Table, after, wait)
@@ -116,16 +118,26 @@
 			a.Election.RecordDelay(a.Clock.Elapsed() - began - wait)
 		}
 		a.Election.Observe(got, after == 0)
-		for _, row := range got.Rows {
-			if row.Key == loadsKey {
-				a.Intake.RecordLoads(row.Value)
-			}
+		formerAnswer := answeredAt
+		answeredAt = a.Clock.Elapsed()
+		// The age of loads is known only if the feed returned them and its last answer is recent: the row is never deleted.
+		if after != 0 && answeredAt-formerAnswer <= intake.LoadValidity {
+			a.recordLoads(got.Rows)
 		}
 		return got.Version, nil
 	})
 	return ctx.Err()
 }
 
+// recordLoads passes the loads among rows of the leader table on to the intake.
+func (a *Agent) recordLoads(rows []croft.Row) {
+	for _, row := range rows {
+		if row.Key == loadsKey {
+			a.Intake.RecordLoads(row.Value)
+		}
+	}
+}
+
 // readOrFollow reads a whole table for version zero and waits for its changes otherwise.
 func (a *Agent) readOrFollow(ctx context.Context, name string, after uint64, wait croft.Millis) (croft.Changes, error) {
 	if after == 0 {
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -48,8 +48,8 @@
 	// refusalTimeout is how long a write that the store refuses is repeated: longer than the store's
 	// bursts of refusals and shorter than its outages.
 	refusalTimeout = 400 * croft.Millis(1)
-	// loadValidity is how long the loads that the leader publishes are used.
-	loadValidity = 2 * croft.Second
+	// LoadValidity is how long the loads that the leader publishes are used.
+	LoadValidity = 2 * croft.Second
 )
 
 // Intake stores callers' jobs, reports their status and cancels them; it is safe for concurrent use.
@@ -143,7 +143,7 @@
 // loadOf returns the load of a queue, the zero Load if the published loads are too old.
 func (i *Intake) loadOf(id croft.QueueID) sched.Load {
 	latest := i.loads.Load()
-	if latest == nil || i.clock.Elapsed()-latest.receivedAt > loadValidity {
+	if latest == nil || i.clock.Elapsed()-latest.receivedAt > LoadValidity {
 		return sched.Load{}
 	}
 	return latest.queues[id]
--- a/intake/refusal_test.go
+++ b/intake/refusal_test.go
@@ -144,7 +144,7 @@
 func TestEntriesThatHearNothingAdmitEverything(t *testing.T) {
 	b := newEntryBench()
 	b.publish(sched.Load{Admitted: map[croft.OrganisationID]float64{"heavy": 0.01}, Ahead: croft.Hour})
-	b.clock.Advance(loadValidity)
+	b.clock.Advance(LoadValidity)
 	target := refusedTarget("heavy", 0.01)
 	outcome, _ := b.entries[0].Submit(shortContext(t), target, croft.JobSpec{})
 	assert.Equal(t, outcome, Rejected)
--- a/sched/events.go
+++ b/sched/events.go
@@ -279,7 +279,7 @@
 	Organisations map[croft.OrganisationID]OrganisationLoad
 	// Uses is what each organisation may have running, for the metrics of this entry.
 	Uses map[croft.OrganisationID]croft.Resources
-	// Shared reports that other entries need the loads too, since queues refuse jobs or have just ceased to.
+	// Shared reports that other entries need the loads too, since queues refuse jobs or have just ceased to, or the leader is new.
 	Shared bool
 }
 
--- a/sched/load.go
+++ b/sched/load.go
@@ -37,7 +37,10 @@
 	}
 	limited := p.sharing.limiting
 	organisations := p.addShares(loads)
-	p.emit(PublishLoads{Loads: loads, Organisations: organisations, Uses: p.ledger.Uses(), Shared: refuse || p.refusing || limited || p.sharing.limiting})
+	// The first loads replace those of a former leader, which may have limited jobs.
+	shared := !p.loadsPublished || refuse || p.refusing || limited || p.sharing.limiting
+	p.loadsPublished = true
+	p.emit(PublishLoads{Loads: loads, Organisations: organisations, Uses: p.ledger.Uses(), Shared: shared})
 	p.logPools()
 	if refuse != p.refusing {
 		p.log("Load", "queues", fmt.Sprintf("refusing %v", refuse), "queues refuse jobs while the backlog of their pool takes longer than the jobs are of use")
--- a/sched/load_test.go
+++ b/sched/load_test.go
@@ -34,6 +34,18 @@
 	assert.Assert(t, !shared)
 }
 
+// Guards against loads of a former leader that stay in the store: a new leader replaces them once, also while it limits nothing.
+func TestFirstLoadsOfALeaderAreShared(t *testing.T) {
+	b := newTestBench(t)
+	for term := range 2 {
+		first := effectsOf[PublishLoads](b.takeLeadership(1+term, 1))
+		first = append(first, effectsOf[PublishLoads](b.advance(loadInterval))...)
+		assert.Assert(t, first[0].Shared && !first[0].Loads["q"].Refuse)
+		_, shared := b.nextPublishedLoad()
+		assert.Assert(t, !shared)
+	}
+}
+
 // A backlog that is done while its jobs are of use leads to no refusal.
 func TestJobsAreAcceptedWhileBacklogIsShort(t *testing.T) {
 	b := newTestBench(t)
--- a/sched/planner.go
+++ b/sched/planner.go
@@ -108,6 +108,8 @@
 	nextPoolLog croft.Millis
 	// refusing reports that new jobs of at least one queue are refused.
 	refusing bool
+	// loadsPublished reports that this leader has published loads.
+	loadsPublished bool
 	// meanDurations has the moving average of each queue's task durations, in milliseconds.
 	meanDurations map[croft.QueueID]float64
 	sharing       sharing
@@ -141,7 +143,7 @@
 	p.moves = map[croft.VMID]*move{}
 	p.refusedMoves = map[moveRoute]bool{}
 	p.lastNumberUsed = ""
-	p.nextScale, p.nextLoads, p.nextPoolLog, p.pendingAdvice, p.refusing = 0, 0, 0, 0, false
+	p.nextScale, p.nextLoads, p.nextPoolLog, p.pendingAdvice, p.refusing, p.loadsPublished = 0, 0, 0, 0, false, false
 	p.meanDurations, p.durationErrors = map[croft.QueueID]float64{}, map[croft.QueueID]float64{}
 	p.ledger = quota.Ledger{}
 	p.sharing = newSharing(p.config.Organisations, &p.ledger)
