intake: a queue refuses only jobs that are certainly not stored

Fault: while a queue refused new jobs (Load.Refuse), an entry to which the store did not answer sent 429 for a job that was stored, and one for a job whose transaction was under way was sent 429 too. Both jobs run. Deployments without organisations are concerned as well. Change: this rule and that of the shares make the same checks (mayBeStored). No call of the store is added while nothing refuses. Tests: TestQueueRefusesNothingWithoutTheStore and TestJobUnderWayIsNotRefused/queue failed before.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -168,7 +168,7 @@
 // Submit stores a job; it also returns the time after which the caller may retry, for Rejected and Unavailable.
 func (i *Intake) Submit(ctx context.Context, t Target, spec croft.JobSpec) (Outcome, croft.Millis) {
 	q, id := t.Queue, t.ID
-	if load := i.loadOf(q.ID); load.Refuse && !i.isStored(ctx, t) {
+	if load := i.loadOf(q.ID); load.Refuse && !i.mayBeStored(ctx, t) {
 		i.logDecision("Submit", id, string(Rejected), fmt.Sprintf("queue %s refuses new jobs; retry after %d ms", q.ID, load.Wait))
 		return Rejected, load.Wait
 	}
@@ -235,6 +235,16 @@
 	return err == nil
 }
 
+// mayBeStored reports whether a job is stored, may still be stored by this entry, or is not known to be missing, as the store does not
+// answer. Only other jobs may be refused without an attempt to store them.
+func (i *Intake) mayBeStored(ctx context.Context, t Target) bool {
+	if i.writer.isPending(t.part(), jobs.Key(jobs.StateTable, t.part(), t.ID)) {
+		return true
+	}
+	_, _, err := i.readProgress(ctx, t)
+	return !errors.Is(err, ErrNoJob)
+}
+
 // logDecision logs a decision about a job.
 func (i *Intake) logDecision(action string, id croft.JobID, choice, reason string) {
 	i.log.Log(croft.Decision{Action: action, Subject: string(id), Choice: choice, Reason: reason})
--- a/intake/refusal.go
+++ b/intake/refusal.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 
 	"waxwing.example/croft"
-	"waxwing.example/croft/jobs"
 	"waxwing.example/croft/sched"
 	"waxwing.example/croft/shares"
 )
@@ -19,10 +17,7 @@
 // certainly not stored is refused: if the store does not answer, the submission has the outcome that this has without any load.
 func (i *Intake) refuse(ctx context.Context, t Target, spec croft.JobSpec) (bool, croft.Millis) {
 	reason, drain := refusal(i.loadOf(t.Queue.ID), t, spec)
-	if reason == "" || i.writer.isPending(t.part(), jobs.Key(jobs.StateTable, t.part(), t.ID)) {
-		return false, 0
-	}
-	if _, _, err := i.readProgress(ctx, t); !errors.Is(err, ErrNoJob) {
+	if reason == "" || i.mayBeStored(ctx, t) {
 		return false, 0
 	}
 	wait := shares.RetryAfter(t.ID, drain)
--- a/intake/refusal_test.go
+++ b/intake/refusal_test.go
@@ -116,14 +116,23 @@
 }
 
 // Guards against 429 for a job that is stored afterwards: its caller left while the transaction was under way, and comes again while the
-// organisation is limited.
+// organisation is limited or the queue refuses jobs.
 func TestJobUnderWayIsNotRefused(t *testing.T) {
+	for name, load := range map[string]sched.Load{
+		"organisation": {Admitted: map[croft.OrganisationID]float64{"heavy": 0.1}},
+		"queue":        {Refuse: true, Wait: 1000},
+	} {
+		t.Run(name, func(t *testing.T) { testJobUnderWay(t, load) })
+	}
+}
+
+func testJobUnderWay(t *testing.T, load sched.Load) {
 	store := &blockedTable{fakeTable: fakeTable{rows: map[string]croft.Row{}}, release: make(chan struct{})}
 	i := New(store, clock.NewSystem(), discardLog{}, func() croft.Millis { return 0 }, croft.Second, 0)
 	target := refusedTarget("heavy", 0.1)
 	outcome, _ := i.Submit(shortContext(t), target, croft.JobSpec{})
 	assert.Equal(t, outcome, Unknown)
-	i.RecordLoads(jobs.Encode(map[croft.QueueID]sched.Load{queue.ID: {Admitted: map[croft.OrganisationID]float64{"heavy": 0.1}}}))
+	i.RecordLoads(jobs.Encode(map[croft.QueueID]sched.Load{queue.ID: load}))
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
 	time.AfterFunc(50*time.Millisecond, func() { close(store.release) })
@@ -140,6 +149,19 @@
 	assert.Equal(t, outcome, Unavailable)
 }
 
+// Guards against 429 for a job that is stored while the store does not answer, in a deployment without organisations: the answer is that of
+// an outage.
+func TestQueueRefusesNothingWithoutTheStore(t *testing.T) {
+	b := newEntryBench()
+	target := ownedTarget("", 1)
+	outcome, _ := b.entries[0].Submit(shortContext(t), target, croft.JobSpec{})
+	assert.Equal(t, outcome, Accepted)
+	b.publish(sched.Load{Refuse: true, Wait: 1})
+	b.outage = 2 * croft.Second
+	outcome, _ = b.entries[0].Submit(shortContext(t), target, croft.JobSpec{})
+	assert.Equal(t, outcome, Unavailable)
+}
+
 // Load: the planner falls silent, or is cut off. After 2 s entries admit everything.
 func TestEntriesThatHearNothingAdmitEverything(t *testing.T) {
 	b := newEntryBench()
