intake: a cap refuses only jobs that are certainly not stored

Fault: a job that was stored before the cap of its organisation was reduced was answered 400 when it came again while the store did not answer, or while its transaction was under way, although it runs. Change: CheckCap makes the checks of the other refusals (mayBeStored); the submission goes on and is answered 503 in an outage. As the check may end with the caller's context, a submission whose context has ended is not sent any more.

--- a/intake/group.go
+++ b/intake/group.go
@@ -58,8 +58,15 @@
 }
 
 // submit stores a job in a part and returns its outcome, or the best that is known once the caller's context ends. A
-// submission that the store keeps refusing is abandoned, so that the caller can try another entry.
+// submission that the store keeps refusing is abandoned, so that the caller can try another entry. Nothing is sent if the context has
+// ended: the checks before may have ended with it.
 func (g *groupWriter) submit(ctx context.Context, part, stateKey string, org croft.OrganisationID, ops []croft.Op) (Outcome, string) {
+	if err := ctx.Err(); err != nil {
+		if g.isPending(part, stateKey) {
+			return Unknown, err.Error()
+		}
+		return Unavailable, err.Error()
+	}
 	s := &submission{stateKey: stateKey, organisation: org, ops: ops, began: g.clock.Elapsed(), decided: make(chan struct{})}
 	g.enqueue(part, s)
 	select {
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -229,12 +229,6 @@
 	}
 }
 
-// isStored reports whether a job is known to be stored; it returns false if the store does not answer.
-func (i *Intake) isStored(ctx context.Context, t Target) bool {
-	_, _, err := i.readProgress(ctx, t)
-	return err == nil
-}
-
 // mayBeStored reports whether a job is stored, may still be stored by this entry, or is not known to be missing, as the store does not
 // answer. Only other jobs may be refused without an attempt to store them.
 func (i *Intake) mayBeStored(ctx context.Context, t Target) bool {
