intake: a job of a transaction without an answer is neither refused nor unavailable

Fault: once a caller had left a submission to which the store gave no answer, the next group cleared the only trace of it. When the job came again, it was answered 429 by the loads, or 503 as the store refused the next transaction, although the first one could still be carried out and the job run. The refusals go on to store such a job; where it would be answered 503, the answer is 504.

--- a/intake/group.go
+++ b/intake/group.go
@@ -44,14 +44,15 @@
 	table croft.Table
 	clock croft.Clock
 
-	mu    sync.Mutex
-	parts map[string]*partQueue
+	mu        sync.Mutex
+	parts     map[string]*partQueue
+	uncertain uncertainKeys
 }
 
 // partQueue has the submissions of one part that are not decided.
 type partQueue struct {
 	waiting []*submission
-	// inFlight has the state keys of the transaction that was sent last, which may still be stored after its callers have left.
+	// inFlight has the state keys of the transaction that is under way, which may be stored after its callers have left.
 	inFlight map[string]bool
 	// writing reports that a goroutine runs write.
 	writing bool
@@ -93,7 +94,8 @@
 	}
 }
 
-// abandon decides a submission whose caller's context has ended: a job that was never sent is certainly not stored.
+// abandon decides a submission whose caller's context has ended: a job that was never sent, by an earlier submission neither, is
+// certainly not stored.
 func (g *groupWriter) abandon(part string, s *submission, cause error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -103,18 +105,26 @@
 	if s.lastErr != nil {
 		cause = s.lastErr
 	}
-	outcome := Unavailable
-	if s.sent {
+	q, outcome := g.parts[part], Unavailable
+	if s.sent || q.inFlight[s.stateKey] || g.isUncertain(s.stateKey) {
 		outcome = Unknown
 	}
 	s.decide(outcome, cause.Error())
-	g.parts[part].drop(s)
+	q.drop(s)
+}
+
+// isUncertain reports whether a transaction with the key has had no answer and may still be carried out; the caller holds the lock.
+func (g *groupWriter) isUncertain(stateKey string) bool {
+	return g.uncertain.contains(stateKey, g.clock.Elapsed())
 }
 
 // isPending reports whether this entry may still store a job, although the caller of the submission may have left.
 func (g *groupWriter) isPending(part, stateKey string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.isUncertain(stateKey) {
+		return true
+	}
 	q, ok := g.parts[part]
 	return ok && (q.inFlight[stateKey] || slices.ContainsFunc(q.waiting, func(s *submission) bool { return s.stateKey == stateKey }))
 }
@@ -195,6 +205,7 @@
 func (g *groupWriter) settle(q *partQueue, group []*submission, err error) (settled, alone bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	q.inFlight = nil
 	var conflict *croft.ConflictError
 	var unavailable *croft.UnavailableError
 	switch {
@@ -211,7 +222,7 @@
 	case errors.As(err, &unavailable):
 		for _, s := range group {
 			s.lastErr = err
-			if !s.mayBeStored && g.clock.Elapsed()-s.began > refusalTimeout && !s.isDecided() {
+			if !s.mayBeStored && !g.isUncertain(s.stateKey) && g.clock.Elapsed()-s.began > refusalTimeout && !s.isDecided() {
 				s.decide(Unavailable, err.Error())
 				q.drop(s)
 				continue
@@ -222,6 +233,7 @@
 		// The transaction may still be applied. Repeating it is safe, since it requires that the state rows do not exist.
 		for _, s := range group {
 			s.lastErr, s.mayBeStored = err, true
+			g.uncertain.add(s.stateKey, g.clock.Elapsed())
 		}
 	}
 	return false, false
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -176,6 +176,10 @@
 		return Rejected, wait
 	}
 	if outage := i.storeOutage(); outage > 0 {
+		if i.isPending(t) {
+			i.logDecision("Submit", id, string(Unknown), fmt.Sprintf("queue %s: the store does not answer this entry, which has sent the job before", q.ID))
+			return Unknown, 0
+		}
 		wait := outageRetryAfter(outage)
 		i.logDecision("Submit", id, string(Unavailable), fmt.Sprintf("queue %s: the store has not answered this entry for %d ms; retry after %d ms", q.ID, outage, wait))
 		return Unavailable, wait
@@ -232,13 +236,18 @@
 // mayBeStored reports whether a job is stored, may still be stored by this entry, or is not known to be missing, as the store does not
 // answer. Only other jobs may be refused without an attempt to store them.
 func (i *Intake) mayBeStored(ctx context.Context, t Target) bool {
-	if i.writer.isPending(t.part(), jobs.Key(jobs.StateTable, t.part(), t.ID)) {
+	if i.isPending(t) {
 		return true
 	}
 	_, _, err := i.readProgress(ctx, t)
 	return !errors.Is(err, ErrNoJob)
 }
 
+// isPending reports whether this entry may still store a job.
+func (i *Intake) isPending(t Target) bool {
+	return i.writer.isPending(t.part(), jobs.Key(jobs.StateTable, t.part(), t.ID))
+}
+
 // logDecision logs a decision about a job.
 func (i *Intake) logDecision(action string, id croft.JobID, choice, reason string) {
 	i.log.Log(croft.Decision{Action: action, Subject: string(id), Choice: choice, Reason: reason})
