--- a/intake/intake.go
+++ b/intake/intake.go
@@ -48,8 +48,8 @@
 	// refusalTimeout is how long a write that the store refuses is repeated: longer than the store's
 	// bursts of refusals and shorter than its outages.
 	refusalTimeout = 400 * croft.Millis(1)
-	// loadValidity is how long the loads that the leader publishes are used.
-	loadValidity = 2 * croft.Second
+	// LoadValidity is how long the loads that the leader publishes are used.
+	LoadValidity = 2 * croft.Second
 )
 
 // Intake stores callers' jobs, reports their status and cancels them; it is safe for concurrent use.
@@ -143,7 +143,7 @@
 // loadOf returns the load of a queue, the zero Load if the published loads are too old.
 func (i *Intake) loadOf(id croft.QueueID) sched.Load {
 	latest := i.loads.Load()
-	if latest == nil || i.clock.Elapsed()-latest.receivedAt > loadValidity {
+	if latest == nil || i.clock.Elapsed()-latest.receivedAt > LoadValidity {
 		return sched.Load{}
 	}
 	return latest.queues[id]
@@ -168,7 +168,7 @@
 // Submit stores a job; it also returns the time after which the caller may retry, for Rejected and Unavailable.
 func (i *Intake) Submit(ctx context.Context, t Target, spec croft.JobSpec) (Outcome, croft.Millis) {
 	q, id := t.Queue, t.ID
-	if load := i.loadOf(q.ID); load.Refuse && !i.isStored(ctx, t) {
+	if load := i.loadOf(q.ID); load.Refuse && !i.mayBeStored(ctx, t) {
 		i.logDecision("Submit", id, string(Rejected), fmt.Sprintf("queue %s refuses new jobs; retry after %d ms", q.ID, load.Wait))
 		return Rejected, load.Wait
 	}
@@ -176,6 +176,10 @@
 		return Rejected, wait
 	}
 	if outage := i.storeOutage(); outage > 0 {
+		if i.isPending(t) {
+			i.logDecision("Submit", id, string(Unknown), fmt.Sprintf("queue %s: the store does not answer this entry, which has sent the job before", q.ID))
+			return Unknown, 0
+		}
 		wait := outageRetryAfter(outage)
 		i.logDecision("Submit", id, string(Unavailable), fmt.Sprintf("queue %s: the store has not answered this entry for %d ms; retry after %d ms", q.ID, outage, wait))
 		return Unavailable, wait
@@ -229,10 +233,19 @@
 	}
 }
 
-// isStored reports whether a job is known to be stored; it returns false if the store does not answer.
-func (i *Intake) isStored(ctx context.Context, t Target) bool {
+// mayBeStored reports whether a job is stored, may still be stored by this entry, or is not known to be missing, as the store does not
+// answer. Only other jobs may be refused without an attempt to store them.
+func (i *Intake) mayBeStored(ctx context.Context, t Target) bool {
+	if i.isPending(t) {
+		return true
+	}
 	_, _, err := i.readProgress(ctx, t)
-	return err == nil
+	return !errors.Is(err, ErrNoJob)
+}
+
+// isPending reports whether this entry may still store a job.
+func (i *Intake) isPending(t Target) bool {
+	return i.writer.isPending(t.part(), jobs.Key(jobs.StateTable, t.part(), t.ID))
 }
 
 // logDecision logs a decision about a job.
