sched, platform: reservations are made where the configuration has organisations

Cause: reservations were built and switched off everywhere. Change: the option is a mode: never, with organisations, always.

--- a/model/world.go
+++ b/model/world.go
@@ -344,7 +344,7 @@
 		w.version++
 		w.leader = &leader{alive: true, term: w.term, vmOrdersFrom: lastRenewal + leaderLease, planner: sched.New(sched.Options{
 			Holder: fmt.Sprintf("entry-%d", w.term), Lease: maxLease, Stop: maxStopDuration, Maintain: maintenanceDuration,
-			RowBytes: w.options.RowBytes, Uncounted: w.options.Uncounted, Reservations: w.options.Reservations,
+			RowBytes: w.options.RowBytes, Uncounted: w.options.Uncounted, Reservations: w.reservationMode(),
 		})}
 		if w.options.ClockLead > 0 {
 			w.leader.clockLead = w.between(0, w.options.ClockLead)
@@ -360,6 +360,14 @@
 	})
 }
 
+// reservationMode returns where planners make reservations.
+func (w *World) reservationMode() sched.ReservationMode {
+	if w.options.Reservations {
+		return sched.ReservationsAlways
+	}
+	return sched.ReservationsNever
+}
+
 // scheduleForLeader schedules an action on behalf of the current leader, skipped if that leader is no longer alive by
 // then.
 func (w *World) scheduleForLeader(delay croft.Millis, action func()) {
--- a/sched/planner.go
+++ b/sched/planner.go
@@ -26,11 +26,22 @@
 	Uncounted Uncounted
 	// SizeByBacklog sizes pools by their work also where the configuration has a spare pool; it is the baseline.
 	SizeByBacklog bool
-	// Reservations switches on that large tasks, gangs and wide stages which small tasks keep waiting get a reservation of executors
-	// (package resv). Otherwise waiting tasks are placed by rank alone.
-	Reservations bool
+	// Reservations is where large tasks, gangs and wide stages which small tasks keep waiting get a reservation of executors (package
+	// resv). Elsewhere waiting tasks are placed by rank alone.
+	Reservations ReservationMode
 }
 
+// ReservationMode is where the planner makes reservations.
+type ReservationMode int
+
+// The modes of reservations.
+const (
+	ReservationsNever ReservationMode = iota
+	// ReservationsWithOrganisations makes them where the configuration has organisations, which compete for capacity.
+	ReservationsWithOrganisations
+	ReservationsAlways
+)
+
 // Planner holds the leader's state and decides on each event; only one goroutine may use it.
 type Planner struct {
 	options Options
--- a/sched/reserve.go
+++ b/sched/reserve.go
@@ -64,9 +64,21 @@
 	passes int
 }
 
+// makesReservations reports whether large stages get reservations.
+func (p *Planner) makesReservations() bool {
+	switch p.options.Reservations {
+	case ReservationsAlways:
+		return true
+	case ReservationsWithOrganisations:
+		return p.hasOrganisations()
+	default:
+		return false
+	}
+}
+
 // beginBackfill resets the state of the last placement pass.
 func (p *Planner) beginBackfill(po *pool) {
-	if !p.options.Reservations {
+	if !p.makesReservations() {
 		return
 	}
 	b := &po.backfill
@@ -193,7 +205,7 @@
 func (p *Planner) considerReservation(po *pool, s *stage) {
 	b := &po.backfill
 	b.skipped = false
-	if !p.options.Reservations {
+	if !p.makesReservations() {
 		return
 	}
 	mayPlan := b.reservation == nil && p.now.Elapsed >= b.nextPlan
--- a/sched/reserve_test.go
+++ b/sched/reserve_test.go
@@ -52,7 +52,7 @@
 func reserveLarge(t *testing.T, large croft.Step) (*testBench, []croft.Decision) {
 	t.Helper()
 	b := newTestBench(t)
-	b.planner.options.Reservations = true
+	b.planner.options.Reservations = ReservationsAlways
 	b.takeLeadership(1, 2)
 	starts := effectsOf[Start](b.event(JobsRead{Jobs: []JobRow{testJob("small", step(32, 4))}}))
 	assert.Equal(t, len(starts), 32)
@@ -159,3 +159,23 @@
 		})
 	}
 }
+
+// reservationMode returns the mode that switches reservations on or off for all deployments.
+func reservationMode(on bool) ReservationMode {
+	if on {
+		return ReservationsAlways
+	}
+	return ReservationsNever
+}
+
+// Guards against deployments without organisations that are placed otherwise than before.
+func TestReservationsNeedOrganisations(t *testing.T) {
+	b := newTestBench(t)
+	b.planner.options.Reservations = ReservationsWithOrganisations
+	b.takeLeadership(1, 1)
+	assert.Assert(t, !b.planner.makesReservations())
+	config := testConfig().Config
+	config.Version, config.Organisations = 2, []croft.Organisation{{ID: "a", Weight: 1}}
+	b.event(ConfigRead{Config: config})
+	assert.Assert(t, b.planner.makesReservations())
+}
--- a/sched/reservebench_test.go
+++ b/sched/reservebench_test.go
@@ -14,7 +14,7 @@
 func fullPool(b *testing.B, reservations bool) (*Planner, *pool, *stage) {
 	b.Helper()
 	const workers = 350
-	bench := &testBench{now: 1000, born: map[int]int64{}, planner: New(Options{Holder: "entry-1", Lease: 10 * croft.Second, Stop: 200, Maintain: 2000, Reservations: reservations})}
+	bench := &testBench{now: 1000, born: map[int]int64{}, planner: New(Options{Holder: "entry-1", Lease: 10 * croft.Second, Stop: 200, Maintain: 2000, Reservations: reservationMode(reservations)})}
 	bench.takeLeadership(1, workers)
 	for _, s := range effectsOf[Start](bench.event(JobsRead{Jobs: []JobRow{testJob("running", step(workers*16, 4))}})) {
 		bench.event(Started{Start: s, Clock: bench.now})
--- a/sched/reserveload_test.go
+++ b/sched/reserveload_test.go
@@ -32,7 +32,7 @@
 		testBench: newTestBench(t), durationOf: durationOf, running: make([]map[croft.TaskID]croft.Millis, workers), ended: make([]int64, workers),
 		startedAt: map[croft.JobID]croft.Millis{}, submittedAt: map[croft.JobID]croft.Millis{},
 	}
-	sim.planner.options.Reservations = reservations
+	sim.planner.options.Reservations = reservationMode(reservations)
 	for i := range sim.running {
 		sim.running[i] = map[croft.TaskID]croft.Millis{}
 	}
