--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -120,6 +120,10 @@
 		out["large-chunks"+suffix] = script{e.callers, streamed, chunked(short, 16<<10), lastChunk, 64 << 10}
 		out["small-chunks"+suffix] = script{e.callers, streamed, chunked(short, 4), lastChunk, 4 << 10}
 	}
+	// The server sends the interim response 100 (Continue) when it begins to read such a body.
+	expecting := submitHead(fmt.Sprintf("Expect: 100-continue\r\nContent-Length: %d", maxBodyBytes))
+	padded := paddedBody()
+	out["expect-one-task"] = script{e.callers, expecting, padded[:len(padded)-missingBytes], padded[len(padded)-missingBytes:], 2 << 10}
 	return out
 }
 
@@ -151,8 +155,8 @@
 func TestEntryStandsCrowds(t *testing.T) {
 	for _, name := range []string{
 		"whole", "pieces", "large-chunks", "small-chunks",
-		"whole-one-task", "pieces-one-task", "large-chunks-one-task", "small-chunks-one-task", "headers", "idle", "no-reading",
-		"ready-headers", "ready-bodies", "metrics-headers", "metrics-reading",
+		"whole-one-task", "pieces-one-task", "large-chunks-one-task", "small-chunks-one-task", "expect-one-task",
+		"headers", "idle", "no-reading", "ready-headers", "ready-bodies", "metrics-headers", "metrics-reading",
 	} {
 		t.Run(name, func(t *testing.T) {
 			e := startEntry(t)
--- a/inflow/conn.go
+++ b/inflow/conn.go
@@ -117,6 +117,13 @@
 	return c == nil || c.gate.begin(c, hasBody)
 }
 
+// Handled records that the handler of a request has returned, or that it does not read the body.
+func (c *Conn) Handled() {
+	if c != nil {
+		c.gate.handled(c)
+	}
+}
+
 // Idle records that a response has been sent.
 func (c *Conn) Idle() { c.gate.idle(c) }
 
--- a/inflow/gate.go
+++ b/inflow/gate.go
@@ -210,6 +210,13 @@
 	return g.table.Begin(c.id, hasBody, at)
 }
 
+func (g *Gate) handled(c *Conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	defer g.report()
+	g.table.Handled(c.id)
+}
+
 func (g *Gate) send(c *Conn) {
 	at := g.options.Clock.Elapsed()
 	g.mu.Lock()
--- a/inflow/table.go
+++ b/inflow/table.go
@@ -38,6 +38,8 @@
 	order uint64
 	// bytes is the size of the body's buffer.
 	bytes int64
+	// handled is whether the handler of the request has returned, so that its body is no longer read into a buffer.
+	handled bool
 	// since is when the phase began.
 	since croft.Millis
 }
@@ -120,7 +122,7 @@
 	if !ok {
 		return false
 	}
-	e.since = at
+	e.since, e.handled = at, false
 	if hasBody {
 		e.order = t.nextOrder()
 		t.enter(e, receiving)
@@ -187,9 +189,19 @@
 	return ok
 }
 
-// Send records that a part of a response begins to be sent.
-func (t *Table) Send(id ID, at croft.Millis) {
+// Handled records that the handler of a request has returned. The server reads what is left of the body before it responds.
+func (t *Table) Handled(id ID) {
 	if e, ok := t.entries[id]; ok {
+		e.handled = true
+		t.add(e, -e.bytes)
+	}
+}
+
+// Send records that a part of a response begins to be sent. A body that the handler still receives stays so: the server sends the
+// interim response 100 (Continue) before it reads such a body, whose buffer counts all the same.
+func (t *Table) Send(id ID, at croft.Millis) {
+	e, ok := t.entries[id]
+	if ok && (e.phase != receiving || e.handled) {
 		e.since = at
 		t.add(e, -e.bytes)
 		t.enter(e, sending)
--- a/inflow/table_test.go
+++ b/inflow/table_test.go
@@ -80,6 +80,28 @@
 	assert.DeepEqual(t, drops, Drops{Close: []ID{1}})
 }
 
+// Guards against clients that send Expect: 100-continue and escape the budget: the interim response, which is written before the
+// body is read, made the table forget the body, and the next caller's was dropped instead.
+func TestInterimResponseLeavesABodyInTheBudget(t *testing.T) {
+	table := NewTable(Limits{Connections: 10, ReceivedBytes: 100})
+	var dropped []ID
+	for id := ID(1); id <= 3; id++ {
+		dropped = append(dropped, receive(t, table, id, 4).Close...)
+		table.Send(id, 0)
+		drops, ok := table.Receive(id, 46)
+		assert.Assert(t, ok)
+		dropped = append(dropped, drops.Close...)
+	}
+	assert.DeepEqual(t, dropped, []ID{1})
+	assert.Equal(t, table.Bytes(), int64(100))
+	assert.DeepEqual(t, receive(t, table, 4, 4), Drops{Close: []ID{2}})
+
+	table.Handled(3)
+	assert.Equal(t, table.Bytes(), int64(4), "the handler has given up the body")
+	table.Send(3, 0)
+	assert.Equal(t, table.TimedOut(3), Reason(""), "the response is being sent")
+}
+
 // Guards against a limit that refuses a single body of the documented size.
 func TestBodyThatIsAloneIsNotLimited(t *testing.T) {
 	table := NewTable(Limits{Connections: 10, ReceivedBytes: 100})
@@ -102,7 +124,7 @@
 			"pass": func(*rapid.T) { at += 60 },
 			"change": func(t *rapid.T) {
 				id := ID(rapid.Uint64Range(1, uint64(next)+1).Draw(t, "id"))
-				switch rapid.IntRange(0, 6).Draw(t, "change") {
+				switch rapid.IntRange(0, 7).Draw(t, "change") {
 				case 0:
 					processing[id] = table.Begin(id, false, at)
 				case 1:
@@ -121,6 +143,8 @@
 					processing[id] = false
 					table.Idle(id, at)
 				case 6:
+					table.Handled(id)
+				case 7:
 					processing[id] = false
 					table.Close(id)
 				}
