inflow, platform: a request whose body its method does not read is not dropped while it is processed

Cause: a GET or DELETE with Content-Length was kept in phase receiving, and after 100 ms was closed for a new connection when connections were short, although a cancellation may be stored meanwhile. Change: Begin gets whether the handler reads a body, which only POST does, so that other requests are busy until their handler has returned. Handled then moves those with an ignored body to receiving: net/http reads the body before it responds, and without this a client that holds it back would keep its connection until the body's timeout.

--- a/inflow/conn.go
+++ b/inflow/conn.go
@@ -111,16 +111,16 @@
 	return c
 }
 
-// Begin records that the headers of a request have been received, and whether it has a body. It returns false if the connection
-// was dropped.
-func (c *Conn) Begin(hasBody bool) bool {
-	return c == nil || c.gate.begin(c, hasBody)
+// Begin records that the headers of a request have been received, and whether its handler reads a body. It returns false if the
+// connection was dropped.
+func (c *Conn) Begin(readsBody bool) bool {
+	return c == nil || c.gate.begin(c, readsBody)
 }
 
-// Handled records that the handler of a request has returned, or that it does not read the body.
-func (c *Conn) Handled() {
+// Handled records that the handler of a request has returned, and whether the request has a body that its handler does not read.
+func (c *Conn) Handled(ignoredBody bool) {
 	if c != nil {
-		c.gate.handled(c)
+		c.gate.handled(c, ignoredBody)
 	}
 }
 
--- a/inflow/gate.go
+++ b/inflow/gate.go
@@ -203,18 +203,19 @@
 	return g.table.Wait(c.id)
 }
 
-func (g *Gate) begin(c *Conn, hasBody bool) bool {
+func (g *Gate) begin(c *Conn, readsBody bool) bool {
 	at := g.options.Clock.Elapsed()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.table.Begin(c.id, hasBody, at)
+	return g.table.Begin(c.id, readsBody, at)
 }
 
-func (g *Gate) handled(c *Conn) {
+func (g *Gate) handled(c *Conn, ignoredBody bool) {
+	at := g.options.Clock.Elapsed()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	defer g.report()
-	g.table.Handled(c.id)
+	g.table.Handled(c.id, ignoredBody, at)
 }
 
 func (g *Gate) send(c *Conn) {
--- a/inflow/table.go
+++ b/inflow/table.go
@@ -115,15 +115,15 @@
 	return nil, wait
 }
 
-// Begin records that the headers of a request have been received, and whether it has a body, without which it is complete. It
-// returns false if the connection was dropped.
-func (t *Table) Begin(id ID, hasBody bool, at croft.Millis) bool {
+// Begin records that the headers of a request have been received, and whether its handler reads a body, without which the request
+// is complete. It returns false if the connection was dropped.
+func (t *Table) Begin(id ID, readsBody bool, at croft.Millis) bool {
 	e, ok := t.entries[id]
 	if !ok {
 		return false
 	}
 	e.since, e.handled = at, false
-	if hasBody {
+	if readsBody {
 		e.order = t.nextOrder()
 		t.enter(e, receiving)
 	} else {
@@ -189,11 +189,18 @@
 	return ok
 }
 
-// Handled records that the handler of a request has returned. The server reads what is left of the body before it responds.
-func (t *Table) Handled(id ID) {
-	if e, ok := t.entries[id]; ok {
-		e.handled = true
-		t.add(e, -e.bytes)
+// Handled records that the handler of a request has returned, and whether the request has a body that its handler does not read.
+// The server reads what is left of a body before it responds; a connection whose client holds it back may be dropped meanwhile.
+func (t *Table) Handled(id ID, ignoredBody bool, at croft.Millis) {
+	e, ok := t.entries[id]
+	if !ok {
+		return
+	}
+	e.handled = true
+	t.add(e, -e.bytes)
+	if ignoredBody {
+		e.since, e.order = at, t.nextOrder()
+		t.enter(e, receiving)
 	}
 }
 
--- a/inflow/table_test.go
+++ b/inflow/table_test.go
@@ -96,12 +96,24 @@
 	assert.Equal(t, table.Bytes(), int64(100))
 	assert.DeepEqual(t, receive(t, table, 4, 4), Drops{Close: []ID{2}})
 
-	table.Handled(3)
+	table.Handled(3, false, 0)
 	assert.Equal(t, table.Bytes(), int64(4), "the handler has given up the body")
 	table.Send(3, 0)
 	assert.Equal(t, table.TimedOut(3), Reason(""), "the response is being sent")
 }
 
+// Guards against clients that hold back a body that nobody reads, and keep their connections while the server waits for it.
+func TestOpenClosesAConnectionWhoseIgnoredBodyIsHeldBack(t *testing.T) {
+	table := NewTable(Limits{Connections: 1})
+	open(t, table, 0, 1)
+	assert.Assert(t, table.Begin(1, false, 0))
+	at := croft.Hour
+	assert.Equal(t, table.Open(2, at), Opening{Wait: maxWait}, "the request is being processed")
+	table.Handled(1, true, at)
+	assert.Equal(t, table.Open(2, at), Opening{Wait: minUnfinished})
+	assert.Equal(t, table.Open(2, at+minUnfinished), Opening{Drop: 1, Dropped: true})
+}
+
 // Guards against a limit that refuses a single body of the documented size.
 func TestBodyThatIsAloneIsNotLimited(t *testing.T) {
 	table := NewTable(Limits{Connections: 10, ReceivedBytes: 100})
@@ -143,7 +155,9 @@
 					processing[id] = false
 					table.Idle(id, at)
 				case 6:
-					table.Handled(id)
+					ignoredBody := rapid.Bool().Draw(t, "ignored")
+					processing[id] = processing[id] && !ignoredBody
+					table.Handled(id, ignoredBody, at)
 				case 7:
 					processing[id] = false
 					table.Close(id)
