--- a/inflow/table.go
+++ b/inflow/table.go
@@ -38,6 +38,8 @@
 	order uint64
 	// bytes is the size of the body's buffer.
 	bytes int64
+	// handled is whether the handler of the request has returned, so that its body is no longer read into a buffer.
+	handled bool
 	// since is when the phase began.
 	since croft.Millis
 }
@@ -113,15 +115,15 @@
 	return nil, wait
 }
 
-// Begin records that the headers of a request have been received, and whether it has a body, without which it is complete. It
-// returns false if the connection was dropped.
-func (t *Table) Begin(id ID, hasBody bool, at croft.Millis) bool {
+// Begin records that the headers of a request have been received, and whether its handler reads a body, without which the request
+// is complete. It returns false if the connection was dropped.
+func (t *Table) Begin(id ID, readsBody bool, at croft.Millis) bool {
 	e, ok := t.entries[id]
 	if !ok {
 		return false
 	}
-	e.since = at
-	if hasBody {
+	e.since, e.handled = at, false
+	if readsBody {
 		e.order = t.nextOrder()
 		t.enter(e, receiving)
 	} else {
@@ -187,9 +189,26 @@
 	return ok
 }
 
-// Send records that a part of a response begins to be sent.
+// Handled records that the handler of a request has returned, and whether the request has a body that its handler does not read.
+// The server reads what is left of a body before it responds; a connection whose client holds it back may be dropped meanwhile.
+func (t *Table) Handled(id ID, ignoredBody bool, at croft.Millis) {
+	e, ok := t.entries[id]
+	if !ok {
+		return
+	}
+	e.handled = true
+	t.add(e, -e.bytes)
+	if ignoredBody {
+		e.since, e.order = at, t.nextOrder()
+		t.enter(e, receiving)
+	}
+}
+
+// Send records that a part of a response begins to be sent. A body that the handler still receives stays so: the server sends the
+// interim response 100 (Continue) before it reads such a body, whose buffer counts all the same.
 func (t *Table) Send(id ID, at croft.Millis) {
-	if e, ok := t.entries[id]; ok {
+	e, ok := t.entries[id]
+	if ok && (e.phase != receiving || e.handled) {
 		e.since = at
 		t.add(e, -e.bytes)
 		t.enter(e, sending)
--- a/inflow/table_test.go
+++ b/inflow/table_test.go
@@ -80,6 +80,40 @@
 	assert.DeepEqual(t, drops, Drops{Close: []ID{1}})
 }
 
+// Guards against clients that send Expect: 100-continue and escape the budget: the interim response, which is written before the
+// body is read, made the table forget the body, and the next caller's was dropped instead.
+func TestInterimResponseLeavesABodyInTheBudget(t *testing.T) {
+	table := NewTable(Limits{Connections: 10, ReceivedBytes: 100})
+	var dropped []ID
+	for id := ID(1); id <= 3; id++ {
+		dropped = append(dropped, receive(t, table, id, 4).Close...)
+		table.Send(id, 0)
+		drops, ok := table.Receive(id, 46)
+		assert.Assert(t, ok)
+		dropped = append(dropped, drops.Close...)
+	}
+	assert.DeepEqual(t, dropped, []ID{1})
+	assert.Equal(t, table.Bytes(), int64(100))
+	assert.DeepEqual(t, receive(t, table, 4, 4), Drops{Close: []ID{2}})
+
+	table.Handled(3, false, 0)
+	assert.Equal(t, table.Bytes(), int64(4), "the handler has given up the body")
+	table.Send(3, 0)
+	assert.Equal(t, table.TimedOut(3), Reason(""), "the response is being sent")
+}
+
+// Guards against clients that hold back a body that nobody reads, and keep their connections while the server waits for it.
+func TestOpenClosesAConnectionWhoseIgnoredBodyIsHeldBack(t *testing.T) {
+	table := NewTable(Limits{Connections: 1})
+	open(t, table, 0, 1)
+	assert.Assert(t, table.Begin(1, false, 0))
+	at := croft.Hour
+	assert.Equal(t, table.Open(2, at), Opening{Wait: maxWait}, "the request is being processed")
+	table.Handled(1, true, at)
+	assert.Equal(t, table.Open(2, at), Opening{Wait: minUnfinished})
+	assert.Equal(t, table.Open(2, at+minUnfinished), Opening{Drop: 1, Dropped: true})
+}
+
 // Guards against a limit that refuses a single body of the documented size.
 func TestBodyThatIsAloneIsNotLimited(t *testing.T) {
 	table := NewTable(Limits{Connections: 10, ReceivedBytes: 100})
@@ -102,7 +136,7 @@
 			"pass": func(*rapid.T) { at += 60 },
 			"change": func(t *rapid.T) {
 				id := ID(rapid.Uint64Range(1, uint64(next)+1).Draw(t, "id"))
-				switch rapid.IntRange(0, 6).Draw(t, "change") {
+				switch rapid.IntRange(0, 7).Draw(t, "change") {
 				case 0:
 					processing[id] = table.Begin(id, false, at)
 				case 1:
@@ -121,6 +155,10 @@
 					processing[id] = false
 					table.Idle(id, at)
 				case 6:
+					ignoredBody := rapid.Bool().Draw(t, "ignored")
+					processing[id] = processing[id] && !ignoredBody
+					table.Handled(id, ignoredBody, at)
+				case 7:
 					processing[id] = false
 					table.Close(id)
 				}
