sched: the use of unseen runs is released when the last cap is removed

countUnseenRuns returned before it cleared the former sums if the configuration had no caps, so an organisation stayed counted with runs that a new leader had not seen until the term ended.

TestUnseenRunsAreReleasedAfterTheLastCapIsRemoved failed before: 160 cores were counted where 80 run.

--- a/sched/quota.go
+++ b/sched/quota.go
@@ -131,10 +131,10 @@
 
 // countUnseenRuns counts the tasks of inherited jobs that may run on executors whose runs are not known yet.
 func (p *Planner) countUnseenRuns() {
+	p.ledger.SetUnseen(nil)
 	if len(p.caps) == 0 {
 		return
 	}
-	p.ledger.SetUnseen(nil)
 	if p.options.Uncounted != "" {
 		defer p.miscount()
 	}
--- a/sched/quota_test.go
+++ b/sched/quota_test.go
@@ -197,3 +197,28 @@
 		})
 	}
 }
+
+// Guards against runs that stay counted for the rest of the term: the configuration removed the last cap while a new leader did not
+// know all runs, and the use of those it had not seen was never released.
+func TestUnseenRunsAreReleasedAfterTheLastCapIsRemoved(t *testing.T) {
+	b := newTestBench(t)
+	b.setCap(100)
+	inherited := jobOf("red", "old", step(80, 1))
+	inherited.Progress.Announced = true
+	b.event(LeadershipAcquired{Fence: 10, Term: 2})
+	config := testConfig()
+	config.Config.Version, config.Config.Organisations = 9, b.planner.config.Organisations
+	b.event(config)
+	b.event(WorkersRead{Changes: croft.WorkerChanges{Whole: true, Entries: testWorkers(3)}})
+	b.event(FleetRead{RequestedAt: b.now, VMs: testFleet(3)})
+	b.event(JobsRead{Whole: true, Jobs: []JobRow{inherited}})
+	b.answerHold(0)
+	assert.Equal(t, b.redUse(), int64(80))
+	config.Config.Version, config.Config.Organisations = 10, []croft.Organisation{{ID: "red"}}
+	b.event(config)
+	b.answerHold(1)
+	b.answerHold(2)
+	b.advance(placeInterval)
+	assert.Equal(t, len(b.planner.workers), 3)
+	assert.Equal(t, b.planner.ledger.Use("red"), b.planner.runningUse("red"))
+}
