leader: a successor waits for the last VM orders of a released leadership

A released row named only the time of the leader before the one that released it, so that the successor could order VMs while orders of its predecessor were still on their way. They now get the same part of the lease as at its end.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -61,7 +61,7 @@
 	// Rank is the rank of the holder.
 	Rank int
 	// PredecessorRemaining is set in a released row: for how long, from the release on, a leader before the one that
-	// released the row may still give orders, in milliseconds.
+	// released the row may still give VM orders, or the last ones of the latter may arrive, in milliseconds.
 	PredecessorRemaining croft.Millis `json:",omitempty"`
 	// Class is the class of strength of the entry that wrote the row, nil if it has a version that writes none.
 	Class *int `json:",omitempty"`
@@ -342,7 +342,8 @@
 	expected := e.row.Version
 	vmsFrom := e.unchangedSince + e.lease
 	if e.value.Holder == "" {
-		// The former leader released the leadership and sends no more orders, but the one before it still may.
+		// The former leader released the leadership and sends no more orders, but its last ones may still arrive, and the one
+		// before it may send some.
 		vmsFrom = e.unchangedSince + e.value.PredecessorRemaining
 	}
 	e.mu.Unlock()
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -364,3 +364,26 @@
 	one.Observe(one.table.changes(), false)
 	assert.Equal(t, one.RenewedFence(), uint64(0))
 }
+
+// Guards against VM orders of two leaders at once: those that the former leader sent last were still on their way when its
+// successor, to which it released the leadership, sent its first.
+func TestSuccessorWaitsForTheLastVMOrdersOfARelease(t *testing.T) {
+	releases := map[string]func(from, to candidate){
+		"release":  func(from, _ candidate) { from.Release(context.Background()) },
+		"handover": func(from, to candidate) { from.release(to) },
+	}
+	for name, release := range releases {
+		t.Run(name, func(t *testing.T) {
+			_, c, one, two := newCandidates()
+			advance(c, croft.Second, one, two)
+			assert.NilError(t, one.GuardVMOrders())
+			release(one, two)
+			released := c.Elapsed()
+			for two.GuardVMOrders() != nil {
+				assert.Assert(t, c.Elapsed() < released+lease)
+				advance(c, 10, two)
+			}
+			assert.Assert(t, c.Elapsed() >= released+lease/marginDivisor, "VM orders %d ms after the release", c.Elapsed()-released)
+		})
+	}
+}
--- a/leader/release.go
+++ b/leader/release.go
@@ -26,7 +26,7 @@
 	if current == nil {
 		return
 	}
-	value.PredecessorRemaining = max(current.VMOrdersFrom-e.clock.Elapsed(), 0)
+	value.PredecessorRemaining = e.vmOrdersRemaining(current, e.clock.Elapsed())
 	encoded, err := json.Marshal(value)
 	if err != nil {
 		panic(err)
@@ -37,6 +37,12 @@
 	_, _ = e.table.Commit(ctx, []croft.Op{{Kind: croft.OpPut, Key: Key, Version: expected, Value: encoded}})
 }
 
+// vmOrdersRemaining returns for how long after a release another entry may not give VM orders: until the lease of the leader before
+// this term has ended, and until the orders have arrived that this entry sent last, which get as long as at the end of a lease.
+func (e *Election) vmOrdersRemaining(released *Leadership, now croft.Millis) croft.Millis {
+	return max(released.VMOrdersFrom-now, e.lease/marginDivisor)
+}
+
 // handOver releases the leadership for a successor. This entry gives no more orders from before the release is sent, and only gives
 // orders again in the same term if the release was certainly not carried out. If that is not known, it has to take its own row over
 // by a new term: only that write, which fails if the release is carried out first, shows that it still may lead.
@@ -50,7 +56,7 @@
 		return
 	}
 	current, expected, stepDowns, value := e.leadership, e.row.Version, e.stepDowns, e.newRow("", uuid.NewString())
-	value.Successor, value.PredecessorRemaining = successor.Name, max(current.VMOrdersFrom-now, 0)
+	value.Successor, value.PredecessorRemaining = successor.Name, e.vmOrdersRemaining(current, now)
 	e.leadership = nil
 	e.handover.retryFrom = now + e.lease
 	e.mu.Unlock()
