leader: a single sign of overload does not move the lead

A sign of overload lasts 2 s, and the leader handed over to a stronger entry once it had been overloaded for 2 s, although two signs in a row are asked for. It now has to be overloaded for 3 s.

TestOneSignOfOverloadDoesNotMoveTheLead failed before: the lead moved after one sign.

--- a/leader/handover.go
+++ b/leader/handover.go
@@ -27,8 +27,8 @@
 	// hands over: a candidate that fails again and again, or a store that has just recovered, must not move the lead.
 	steadyLeases = 2
 	// overloadWait is for how long the leader must be overloaded before it hands over sooner than that: two signs of overload
-	// in a row. It must still have led for one lease.
-	overloadWait = 2 * croft.Second
+	// in a row, as one lasts 2 s, and the next one follows within that time. It must still have led for one lease.
+	overloadWait = 3 * croft.Second
 )
 
 // candidateRow is the value of the candidate row.
--- a/leader/handover_test.go
+++ b/leader/handover_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -11,6 +12,7 @@
 
 	"waxwing.example/croft"
 	"waxwing.example/croft/clock"
+	"waxwing.example/croft/window"
 )
 
 // steady is how long it takes until a leader hands over to a stronger candidate, with the time for messages.
@@ -123,6 +125,29 @@
 	assert.Assert(t, c.Elapsed() < steady)
 }
 
+// Guards against a handover after a single sign of overload, which lasted just as long as the leader had to be overloaded; a second
+// sign in a row moves the lead.
+func TestOneSignOfOverloadDoesNotMoveTheLead(t *testing.T) {
+	for signs, moves := range map[int]bool{1: false, 2: true} {
+		_, c, weak, strong := weakLeader(t)
+		limiter := window.New()
+		advance(c, croft.Second, weak, strong[0])
+		began := c.Elapsed()
+		for c.Elapsed() < croft.Second+steady-announceInterval {
+			if c.Elapsed() < began+croft.Millis(signs)*1500 && (c.Elapsed()-began)%1500 == 0 {
+				for n := range 8 {
+					limiter.Unanswered(c.Elapsed(), croft.WorkerID(fmt.Sprint(n)), croft.RackID(fmt.Sprint(n)), "")
+				}
+				assert.Assert(t, limiter.Overloaded(c.Elapsed()))
+			}
+			advance(c, stepInterval, weak, strong[0])
+			// The planner's report reaches the election one step late.
+			weak.SetOverloaded(limiter.Overloaded(c.Elapsed() - stepInterval))
+		}
+		assert.Equal(t, weak.Leadership() == nil, moves, "%d signs", signs)
+	}
+}
+
 // Guards against a leader that is lost for good when its successor dies: the others take over after a longer wait.
 func TestOthersTakeOverIfTheSuccessorDies(t *testing.T) {
 	_, c, weak, strong := weakLeader(t)
