platform, track: an order that the guard kept back counts as not sent

While a release is under way the planner goes on giving orders and the guard of the connections keeps them back. Its error counted as a lost answer: each start was given up as unanswered, as if it might run, and was a sign of overload. The same held for VM orders, which track counted as written.

--- a/track/conn.go
+++ b/track/conn.go
@@ -23,18 +23,37 @@
 	stateSealed
 )
 
+// PreventedError reports that a connection wrote no byte of a request, because a check before the write failed.
+type PreventedError struct {
+	// Err is the error of the check.
+	Err error
+}
+
+// Error returns the reason.
+func (e *PreventedError) Error() string { return "nothing was written: " + e.Err.Error() }
+
+// Unwrap returns the error of the check.
+func (e *PreventedError) Unwrap() error { return e.Err }
+
 // trackedConn records that the first write of an exchange has begun. Once the connection is sealed, a first write fails.
 type trackedConn struct {
 	net.Conn
 	state atomic.Int32
 }
 
-// Write records that a write has begun and writes, or fails with nothing written if the connection is sealed.
+// Write records that a write has begun and writes, or fails with nothing written if the connection is sealed. A first write that is
+// prevented does not count.
 func (c *trackedConn) Write(data []byte) (int, error) {
-	if !c.state.CompareAndSwap(stateUnwritten, stateWritten) && c.state.Load() == stateSealed {
+	first := c.state.CompareAndSwap(stateUnwritten, stateWritten)
+	if !first && c.state.Load() == stateSealed {
 		return 0, errSealed
 	}
-	return c.Conn.Write(data)
+	n, err := c.Conn.Write(data)
+	var prevented *PreventedError
+	if first && errors.As(err, &prevented) {
+		c.state.CompareAndSwap(stateWritten, stateUnwritten)
+	}
+	return n, err
 }
 
 // reopen resets the connection for another exchange; it reports false if the connection is sealed, which is final.
--- a/track/exchange_test.go
+++ b/track/exchange_test.go
@@ -78,3 +78,35 @@
 	exchange.gotConn(httptrace.GotConnInfo{Conn: &countingConn{}})
 	assert.Assert(t, exchange.Seal())
 }
+
+// preventedConn is a connection whose writes a check prevents after the first ones.
+type preventedConn struct {
+	net.Conn
+	allowed int
+}
+
+func (c *preventedConn) Write(data []byte) (int, error) {
+	if c.allowed--; c.allowed < 0 {
+		return 0, &PreventedError{Err: io.ErrClosedPipe}
+	}
+	return len(data), nil
+}
+
+func (c *preventedConn) Close() error { return nil }
+
+// Guards against a request that counts as written although its first write was prevented, and against one that counts as not written
+// although only a later one was.
+func TestPreventedFirstWriteDoesNotCount(t *testing.T) {
+	for _, allowed := range []int{0, 1} {
+		_, exchange := NewExchange(t.Context())
+		c := &trackedConn{Conn: &preventedConn{allowed: allowed}}
+		exchange.gotConn(httptrace.GotConnInfo{Conn: c})
+		for range allowed {
+			_, err := io.WriteString(c, "request")
+			assert.NilError(t, err)
+		}
+		_, err := io.WriteString(c, "request")
+		assert.ErrorIs(t, err, io.ErrClosedPipe)
+		assert.Equal(t, exchange.Seal(), allowed > 0)
+	}
+}
