--- a/model/workload.go
+++ b/model/workload.go
@@ -197,9 +197,14 @@
 		s.Needs.MilliCores = executorMilliCores/3 + w.rng.Int64N(executorMilliCores/4)
 		return s
 	}
-	if !w.options.Varied {
-		return s
+	if w.options.Varied {
+		w.vary(&s)
 	}
+	return s
+}
+
+// vary draws the constraints of a step.
+func (w *World) vary(s *croft.Step) {
 	switch w.rng.IntN(8) {
 	case 0:
 		s.Gang, s.Count = true, 2+w.rng.IntN(4)
@@ -217,7 +222,6 @@
 	}
 	s.SavesProgress = w.chance(0.3)
 	s.Filler = w.options.Caps && !s.Gang && w.chance(fillerShare)
-	return s
 }
 
 // runDuration draws how long a run of a step works; it is doubled outside the rack that holds the step's data.
