Tasks take less of a leader's memory

Cause: the planner holds each task of each opened occurrence, 176 bytes with five flags in a word each, and the list of waiting tasks grew by doubling. Change: the flags of a task share a word, and the list of waiting tasks is allocated once. Behaviour is as before.

--- a/sched/job.go
+++ b/sched/job.go
@@ -104,16 +104,25 @@
 
 // task is one task of a stage.
 type task struct {
+	// The flags come first, so that they share a word: a leader holds some 100,000 tasks.
+
 	done bool
+	// suspect reports that the executor of the last start may have gone down because of it.
+	suspect bool
+	// copied reports that the task was started again although its run may have crashed the executor, which does not answer.
+	copied bool
+	// unlistedEnd reports that the last run, which may be a former leader's, ended without being listed: a successor of this
+	// leader may know how it ended.
+	unlistedEnd bool
+	// evicted reports that the planner stopped the task to empty its executor and that it does not serve again yet.
+	evicted bool
 	// runNumber is the highest run number in use.
 	runNumber int
 	// oldNumbers counts the last run numbers in a row that executors refused as old.
 	oldNumbers int
 	// failures counts the failed runs.
 	failures int
-	// suspect reports that the executor of the last start may have gone down because of it, and crashes counts the executors
-	// that went down just after they had begun the task, since one last survived that.
-	suspect bool
+	// crashes counts the executors that went down just after they had begun the task, since one last survived that.
 	crashes int
 	// startFrom is when the task may be started again after it may have crashed executors, has ended just after its starts, or had
 	// run numbers refused.
@@ -123,22 +132,15 @@
 	// crashedOn are the VMs of these executors, which the task is kept from until sameVMFrom.
 	crashedOn  []croft.VMID
 	sameVMFrom croft.Millis
-	// suspicionSequence is the change of the job that contains both. The task is started again only once that is stored.
+	// suspicionSequence is the change of the job that contains suspect and crashes. The task is started again only once that is stored.
 	suspicionSequence uint64
-	// copied reports that the task was started again although its run may have crashed the executor, which does not answer.
-	copied     bool
-	checkpoint string
+	checkpoint        string
 	// run is the run that is expected to finish the task; nil if there is none.
 	run *run
 	// liveRuns counts the runs that may still be active on executors, including run.
 	liveRuns int
-	// unlistedEnd reports that the last run, which may be a former leader's, ended without being listed: a successor of this
-	// leader may know how it ended.
-	unlistedEnd bool
 	// avoidWorker is the worker on which the last run failed.
 	avoidWorker croft.WorkerID
-	// evicted reports that the planner stopped the task to empty its executor and that it does not serve again yet.
-	evicted bool
 }
 
 func (s *stage) id(index int) croft.TaskID {
@@ -233,6 +235,7 @@
 			continue
 		}
 		s.open, s.openedAt = true, p.now.Elapsed
+		s.waiting = slices.Grow(s.waiting, s.remainingTasks)
 		for index := range s.tasks {
 			t := &s.tasks[index]
 			if !t.done && t.run == nil {
