The planner bounds the tasks that it holds and parks further jobs

Cause: a leader held all tasks of each accepted job from its acceptance on, 1.8 MB for a job of 10,000 tasks, so that some ten such jobs exceeded the 64 MB of package crowd. Beyond it, a job that was never announced is parked: its record is kept encoded and opened in the order of acceptance. Large jobs (which may hold 1,000 tasks or more) hold at most half of it together, and one job of each class is always open. Jobs that may run are opened beyond it, and further occurrences of an opened job wait. A job that is open for 10 s without capacity, a reservation or an announcement gives its place to a parked one: a job that no executor can run would keep the others parked for ever. The work of parked jobs counts for refusals. Log lines Park and Unpark, at most one each in a second; metrics croft_parked_jobs and croft_open_tasks; Describe.

--- a/agent/perform.go
+++ b/agent/perform.go
@@ -71,6 +71,7 @@
 		}
 		a.Stats.SetOrganisations(e.Organisations)
 		a.Stats.SetUses(e.Uses)
+		a.Stats.SetOpenTasks(e.ParkedJobs, e.OpenTasks)
 		if e.Shared {
 			a.loadReports.submit(ctx, e)
 		}
--- a/model/perform.go
+++ b/model/perform.go
@@ -53,16 +53,25 @@
 	}
 }
 
+// countEffect counts what an effect says of the planner's decisions.
+func (w *World) countEffect(effect sched.Effect) {
+	switch e := effect.(type) {
+	case sched.CountReservation:
+		if e.Outcome == "Made" {
+			w.report.Reserved++
+		}
+	case sched.PublishLoads:
+		w.report.MostParked = max(w.report.MostParked, e.ParkedJobs)
+	}
+}
+
 // perform carries out an effect that the current leader's planner requested.
 func (w *World) perform(effect sched.Effect) {
 	if onEffect != nil {
 		onEffect(w, effect)
 	}
+	w.countEffect(effect)
 	switch e := effect.(type) {
-	case sched.CountReservation:
-		if e.Outcome == "Made" {
-			w.report.Reserved++
-		}
 	case sched.Start:
 		w.sendStart(e)
 	case sched.Stop:
--- a/model/world.go
+++ b/model/world.go
@@ -71,6 +71,8 @@
 	LargeTasks bool
 	// Reservations switches the reservations of the planner on.
 	Reservations bool
+	// MaxTasks is that of the planner's options.
+	MaxTasks int
 }
 
 // Timings and sizes of the simulated platform, those of the platform's example settings.
@@ -167,6 +169,8 @@
 	Waits []int64
 	// InFlight has, for each start sent, the number of starts in flight, if Options.StartTime is set.
 	InFlight []int
+	// MostParked is the largest number of jobs that a leader has published as parked.
+	MostParked int
 	// Unanswered counts the starts that were not answered since too many were in flight.
 	Unanswered int
 	// Durations has the time from submission to completion of each job that was done, in milliseconds.
@@ -344,7 +348,7 @@
 		w.version++
 		w.leader = &leader{alive: true, term: w.term, vmOrdersFrom: lastRenewal + leaderLease, planner: sched.New(sched.Options{
 			Holder: fmt.Sprintf("entry-%d", w.term), Lease: maxLease, Stop: maxStopDuration, Maintain: maintenanceDuration,
-			RowBytes: w.options.RowBytes, Uncounted: w.options.Uncounted, Reservations: w.options.Reservations,
+			RowBytes: w.options.RowBytes, Uncounted: w.options.Uncounted, Reservations: w.options.Reservations, MaxTasks: w.options.MaxTasks,
 		})}
 		if w.options.ClockLead > 0 {
 			w.leader.clockLead = w.between(0, w.options.ClockLead)
--- a/sched/commit.go
+++ b/sched/commit.go
@@ -79,9 +79,10 @@
 
 // removeFinishedJob removes an ended job whose state is stored and that has no runs left, and leaves a tombstone.
 func (p *Planner) removeFinishedJob(j *job) {
-	if !j.ended || j.storedSequence < j.sequence || j.liveRuns > 0 {
+	if !j.ended || j.storedSequence < j.sequence || j.liveRuns > 0 || p.jobs[j.id] != j {
 		return
 	}
+	p.classOf(j).open -= tasksOf(j.stages)
 	delete(p.jobs, j.id)
 	p.tombstones[j.id] = p.now.Elapsed
 }
@@ -314,6 +315,9 @@
 	}
 	p.log("Merge", string(j.id), string(progress.Status), "a former leader stored this state after the takeover")
 	p.openStoredOccurrences(j, progress)
+	if j.parked != nil && j.announced && !j.ended {
+		p.openNextOccurrence(j)
+	}
 	for _, s := range j.stages {
 		for index := range s.tasks {
 			s.tasks[index].runNumber = max(s.tasks[index].runNumber, p.initialRunNumber(j))
--- a/sched/describe.go
+++ b/sched/describe.go
@@ -15,6 +15,7 @@
 	}
 	var b strings.Builder
 	fmt.Fprintf(&b, "job %s: %s, queue %s, change %d of %d stored, ended %v, deadline in %d ms", id, j.progress.Status, j.record.Queue, j.storedSequence, j.sequence, j.ended, j.deadline-p.now.Elapsed)
+	b.WriteString(p.describeParked(j))
 	b.WriteString(j.describeOrganisation())
 	b.WriteString(p.describeUse(j))
 	for _, s := range j.stages {
--- a/sched/events.go
+++ b/sched/events.go
@@ -279,6 +279,8 @@
 	Organisations map[croft.OrganisationID]OrganisationLoad
 	// Uses is what each organisation may have running, for the metrics of this entry.
 	Uses map[croft.OrganisationID]croft.Resources
+	// ParkedJobs counts the jobs that are parked, and OpenTasks the tasks that are held in memory, for the metrics of this entry.
+	ParkedJobs, OpenTasks int
 	// Shared reports that other entries need the loads too, since queues refuse jobs or have just ceased to.
 	Shared bool
 }
--- a/sched/job.go
+++ b/sched/job.go
@@ -21,6 +21,11 @@
 	stages []*stage
 	// criticalPath has, for each step, the estimated length of the longest chain of dependent steps that starts with it.
 	criticalPath []croft.Millis
+	// parked is what remains of the record while the job waits to be opened, nil otherwise.
+	parked *parkedJob
+	// large is the class of the job's size, and turn its place among the parked jobs of this class.
+	large bool
+	turn  croft.Millis
 	// liveRuns counts the runs that may still be active on executors.
 	liveRuns int
 	// openedOccurrences counts the occurrences that have been opened, remainingOccurrences those that are not finished.
@@ -159,6 +164,7 @@
 		}
 		added = append(added, p.addJob(row, e.Whole))
 	}
+	p.openArrivals(added)
 	p.countArrivals(added)
 	if e.Whole {
 		p.jobsLoaded = true
@@ -166,7 +172,7 @@
 	}
 }
 
-// addJob adds a stored job; inherited reports that it was stored before this term.
+// addJob adds a stored job, which openArrivals opens; inherited reports that it was stored before this term.
 func (p *Planner) addJob(row JobRow, inherited bool) *job {
 	j := &job{
 		id: row.ID, part: row.Part, record: row.Record, progress: row.Progress,
@@ -184,13 +190,12 @@
 	if age := p.now.Wall - row.Record.Accepted; age > 0 && inherited {
 		j.receivedAt -= age
 	}
-	j.remainingOccurrences = j.occurrences()
+	j.remainingOccurrences, j.large, j.turn = j.occurrences(), p.isLarge(j), j.receivedAt
 	j.criticalPath = criticalPaths(row.Record.Spec.Steps)
 	j.deadline = j.receivedAt + j.objective()
 	p.jobs[row.ID] = j
 	po := p.pool(row.Record.Pool)
 	po.jobs = append(po.jobs, j)
-	p.openJobOccurrences(j)
 	return j
 }
 
@@ -264,6 +269,7 @@
 	j.ended = true
 	j.progress = jobs.Progress{Status: status, Organisation: j.progress.Organisation}
 	p.log("End", string(j.id), string(status), reason)
+	p.leaveParked(j)
 	for _, s := range j.stages {
 		s.waiting = nil
 		for index := range s.tasks {
--- a/sched/load.go
+++ b/sched/load.go
@@ -37,7 +37,7 @@
 	}
 	limited := p.sharing.limiting
 	organisations := p.addShares(loads)
-	p.emit(PublishLoads{Loads: loads, Organisations: organisations, Uses: p.ledger.Uses(), Shared: refuse || p.refusing || limited || p.sharing.limiting})
+	p.emit(PublishLoads{Loads: loads, Organisations: organisations, Uses: p.ledger.Uses(), ParkedJobs: p.open.parkedJobs(), OpenTasks: p.open.total(), Shared: refuse || p.refusing || limited || p.sharing.limiting})
 	p.logPools()
 	if refuse != p.refusing {
 		p.log("Load", "queues", fmt.Sprintf("refusing %v", refuse), "queues refuse jobs while the backlog of their pool takes longer than the jobs are of use")
@@ -88,6 +88,7 @@
 		if p.now.Elapsed > j.deadline || j.endless() {
 			continue
 		}
+		work += j.parkedWork().MilliCores
 		for _, s := range j.stages {
 			work += s.needs().MilliCores * int64(s.remainingTasks) * int64(p.expectedDuration(s))
 		}
--- a/sched/occurrence.go
+++ b/sched/occurrence.go
@@ -75,7 +75,7 @@
 // follow once earlier ones are released.
 func (p *Planner) openJobOccurrences(j *job) {
 	limit := j.openLimit()
-	for !j.ended && j.openedOccurrences < j.occurrences() && j.openOccurrences() < limit && p.isDue(j, j.openedOccurrences) {
+	for !j.ended && j.openedOccurrences < j.occurrences() && j.openOccurrences() < limit && p.isDue(j, j.openedOccurrences) && p.mayOpen(j) {
 		p.openNextOccurrence(j)
 	}
 }
@@ -83,6 +83,7 @@
 // openNextOccurrence creates the stages of the first occurrence that has not been opened, with the stored progress of their
 // tasks. It creates none for an occurrence that is stored as finished.
 func (p *Planner) openNextOccurrence(j *job) {
+	p.unpark(j)
 	occurrence := j.openedOccurrences
 	j.openedOccurrences++
 	if j.isStoredAsFinished(occurrence) {
@@ -93,6 +94,7 @@
 	for i := range j.record.Spec.Steps {
 		j.stages = append(j.stages, p.newStage(j, occurrence, i))
 	}
+	p.classOf(j).open += j.occurrenceTasks()
 	p.openReadyStages(j, occurrence)
 }
 
@@ -174,6 +176,7 @@
 		hasRuns := slices.ContainsFunc(j.stages[from:to], func(s *stage) bool { return s.liveRuns > 0 })
 		if sequence <= j.storedSequence && !hasRuns {
 			delete(j.finishedOccurrences, occurrence)
+			p.classOf(j).open -= tasksOf(j.stages[from:to])
 			j.stages = slices.Concat(j.stages[:from], j.stages[to:])
 		}
 	}
--- a/sched/planner.go
+++ b/sched/planner.go
@@ -26,6 +26,9 @@
 	// Reservations switches on that large tasks, gangs and wide stages which small tasks keep waiting get a reservation of executors
 	// (package resv). Otherwise waiting tasks are placed by rank alone.
 	Reservations bool
+	// MaxTasks is the number of tasks that may be held in memory; beyond it, new jobs are parked. Zero means no limit. Jobs that may
+	// run already, and one job of each class of size, are kept beyond it.
+	MaxTasks int
 }
 
 // Planner holds the leader's state and decides on each event; only one goroutine may use it.
@@ -81,6 +84,7 @@
 	inheritedRequested map[int]croft.Millis
 	fleet              fleet
 	window             startWindow
+	open               openTasks
 
 	// pendingAdvice counts the unanswered requests to the advice service.
 	pendingAdvice int
@@ -92,6 +96,8 @@
 	nextScale croft.Millis
 	// sweepDue reports that the periodic work over all pools and executors is due.
 	sweepDue bool
+	// sweeping reports that this work is being done.
+	sweeping bool
 	// holdCandidates are the workers whose state changed since holds were last sent.
 	holdCandidates []*worker
 	// unresolvedStarts are the workers whose lists are to be requested to resolve the unknown outcomes of starts.
@@ -131,6 +137,7 @@
 	p.parts = map[string]*partWriter{}
 	p.fleet = fleet{}
 	p.window = newStartWindow()
+	p.open = openTasks{}
 	p.inheritedBegun = nil
 	p.holdCandidates, p.unresolvedStarts, p.wakeAt = nil, nil, 0
 	p.moves = map[croft.VMID]*move{}
@@ -243,6 +250,7 @@
 // done with ticks and changes of the lists, not after each answer of an executor.
 func (p *Planner) plan() {
 	everyWorker := p.sweepDue
+	p.sweeping = p.sweepDue
 	if p.sweepDue {
 		p.sweepDue = false
 		p.openDueOccurrences()
@@ -255,6 +263,7 @@
 		p.checkSuspects()
 	}
 	p.resolveUnansweredStarts()
+	p.openParked()
 	p.releaseReservations()
 	p.placePools()
 	p.sendDueHolds(everyWorker)
--- a/sched/shareload.go
+++ b/sched/shareload.go
@@ -191,6 +191,9 @@
 		q.jobs++
 		q.slackSum += objective - longestPath(j.criticalPath)
 		q.leastObjective = min(q.leastObjective, objective)
+		if j.parked != nil {
+			work = append(work, p.parkedStageWork(j))
+		}
 		for _, s := range j.stages {
 			if s.remainingTasks > 0 {
 				work = append(work, p.workOf(s))
--- a/stats/stats.go
+++ b/stats/stats.go
@@ -33,6 +33,8 @@
 	inflowConns    *prometheus.GaugeVec
 	inflowBytes    *prometheus.GaugeVec
 	reservations   *prometheus.CounterVec
+	parkedJobs     prometheus.Gauge
+	openTasks      prometheus.Gauge
 	// countedQueues are the queues that have series.
 	countedQueues map[croft.QueueID]bool
 	organisations organisationStats
@@ -65,12 +67,14 @@
 		inflowDrops:    newCounterVec("croft_inflow_dropped_total", "Connections and requests that a limit ended, by listener and limit.", "listener", "limit"),
 		inflowConns:    newGaugeVec("croft_inflow_connections", "Open connections of a listener.", "listener"),
 		inflowBytes:    newGaugeVec("croft_inflow_body_bytes", "Size of the buffers of bodies that are being received or wait.", "listener"),
+		parkedJobs:     prometheus.NewGauge(prometheus.GaugeOpts{Name: "croft_parked_jobs", Help: "Jobs whose tasks the leader does not hold in memory yet."}),
+		openTasks:      prometheus.NewGauge(prometheus.GaugeOpts{Name: "croft_open_tasks", Help: "Tasks that the leader holds in memory."}),
 		reservations:   newCounterVec("croft_reservations_total", "Reservations of executors for large tasks that the leader made or released, by outcome.", "outcome"),
 		countedQueues:  map[croft.QueueID]bool{},
 		organisations:  newOrganisationStats(),
 	}
 	s.registry.MustRegister(s.decisions, s.calls, s.storeTimes, s.orderTimes, s.requestTimes, s.feedTimes, s.queueWaiting, s.queueOldest, s.leading,
-		s.configVersion, s.ordersInFlight, s.ordersLimit, s.removedStates, s.reservations, s.inflowDrops, s.inflowConns, s.inflowBytes, collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
+		s.configVersion, s.ordersInFlight, s.ordersLimit, s.removedStates, s.reservations, s.parkedJobs, s.openTasks, s.inflowDrops, s.inflowConns, s.inflowBytes, collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	s.organisations.register(s.registry)
 	return s
 }
@@ -130,6 +134,12 @@
 // CountReservation counts a reservation of executors that was made, or released with an outcome.
 func (s *Stats) CountReservation(outcome string) { s.reservations.WithLabelValues(outcome).Inc() }
 
+// SetOpenTasks records how many jobs are parked and how many tasks this entry holds in memory as leader.
+func (s *Stats) SetOpenTasks(parkedJobs, tasks int) {
+	s.parkedJobs.Set(float64(parkedJobs))
+	s.openTasks.Set(float64(tasks))
+}
+
 // SetLeading records whether this entry is the leader.
 func (s *Stats) SetLeading(leads bool) {
 	value := 0.0
@@ -137,6 +147,7 @@
 		value = 1
 	} else {
 		s.organisations.use.Reset()
+		s.SetOpenTasks(0, 0)
 	}
 	s.leading.Set(value)
 }
