--- a/sched/job.go
+++ b/sched/job.go
@@ -21,6 +21,11 @@
 	stages []*stage
 	// criticalPath has, for each step, the estimated length of the longest chain of dependent steps that starts with it.
 	criticalPath []croft.Millis
+	// parked is what remains of the record while the job waits to be opened, nil otherwise.
+	parked *parkedJob
+	// large is the class of the job's size, and turn its place among the parked jobs of this class.
+	large bool
+	turn  croft.Millis
 	// liveRuns counts the runs that may still be active on executors.
 	liveRuns int
 	// openedOccurrences counts the occurrences that have been opened, remainingOccurrences those that are not finished.
@@ -104,16 +109,25 @@
 
 // task is one task of a stage.
 type task struct {
+	// The flags come first, so that they share a word: a leader holds some 100,000 tasks.
+
 	done bool
+	// suspect reports that the executor of the last start may have gone down because of it.
+	suspect bool
+	// copied reports that the task was started again although its run may have crashed the executor, which does not answer.
+	copied bool
+	// unlistedEnd reports that the last run, which may be a former leader's, ended without being listed: a successor of this
+	// leader may know how it ended.
+	unlistedEnd bool
+	// evicted reports that the planner stopped the task to empty its executor and that it does not serve again yet.
+	evicted bool
 	// runNumber is the highest run number in use.
 	runNumber int
 	// oldNumbers counts the last run numbers in a row that executors refused as old.
 	oldNumbers int
 	// failures counts the failed runs.
 	failures int
-	// suspect reports that the executor of the last start may have gone down because of it, and crashes counts the executors
-	// that went down just after they had begun the task, since one last survived that.
-	suspect bool
+	// crashes counts the executors that went down just after they had begun the task, since one last survived that.
 	crashes int
 	// startFrom is when the task may be started again after it may have crashed executors, has ended just after its starts, or had
 	// run numbers refused.
@@ -123,22 +137,15 @@
 	// crashedOn are the VMs of these executors, which the task is kept from until sameVMFrom.
 	crashedOn  []croft.VMID
 	sameVMFrom croft.Millis
-	// suspicionSequence is the change of the job that contains both. The task is started again only once that is stored.
+	// suspicionSequence is the change of the job that contains suspect and crashes. The task is started again only once that is stored.
 	suspicionSequence uint64
-	// copied reports that the task was started again although its run may have crashed the executor, which does not answer.
-	copied     bool
-	checkpoint string
+	checkpoint        string
 	// run is the run that is expected to finish the task; nil if there is none.
 	run *run
 	// liveRuns counts the runs that may still be active on executors, including run.
 	liveRuns int
-	// unlistedEnd reports that the last run, which may be a former leader's, ended without being listed: a successor of this
-	// leader may know how it ended.
-	unlistedEnd bool
 	// avoidWorker is the worker on which the last run failed.
 	avoidWorker croft.WorkerID
-	// evicted reports that the planner stopped the task to empty its executor and that it does not serve again yet.
-	evicted bool
 }
 
 func (s *stage) id(index int) croft.TaskID {
@@ -157,6 +164,7 @@
 		}
 		added = append(added, p.addJob(row, e.Whole))
 	}
+	p.openArrivals(added)
 	p.countArrivals(added)
 	if e.Whole {
 		p.jobsLoaded = true
@@ -164,7 +172,7 @@
 	}
 }
 
-// addJob adds a stored job; inherited reports that it was stored before this term.
+// addJob adds a stored job, which openArrivals opens; inherited reports that it was stored before this term.
 func (p *Planner) addJob(row JobRow, inherited bool) *job {
 	j := &job{
 		id: row.ID, part: row.Part, record: row.Record, progress: row.Progress,
@@ -182,13 +190,12 @@
 	if age := p.now.Wall - row.Record.Accepted; age > 0 && inherited {
 		j.receivedAt -= age
 	}
-	j.remainingOccurrences = j.occurrences()
+	j.remainingOccurrences, j.large, j.turn = j.occurrences(), p.isLarge(j), j.receivedAt
 	j.criticalPath = criticalPaths(row.Record.Spec.Steps)
 	j.deadline = j.receivedAt + j.objective()
 	p.jobs[row.ID] = j
 	po := p.pool(row.Record.Pool)
 	po.jobs = append(po.jobs, j)
-	p.openJobOccurrences(j)
 	return j
 }
 
@@ -233,6 +240,7 @@
 			continue
 		}
 		s.open, s.openedAt = true, p.now.Elapsed
+		s.waiting = slices.Grow(s.waiting, s.remainingTasks)
 		for index := range s.tasks {
 			t := &s.tasks[index]
 			if !t.done && t.run == nil {
@@ -261,6 +269,7 @@
 	j.ended = true
 	j.progress = jobs.Progress{Status: status, Organisation: j.progress.Organisation}
 	p.log("End", string(j.id), string(status), reason)
+	p.leaveParked(j)
 	for _, s := range j.stages {
 		s.waiting = nil
 		for index := range s.tasks {
