sched: at most 48 VMs are being released at a time

Cause: pools of a large fleet with little work begin to release up to 213 VMs a second, and the platform accepts 64 orders a second on the smaller deployments; the VMs beyond are kept from work, and their orders delay those for pools that are short. Change: moves to spare pools begin only while fewer than 48 are in progress. Measured: TestReleasesInProgressAreBounded.

--- a/sched/scale.go
+++ b/sched/scale.go
@@ -39,6 +39,9 @@
 	// reservePercent of an equal share of all VMs stays in a pool that lends: its own demand will rise again, and a VM
 	// takes over a second to return.
 	reservePercent = 50
+	// maxReleasesInProgress bounds the moves to spare pools at a time. The platform accepts some tens of orders a second, and those
+	// beyond keep VMs from work and delay the orders for pools that are short.
+	maxReleasesInProgress = 48
 	// durationWeight is the weight of the newest task in the moving average of a queue's task durations.
 	durationWeight = 0.02
 )
@@ -107,11 +110,25 @@
 	}
 	for _, po := range pools {
 		for range p.sizing.MaxReleases {
+			if p.releasesInProgress() >= maxReleasesInProgress {
+				return
+			}
 			p.releaseSurplusVM(po)
 		}
 	}
 }
 
+// releasesInProgress counts the moves to spare pools.
+func (p *Planner) releasesInProgress() int {
+	n := 0
+	for _, m := range p.moves {
+		if p.poolRule(m.to).Spare {
+			n++
+		}
+	}
+	return n
+}
+
 // shortestPool returns the pool with the largest deficit of VMs, nil if none has one.
 func (p *Planner) shortestPool(pools []*pool) *pool {
 	var shortest *pool
--- a/sched/scale_test.go
+++ b/sched/scale_test.go
@@ -125,3 +125,16 @@
 	// Without a surplus the idle pool keeps half of an equal share, three VMs.
 	assert.Equal(t, moved, 4)
 }
+
+// The load of a large fleet with little work. Guards against more releases at a time than the platform accepts orders for, which kept
+// hundreds of VMs from work.
+func TestReleasesInProgressAreBounded(t *testing.T) {
+	b := newTestBench(t)
+	b.takeLeadership(1, 200)
+	b.addSpareVMs(200, 0)
+	for range 60 {
+		b.advance(50)
+		assert.Assert(t, b.planner.releasesInProgress() <= maxReleasesInProgress)
+	}
+	assert.Equal(t, b.planner.releasesInProgress(), maxReleasesInProgress)
+}
