--- a/sched/quota_test.go
+++ b/sched/quota_test.go
@@ -116,10 +116,8 @@
 	assert.Equal(t, len(startsOf(b.confirm(b.answerHold(1, doneRun(1, first[0].Order.Task, 1))), "o")), 1)
 }
 
-// Guards against a new leader that starts tasks up to the cap beside those that a former one has started on executors that have not
-// answered yet, and against one that counts more than these have room for.
-func TestNewLeaderCountsTasksThatMayBeRunning(t *testing.T) {
-	b := newTestBench(t)
+// inheritUnseenRuns begins a term with a job of 80 tasks of red, whose cap is 100 cores, and three executors of which one has answered.
+func (b *testBench) inheritUnseenRuns() ConfigRead {
 	b.setCap(100)
 	inherited := jobOf("red", "old", step(80, 1))
 	inherited.Progress.Announced = true
@@ -131,6 +129,14 @@
 	b.event(FleetRead{RequestedAt: b.now, VMs: testFleet(3)})
 	b.event(JobsRead{Whole: true, Jobs: []JobRow{inherited}})
 	b.answerHold(0)
+	return config
+}
+
+// Guards against a new leader that starts tasks up to the cap beside those that a former one has started on executors that have not
+// answered yet, and against one that counts more than these have room for.
+func TestNewLeaderCountsTasksThatMayBeRunning(t *testing.T) {
+	b := newTestBench(t)
+	b.inheritUnseenRuns()
 	b.event(JobsRead{Jobs: []JobRow{jobOf("red", "new", step(60, 1))}})
 	assert.Equal(t, b.redUse(), int64(100))
 	assert.Equal(t, len(b.planner.workers[workerName(0)].runs), 20)
@@ -202,17 +208,7 @@
 // know all runs, and the use of those it had not seen was never released.
 func TestUnseenRunsAreReleasedAfterTheLastCapIsRemoved(t *testing.T) {
 	b := newTestBench(t)
-	b.setCap(100)
-	inherited := jobOf("red", "old", step(80, 1))
-	inherited.Progress.Announced = true
-	b.event(LeadershipAcquired{Fence: 10, Term: 2})
-	config := testConfig()
-	config.Config.Version, config.Config.Organisations = 9, b.planner.config.Organisations
-	b.event(config)
-	b.event(WorkersRead{Changes: croft.WorkerChanges{Whole: true, Entries: testWorkers(3)}})
-	b.event(FleetRead{RequestedAt: b.now, VMs: testFleet(3)})
-	b.event(JobsRead{Whole: true, Jobs: []JobRow{inherited}})
-	b.answerHold(0)
+	config := b.inheritUnseenRuns()
 	assert.Equal(t, b.redUse(), int64(80))
 	config.Config.Version, config.Config.Organisations = 10, []croft.Organisation{{ID: "red"}}
 	b.event(config)
