crowd: the entry listens on another loopback address than clients connect from

The port is of the range from which outgoing connections get theirs, and the crowd before had just used hundreds. The one run of large-chunks that failed 0.06 s after its start fits that. Change: the entry's addresses are of 127.0.0.2, clients connect from 127.0.0.1.

--- a/crowd/entry_test.go
+++ b/crowd/entry_test.go
@@ -89,12 +89,16 @@
 	return e
 }
 
+// entryHost is the loopback address of the entry. It is not the one from which clients connect: the system may give the port of
+// a listener that has just been closed to one of their connections, and the entry could not listen there.
+const entryHost = "127.0.0.2"
+
 // freeAddresses returns loopback addresses on which nothing listens.
 func freeAddresses(t *testing.T, count int) []string {
 	t.Helper()
 	var addresses []string
 	for range count {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", net.JoinHostPort(entryHost, "0"))
 		assert.NilError(t, err)
 		defer l.Close()
 		addresses = append(addresses, l.Addr().String())
