--- a/sched/reserve.go
+++ b/sched/reserve.go
@@ -93,15 +93,7 @@
 // mustYield reports whether the reservation of another stage holds against the tasks of a stage: it does unless the queue of that
 // stage is more urgent. The rest of the rank changes with time and does not count, or a late job would wait for ever.
 func (p *Planner) mustYield(r *reservation, s *stage) bool {
-	return r.stage != s && !s.spec.Endless && p.priority(s.job) >= p.priority(r.stage.job)
-}
-
-// priority returns the priority of a job's queue; jobs of a queue that was removed keep theirs.
-func (p *Planner) priority(j *job) int {
-	if q, ok := p.queues[j.record.Queue]; ok {
-		return q.Priority
-	}
-	return j.record.Priority
+	return r.stage != s && !s.spec.Endless && p.priorityOf(s.job) >= p.priorityOf(r.stage.job)
 }
 
 // delaysReserved reports whether the start of a task on a worker is expected to delay the reserved tasks of another stage.
