--- a/inflow/conn.go
+++ b/inflow/conn.go
@@ -20,6 +20,9 @@
 // writeTimeout is how long a client may take to read a part of a response: as long as the default timeout of a request.
 const writeTimeout = 3 * croft.Second
 
+// writeBytes is the size of the parts in which a response is written, each of which has writeTimeout.
+const writeBytes = 32 << 10
+
 // tooLargePrefix begins the response that net/http sends if headers are too large, without calling a handler.
 var tooLargePrefix = []byte("HTTP/1.1 431")
 
@@ -67,11 +70,16 @@
 	closed atomic.Bool
 }
 
-// Accept returns the next connection.
+// Accept returns the next connection. It tries again after an error, such as a lack of descriptors, unless the listener is closed.
 func (l *gateListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for err != nil {
+		if l.closed.Load() || errors.Is(err, net.ErrClosed) {
+			return nil, net.ErrClosed
+		}
+		l.gate.record(ReasonAccept)
+		_ = l.gate.options.Clock.Sleep(context.Background(), acceptPause)
+		conn, err = l.Listener.Accept()
 	}
 	c := &Conn{Conn: conn, gate: l.gate}
 	if !l.gate.open(c, &l.closed) {
@@ -92,8 +100,8 @@
 	net.Conn
 	gate *Gate
 	id   ID
-	// cancel ends the wait of a body that was received whole, nil if none waits.
-	cancel atomic.Pointer[context.CancelFunc]
+	// refuse ends the wait of a request that was received whole, nil if none waits.
+	refuse atomic.Pointer[func()]
 	closed sync.Once
 }
 
@@ -117,6 +125,30 @@
 	return c == nil || c.gate.begin(c, readsBody)
 }
 
+// Trust records that the client has proved who it is, so that the connection is no longer closed in favour of others. It
+// returns false if the connection was dropped.
+func (c *Conn) Trust() bool { return c == nil || c.gate.trust(c) }
+
+// Wait records that the request has been received whole and waits to be processed. Its context ends if it is refused meanwhile;
+// done must be called once the wait has ended. ok is false if the connection was dropped.
+func (c *Conn) Wait(ctx context.Context) (waiting context.Context, done func(), ok bool) {
+	if c == nil {
+		return ctx, func() {}, true
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	refuse := func() { cancel(ErrDropped) }
+	c.refuse.Store(&refuse)
+	done = func() {
+		c.refuse.Store(nil)
+		cancel(nil)
+	}
+	if !c.gate.wait(c) {
+		done()
+		return ctx, func() {}, false
+	}
+	return ctx, done, true
+}
+
 // Handled records that the handler of a request has returned, and whether the request has a body that its handler does not read.
 func (c *Conn) Handled(ignoredBody bool) {
 	if c != nil {
@@ -153,10 +185,22 @@
 
 // Write writes, and fails if the client does not read for writeTimeout.
 func (c *Conn) Write(b []byte) (int, error) {
-	c.gate.send(c)
 	if bytes.HasPrefix(b, tooLargePrefix) {
 		c.gate.record(ReasonHeaderBytes)
 	}
+	written := 0
+	for {
+		n, err := c.writePart(b[written:min(len(b), written+writeBytes)])
+		written += n
+		if err != nil || written == len(b) {
+			return written, err
+		}
+	}
+}
+
+// writePart writes a part of a response within writeTimeout.
+func (c *Conn) writePart(b []byte) (int, error) {
+	c.gate.send(c)
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout.Duration())); err != nil {
 		return 0, err
 	}
--- a/inflow/gate.go
+++ b/inflow/gate.go
@@ -25,7 +25,7 @@
 	Limits Limits
 	Clock  croft.Clock
 	Log    croft.DecisionLog
-	// Count counts a drop; Open reports the numbers of connections and of bytes of bodies that are being received.
+	// Count counts a drop; Open reports the numbers of connections and of bytes of bodies that are being received, nil for neither.
 	Count func(Reason)
 	Open  func(connections int, bytes int64)
 }
@@ -33,8 +33,8 @@
 // Gate applies the limits of a listener to its connections; it is safe for concurrent use.
 type Gate struct {
 	options Options
-	// processing limits the memory of submissions in progress.
-	processing *semaphore.Weighted
+	// processing limits the memory of requests in progress, responses that of responses.
+	processing, responses *semaphore.Weighted
 
 	mu    sync.Mutex
 	table *Table
@@ -49,7 +49,8 @@
 func NewGate(options Options) *Gate {
 	return &Gate{
 		options: options, processing: semaphore.NewWeighted(options.Limits.ProcessedBytes),
-		table: NewTable(options.Limits), conns: map[ID]*Conn{}, loggedAt: -logInterval,
+		responses: semaphore.NewWeighted(options.Limits.ResponseBytes),
+		table:     NewTable(options.Limits), conns: map[ID]*Conn{}, loggedAt: -logInterval,
 	}
 }
 
@@ -66,6 +67,10 @@
 			}
 			return true
 		}
+		if opening.Refused {
+			g.record(ReasonWaiting)
+			refuse([]*Conn{old})
+		}
 		if !delayed {
 			g.record(ReasonDelayed)
 		}
@@ -74,7 +79,7 @@
 	return false
 }
 
-// tryOpen returns the table's decision about a new connection, and the connection to close, nil if there is none.
+// tryOpen returns the table's decision about a new connection, and the connection to close or to refuse, nil if there is none.
 func (g *Gate) tryOpen(c *Conn) (Opening, *Conn) {
 	at := g.options.Clock.Elapsed()
 	g.mu.Lock()
@@ -85,7 +90,7 @@
 	}
 	opening := g.table.Open(c.id, at)
 	if opening.Wait > 0 {
-		return opening, nil
+		return opening, g.conns[opening.Refuse]
 	}
 	g.conns[c.id] = c
 	g.report()
@@ -106,12 +111,20 @@
 		g.record(ReasonReceived)
 		_ = victim.Close()
 	}
-	for _, victim := range refused {
-		if cancel := victim.cancel.Load(); cancel != nil {
-			(*cancel)()
+	refuse(refused)
+	return ok
+}
+
+// refuse ends the waits of requests.
+func refuse(conns []*Conn) {
+	for _, c := range conns {
+		if c == nil {
+			continue
+		}
+		if end := c.refuse.Load(); end != nil {
+			(*end)()
 		}
 	}
-	return ok
 }
 
 // find returns connections by their IDs; the caller holds the lock.
@@ -135,7 +148,11 @@
 }
 
 // report passes on what is open; the caller holds the lock.
-func (g *Gate) report() { g.options.Open(g.table.Connections(), g.table.Bytes()) }
+func (g *Gate) report() {
+	if g.options.Open != nil {
+		g.options.Open(g.table.Connections(), g.table.Bytes())
+	}
+}
 
 // record counts a drop, and logs it unless another one was logged within logInterval.
 func (g *Gate) record(reason Reason) {
@@ -156,10 +173,13 @@
 	}
 }
 
-// Process waits until the memory for a body that was received whole is free, and returns a function that must be called once the
-// submission has ended. It returns ErrDropped if the body was dropped meanwhile or the context ended.
-func (g *Gate) Process(ctx context.Context, c *Conn, bodyBytes int) (release func(), err error) {
-	need := min(int64(bodyBytes)*ProcessedFactor, g.options.Limits.ProcessedBytes)
+// Process waits until the memory that a request needs is free, and returns a function that must be called once the request has
+// ended. It returns ErrDropped if the request was dropped meanwhile or the context ended.
+func (g *Gate) Process(ctx context.Context, c *Conn, need int64) (release func(), err error) {
+	if g == nil {
+		return func() {}, nil
+	}
+	need = min(need, g.options.Limits.ProcessedBytes)
 	if !g.processing.TryAcquire(need) {
 		if err := g.await(ctx, c, need); err != nil {
 			return nil, err
@@ -174,15 +194,11 @@
 
 // await waits for memory in the order of arrival.
 func (g *Gate) await(ctx context.Context, c *Conn, need int64) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	if c != nil {
-		c.cancel.Store(&cancel)
-		defer c.cancel.Store(nil)
-		if !g.wait(c) {
-			return ErrDropped
-		}
+	ctx, done, ok := c.Wait(ctx)
+	if !ok {
+		return ErrDropped
 	}
+	defer done()
 	if g.processing.Acquire(ctx, need) != nil {
 		g.record(ReasonProcessed)
 		return ErrDropped
@@ -190,6 +206,44 @@
 	return nil
 }
 
+// Respond waits until the memory that a response needs is free, and returns a function that must be called once the response has
+// been sent. Meanwhile it closes connections whose clients do not read their responses. It returns ErrDropped if the context ended.
+func (g *Gate) Respond(ctx context.Context, need int64) (release func(), err error) {
+	if g == nil {
+		return func() {}, nil
+	}
+	need = min(need, g.options.Limits.ResponseBytes)
+	if !g.responses.TryAcquire(need) {
+		waiting, cancel := context.WithCancel(ctx)
+		go g.dropStalled(waiting)
+		err := g.responses.Acquire(ctx, need)
+		cancel()
+		if err != nil {
+			return nil, ErrDropped
+		}
+	}
+	return func() { g.responses.Release(need) }, nil
+}
+
+// dropStalled closes connections whose clients do not read their responses, until the context ends.
+func (g *Gate) dropStalled(ctx context.Context) {
+	for {
+		at := g.options.Clock.Elapsed()
+		g.mu.Lock()
+		id, ok := g.table.DropStalled(at)
+		victim := g.conns[id]
+		g.mu.Unlock()
+		if ok && victim != nil {
+			g.record(ReasonResponses)
+			_ = victim.Close()
+			continue
+		}
+		if g.options.Clock.Sleep(ctx, maxWait) != nil {
+			return
+		}
+	}
+}
+
 func (g *Gate) process(c *Conn) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -198,9 +252,16 @@
 }
 
 func (g *Gate) wait(c *Conn) bool {
+	at := g.options.Clock.Elapsed()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Wait(c.id, at)
+}
+
+func (g *Gate) trust(c *Conn) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.table.Wait(c.id)
+	return g.table.Trust(c.id)
 }
 
 func (g *Gate) begin(c *Conn, readsBody bool) bool {
--- a/inflow/table.go
+++ b/inflow/table.go
@@ -25,6 +25,8 @@
 	busy
 	// sending: a response is being sent.
 	sending
+	// trusted: the client has proved who it is, and the connection is kept.
+	trusted
 	phases
 )
 
@@ -32,7 +34,7 @@
 type entry struct {
 	id    ID
 	phase phase
-	// element is the entry's place in the list of its phase, nil if it is busy.
+	// element is the entry's place in the list of its phase, nil if it is busy or trusted.
 	element *list.Element
 	// order grows with each connection and each body.
 	order uint64
@@ -71,17 +73,25 @@
 	// Drop is the connection to close if Dropped; it is no longer in the table.
 	Drop    ID
 	Dropped bool
+	// Refuse is the connection whose request, which waits, is to be refused if Refused.
+	Refuse  ID
+	Refused bool
 }
 
 // Open adds a connection. If there are too many, it removes one that has had time to make progress: the one that has been idle the
-// longest, else the oldest whose headers or body are not complete, else the oldest whose response is not read. If there is none
-// yet, the new connection has to wait.
+// longest, else the oldest whose headers or body are not complete, else the oldest whose response is not read. If there is none,
+// the oldest request that waits is to be refused, after which its connection is idle. Until then, the new connection has to wait.
 func (t *Table) Open(id ID, at croft.Millis) Opening {
 	var opening Opening
 	if len(t.entries) >= t.limits.Connections {
 		victim, wait := t.leastUseful(at)
 		if victim == nil {
-			return Opening{Wait: wait}
+			opening.Wait = wait
+			if e := t.first(waiting); e != nil && at-e.since >= minStalled {
+				t.enter(e, busy)
+				opening.Refuse, opening.Refused = e.id, true
+			}
+			return opening
 		}
 		t.remove(victim)
 		opening = Opening{Drop: victim.id, Dropped: true}
@@ -141,7 +151,7 @@
 }
 
 // Receive records that the buffer of a body grows by a number of bytes, and returns what is dropped for it: the oldest incomplete
-// bodies, then the oldest that wait to be processed. A body that is alone is not limited. ok is false if the body itself
+// bodies, then the largest that wait to be processed. A body that is alone is not limited. ok is false if the body itself
 // was dropped, now or before.
 func (t *Table) Receive(id ID, bytes int64) (drops Drops, ok bool) {
 	e, ok := t.entries[id]
@@ -150,7 +160,7 @@
 	}
 	t.add(e, bytes)
 	for t.bytes > t.limits.ReceivedBytes && t.bytes > e.bytes {
-		victim, other := t.firstWithBytes(receiving), t.first(waiting)
+		victim, other := t.firstWithBytes(receiving), t.largest(waiting)
 		if other != nil && (victim == nil || victim == e) {
 			t.add(other, -other.bytes)
 			t.enter(other, busy)
@@ -169,15 +179,37 @@
 	return drops, true
 }
 
-// Wait records that a body has been received whole and waits to be processed; it returns false if the body was dropped.
-func (t *Table) Wait(id ID) bool {
+// Wait records that a request has been received whole and waits to be processed; it returns false if it was dropped.
+func (t *Table) Wait(id ID, at croft.Millis) bool {
 	e, ok := t.entries[id]
 	if ok {
+		e.since = at
 		t.enter(e, waiting)
 	}
 	return ok
 }
 
+// Trust records that the client of a connection has proved who it is, so that the connection is no longer closed for others; it
+// returns false if the connection was dropped.
+func (t *Table) Trust(id ID) bool {
+	e, ok := t.entries[id]
+	if ok {
+		t.enter(e, trusted)
+	}
+	return ok
+}
+
+// DropStalled removes the connection whose client has not read its response for the longest time, and returns it; ok is false if
+// all clients read.
+func (t *Table) DropStalled(at croft.Millis) (id ID, ok bool) {
+	e := t.first(sending)
+	if e == nil || at-e.since < minStalled {
+		return 0, false
+	}
+	t.remove(e)
+	return e.id, true
+}
+
 // Process records that a body is being processed, and that its buffer counts as such from now on; it returns false if the body
 // was dropped.
 func (t *Table) Process(id ID) bool {
@@ -204,11 +236,11 @@
 	}
 }
 
-// Send records that a part of a response begins to be sent. A body that the handler still receives stays so: the server sends the
+// Send records that a part of a response begins to be sent. Data that is sent before a request is no response. A body that the handler still receives stays so: the server sends the
 // interim response 100 (Continue) before it reads such a body, whose buffer counts all the same.
 func (t *Table) Send(id ID, at croft.Millis) {
 	e, ok := t.entries[id]
-	if ok && (e.phase != receiving || e.handled) {
+	if ok && e.phase != heading && e.phase != trusted && (e.phase != receiving || e.handled) {
 		e.since = at
 		t.add(e, -e.bytes)
 		t.enter(e, sending)
@@ -272,11 +304,22 @@
 	return nil
 }
 
-// enter moves an entry to the end of a phase's list. Busy entries are in no list, since none of them is ever chosen.
+// largest returns the entry of a phase with the largest body, the earliest of several; nil if there is none.
+func (t *Table) largest(p phase) *entry {
+	var found *entry
+	for element := t.byPhase[p].Front(); element != nil; element = element.Next() {
+		if e := element.Value.(*entry); found == nil || e.bytes > found.bytes {
+			found = e
+		}
+	}
+	return found
+}
+
+// enter moves an entry to the end of a phase's list. Busy and trusted entries are in no list, since none of them is ever chosen.
 func (t *Table) enter(e *entry, p phase) {
 	t.leave(e)
 	e.phase = p
-	if p != busy {
+	if p != busy && p != trusted {
 		e.element = t.byPhase[p].PushBack(e)
 	}
 }
--- a/inflow/table_test.go
+++ b/inflow/table_test.go
@@ -59,7 +59,7 @@
 	for id := range ID(4) {
 		assert.DeepEqual(t, receive(t, table, id+1, 25), Drops{})
 	}
-	assert.Assert(t, table.Wait(1), "complete, so the incomplete ones are dropped first")
+	assert.Assert(t, table.Wait(1, 0), "complete, so the incomplete ones are dropped first")
 	assert.DeepEqual(t, receive(t, table, 5, 30), Drops{Close: []ID{2, 3}})
 	assert.Equal(t, table.Bytes(), int64(80))
 	_, ok := table.Receive(3, 1)
@@ -179,11 +179,11 @@
 // Guards against limits that documented clients meet, and against limits beyond the machine: the smallest one has 184 MB and 4,100
 // descriptors, of which a leader of 300 executors needs 3,353.
 func TestLimitsOfTheSmallestMachine(t *testing.T) {
-	limits := NewLimits(184, 4100)
+	limits := SubmissionLimits(184, 4100)
 	const maxBody, callers = 256 << 10, 160
 	assert.Assert(t, limits.Connections >= callers && limits.Connections <= 4100-3353-100, "%d", limits.Connections)
 	assert.Assert(t, limits.ReceivedBytes >= 16*maxBody && limits.ProcessedBytes >= ProcessedFactor*maxBody)
 	memory := int64(limits.Connections)*connectionBytes + limits.ReceivedBytes + limits.ProcessedBytes
 	assert.Assert(t, memory <= 184<<20*4/10, "%d", memory)
-	assert.Equal(t, NewLimits(0, 0), limits)
+	assert.Equal(t, SubmissionLimits(0, 0), limits)
 }
