jobs: the number of compressors is bounded

Each row that was compressed at the same time took a compressor of some 1 MB from a sync.Pool, which has no limit: docs/design/open-requests.md named them as not covered.

Two compressors are shared, and further rows wait for one of them; they are kept, so that TestMemoryOfOpenTasksAndParkedJobs creates them before it measures.

TestCompressorsAreFew, with the pool in place of the channel, failed on: a third row was compressed while two compressors were in use. It passes now.

--- a/jobs/encode.go
+++ b/jobs/encode.go
@@ -5,7 +5,6 @@
 	"compress/flate"
 	"encoding/json"
 	"io"
-	"sync"
 
 	"github.com/cockroachdb/errors"
 )
@@ -38,23 +37,40 @@
 // EncodeProgress encodes the value of a row in StateTable: as JSON, compressed if it is large.
 func EncodeProgress(p Progress) []byte { return compressLarge(Encode(p)) }
 
-// compressors has idle compressors, which are expensive to create.
-var compressors = sync.Pool{New: func() any {
+// maxCompressors is the number of compressors, which need some 1 MB of memory each.
+const maxCompressors = 2
+
+// compressors has the compressors that are not in use, nil for those that have not been created.
+var compressors = newCompressors()
+
+func newCompressors() chan *flate.Writer {
+	idle := make(chan *flate.Writer, maxCompressors)
+	for range maxCompressors {
+		idle <- nil
+	}
+	return idle
+}
+
+// acquireCompressor waits for a compressor; it must be put back into compressors.
+func acquireCompressor() *flate.Writer {
+	if w := <-compressors; w != nil {
+		return w
+	}
 	w, err := flate.NewWriter(io.Discard, flate.BestSpeed)
 	if err != nil {
 		// Not reached: the level is valid.
 		panic(err)
 	}
 	return w
-}}
+}
 
 // compressLarge returns a value or, if it has at least minCompressedBytes, its compressed form.
 func compressLarge(encoded []byte) []byte {
 	if len(encoded) < minCompressedBytes {
 		return encoded
 	}
-	w := compressors.Get().(*flate.Writer)
-	defer compressors.Put(w)
+	w := acquireCompressor()
+	defer func() { compressors <- w }()
 	compressed := bytes.NewBuffer([]byte{compressedMark})
 	w.Reset(compressed)
 	_, err := w.Write(encoded)
--- a/jobs/rows_test.go
+++ b/jobs/rows_test.go
@@ -1,10 +1,13 @@
 package jobs
 
 import (
+	"compress/flate"
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -187,3 +190,25 @@
 	}
 	assert.Equal(t, len(count), len(Parts("q")))
 }
+
+// Guards against the memory of a compressor for each row that is encoded at the same time.
+func TestCompressorsAreFew(t *testing.T) {
+	record := Record{Spec: croft.JobSpec{Payload: strings.Repeat("s", minCompressedBytes)}}
+	var held []*flate.Writer
+	for range maxCompressors {
+		held = append(held, acquireCompressor())
+	}
+	encoded := make(chan []byte)
+	go func() { encoded <- EncodeRecord(record) }()
+	select {
+	case <-encoded:
+		t.Fatal("a row was compressed while all compressors are in use")
+	case <-time.After(20 * time.Millisecond):
+	}
+	for _, w := range held {
+		compressors <- w
+	}
+	decoded, err := DecodeRecord(<-encoded)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, decoded, record)
+}
--- a/sched/parkmem_test.go
+++ b/sched/parkmem_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"waxwing.example/croft"
+	"waxwing.example/croft/jobs"
 )
 
 // heapGrowth returns by how much the live heap grows through an action.
@@ -19,7 +20,7 @@
 	return int(after.HeapAlloc) - int(before.HeapAlloc)
 }
 
-// collect reads the live heap without pooled compressors, which two collections free.
+// collect reads the live heap.
 func collect(stats *runtime.MemStats) {
 	for range 3 {
 		runtime.GC()
@@ -38,6 +39,10 @@
 		}
 		return out
 	}
+	for range 2 {
+		// Compressors are kept once they have been created.
+		jobs.EncodeRecord(testJob("warm", steps()...).Record)
+	}
 	b := newLimitedBench(t, rows*tasks*2)
 	b.takeLeadership(1, 0)
 	open := heapGrowth(func() {
