daemon: callers of an entry with its own settings are limited as on the platform

What callers saw: an entry that ran by its own settings grew to several times the memory of a node under 400 clients with large bodies or answers that they did not read, until the machine ended it.

Cause: none of the limits of inflow applied there. front read bodies whole with io.ReadAll, without a limit of their sum or their time, kept them while requests waited for a slot, and read each executor's answer of up to 4 MiB at once. daemon limited headers alone.

Change: the callers' listener has a gate and is served by package serve. front reads bodies through the connection, waits for a slot with the body in the gate's budget, and counts the request as in progress once it has one. The largest waiting body is refused first, so that a crowd of large requests refuses no small ones. invoke reads an answer once there is memory for it; meanwhile, connections whose clients read nothing are closed. New settings MemoryMB, Descriptors, HeadersMs and BodyMs.

--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -86,11 +86,17 @@
 // gather plays the script as all clients at once and returns when each has sent what it can. The connections stay open until
 // the test ends.
 func gather(t *testing.T, s script) {
+	t.Helper()
+	gatherConns(t, s.play)
+}
+
+// gatherConns plays all clients at once; play returns the connection of one, nil if it made none.
+func gatherConns(t *testing.T, play func(number int) net.Conn) {
 	t.Helper()
 	conns := make([]net.Conn, clients)
 	var group sync.WaitGroup
 	for i := range conns {
-		group.Go(func() { conns[i] = s.play(i) })
+		group.Go(func() { conns[i] = play(i) })
 	}
 	group.Wait()
 	t.Cleanup(func() {
@@ -112,18 +118,8 @@
 func scripts(e *entry) map[string]script {
 	out := otherScripts(e)
 	for suffix, body := range map[string][]byte{"": largeBody(), "-one-task": paddedBody()} {
-		short, end := body[:len(body)-missingBytes], body[len(body)-missingBytes:]
-		streamed := submitHead("Transfer-Encoding: chunked")
-		lastChunk := append(chunked(end, missingBytes), "0\r\n\r\n"...)
-		out["whole"+suffix] = script{e.callers, sized, short, end, len(body)}
-		out["pieces"+suffix] = script{e.callers, sized, short, end, 2 << 10}
-		out["large-chunks"+suffix] = script{e.callers, streamed, chunked(short, 16<<10), lastChunk, 64 << 10}
-		out["small-chunks"+suffix] = script{e.callers, streamed, chunked(short, 4), lastChunk, 4 << 10}
+		bodyScripts(out, suffix, e.callers, body, submitHead)
 	}
-	// The server sends the interim response 100 (Continue) when it begins to read such a body.
-	expecting := submitHead(fmt.Sprintf("Expect: 100-continue\r\nContent-Length: %d", maxBodyBytes))
-	padded := paddedBody()
-	out["expect-one-task"] = script{e.callers, expecting, padded[:len(padded)-missingBytes], padded[len(padded)-missingBytes:], 2 << 10}
 	return out
 }
 
@@ -160,16 +156,14 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			e := startEntry(t)
-			idleKB, idleDescriptors := e.peakKB(t), e.descriptors(t)
+			before := e.usage(t)
 			gather(t, scripts(e)[name])
 			unread := e.unreadKB(t)
 			status, probe := e.submit("abcdef0123456789"), e.probe()
-			assert.Assert(t, e.lives(), "the entry has ended")
-			peak, descriptors := e.peakKB(t), e.descriptors(t)
-			t.Logf("peak %d KB (%d before) and %d KB unread, %d descriptors (%d before), job %d, probe %d",
-				peak, idleKB, unread, descriptors, idleDescriptors, status, probe)
-			assert.Check(t, peak+unread <= memoryMB<<10, "memory: %d KB and %d KB unread, at most %d MB", peak, unread, memoryMB)
-			assert.Check(t, descriptors <= maxFDs, "%d descriptors, at most %d", descriptors, maxFDs)
+			after := e.usage(t)
+			after.unreadKB = unread
+			t.Logf("%+v before, %+v after, job %d, probe %d", before, after, status, probe)
+			after.check(t, memoryMB, maxFDs)
 			assert.Check(t, status == http.StatusOK, "an ordinary job was answered %d", status)
 			assert.Check(t, probe == http.StatusOK, "a readiness probe was answered %d", probe)
 		})
--- a/crowd/entry_test.go
+++ b/crowd/entry_test.go
@@ -1,7 +1,6 @@
 package crowd
 
 import (
-	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -9,9 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -49,43 +46,33 @@
 	return m.Run()
 }
 
-// entry is a started entry.
+// entry is an entry that was started with the platform's settings.
 type entry struct {
-	process                 *os.Process
-	exited                  chan struct{}
+	*process
 	callers, ready, metrics string
 }
 
-// startEntry starts an entry and returns once it is ready.
+// startEntry starts an entry with a store of its own and returns once it is ready.
 func startEntry(t *testing.T) *entry {
+	t.Helper()
+	return startEntryOn(t, newStore(t, config))
+}
+
+// startEntryOn starts an entry with a store and returns once it is ready.
+func startEntryOn(t *testing.T, s *store) *entry {
 	t.Helper()
 	addresses := freeAddresses(t, 3)
-	e := &entry{callers: addresses[0], ready: addresses[1], metrics: addresses[2], exited: make(chan struct{})}
-	storeAddress := newStore(t, config)
+	e := &entry{callers: addresses[0], ready: addresses[1], metrics: addresses[2]}
 	settings := filepath.Join(t.TempDir(), "settings.yaml")
 	text := fmt.Sprintf("node_name: e1\nzone: a\nlisten: {front: %q, ready: %q, metrics: %q}\nlimits: {cpu_share: 0.8, memory_mb: %d, max_fds: %d}\n"+
 		// A configuration that is not confirmed in time, since the machine is busy, makes an entry answer 503 without any crowd.
 		"bounds: {config_apply_ms: 60000}\n"+
-		"platform: {address: %q}\ncloud: {address: %q}\n", e.callers, e.ready, e.metrics, memoryMB, maxFDs, storeAddress, storeAddress)
+		"platform: {address: %q}\ncloud: {address: %q}\n", e.callers, e.ready, e.metrics, memoryMB, maxFDs, s.address, s.address)
 	assert.NilError(t, os.WriteFile(settings, []byte(text), 0o600))
-	var out bytes.Buffer
 	cmd := exec.Command(program)
 	cmd.Env = append(os.Environ(), "WAXWINGCROFT_NODE_FILE="+settings)
-	cmd.Stdout, cmd.Stderr = &out, &out
-	assert.NilError(t, cmd.Start())
-	e.process = cmd.Process
-	go func() {
-		_ = cmd.Wait()
-		close(e.exited)
-	}()
-	t.Cleanup(func() { e.stop(t, &out) })
-	for e.probe() != http.StatusOK {
-		select {
-		case <-e.exited:
-			t.Fatalf("the entry ended: %s", out.String())
-		case <-time.After(100 * time.Millisecond):
-		}
-	}
+	e.process = startProcess(t, cmd, addresses)
+	e.await(t, func() bool { return e.probe() == http.StatusOK })
 	return e
 }
 
@@ -106,30 +93,6 @@
 	return addresses
 }
 
-// stop ends the entry; on a failure it shows the end of its output.
-func (e *entry) stop(t *testing.T, out *bytes.Buffer) {
-	_ = e.process.Signal(syscall.SIGTERM)
-	select {
-	case <-e.exited:
-	case <-time.After(20 * time.Second):
-		_ = e.process.Kill()
-		<-e.exited
-	}
-	if t.Failed() {
-		t.Logf("the entry's last output: %s", out.Bytes()[max(0, out.Len()-2000):])
-	}
-}
-
-// lives reports whether the process has not ended.
-func (e *entry) lives() bool {
-	select {
-	case <-e.exited:
-		return false
-	default:
-		return true
-	}
-}
-
 // probe returns the status of a readiness probe, zero without a response.
 func (e *entry) probe() int { return statusOf(http.MethodGet, e.ready, "/", "") }
 
@@ -138,13 +101,17 @@
 	return statusOf(http.MethodPost, e.callers, "/q/"+id, `{"spec":"s","steps":[{"count":1,"cpu":500,"mem_mb":64,"estimate_ms":100}]}`)
 }
 
-// statusOf sends a request on a connection of its own and returns the status, zero without a response.
-func statusOf(method, address, path, body string) int {
+// statusOf sends a request on a connection of its own, with a header if one is given by its name and value, and returns the status,
+// zero without a response.
+func statusOf(method, address, path, body string, header ...string) int {
 	r, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
 	if err != nil {
 		return 0
 	}
 	r.Host = "h"
+	if len(header) > 0 {
+		r.Header.Set(header[0], header[1])
+	}
 	client := http.Client{Timeout: time.Minute, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(r)
 	if err != nil {
@@ -154,52 +121,3 @@
 	_, _ = io.Copy(io.Discard, resp.Body)
 	return resp.StatusCode
 }
-
-// peakKB returns the largest resident size that the process has had, in KB.
-func (e *entry) peakKB(t *testing.T) int {
-	t.Helper()
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", e.process.Pid))
-	assert.NilError(t, err)
-	_, rest, found := strings.Cut(string(raw), "VmHWM:")
-	assert.Assert(t, found)
-	kb, err := strconv.Atoi(strings.Fields(rest)[0])
-	assert.NilError(t, err)
-	return kb
-}
-
-// unreadKB returns how much the kernel has received for the entry's listeners and the entry has not read, in KB.
-func (e *entry) unreadKB(t *testing.T) int {
-	t.Helper()
-	raw, err := os.ReadFile("/proc/net/tcp")
-	assert.NilError(t, err)
-	ports := map[string]bool{}
-	for _, address := range []string{e.callers, e.ready, e.metrics} {
-		_, port, err := net.SplitHostPort(address)
-		assert.NilError(t, err)
-		n, err := strconv.Atoi(port)
-		assert.NilError(t, err)
-		ports[fmt.Sprintf("%04X", n)] = true
-	}
-	total := 0
-	const localField, stateField, queueField, established = 1, 3, 4, "01"
-	for line := range strings.Lines(string(raw)) {
-		fields := strings.Fields(line)
-		_, port, _ := strings.Cut(fields[localField], ":")
-		if !ports[port] || fields[stateField] != established {
-			continue
-		}
-		_, received, _ := strings.Cut(fields[queueField], ":")
-		n, err := strconv.ParseInt(received, 16, 64)
-		assert.NilError(t, err)
-		total += int(n)
-	}
-	return total >> 10
-}
-
-// descriptors returns the number of the process's open descriptors.
-func (e *entry) descriptors(t *testing.T) int {
-	t.Helper()
-	names, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", e.process.Pid))
-	assert.NilError(t, err)
-	return len(names)
-}
--- a/crowd/store_test.go
+++ b/crowd/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -26,14 +27,16 @@
 
 // store is a stand-in of the platform's store that keeps its rows in memory.
 type store struct {
+	address string
+
 	mu      sync.Mutex
 	ver     uint64
 	rows    map[string]row
 	changed chan struct{}
 }
 
-// newStore starts a stand-in that has the configuration; it returns the address.
-func newStore(t *testing.T, config string) string {
+// newStore starts a stand-in that has the configuration.
+func newStore(t *testing.T, config string) *store {
 	s := &store{rows: map[string]row{}, changed: make(chan struct{})}
 	s.put(row{Table: "op", Key: "config", Value: []byte(config)})
 	mux := http.NewServeMux()
@@ -43,7 +46,25 @@
 	mux.HandleFunc("/-/rows-tx", s.commit)
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
-	return server.Listener.Addr().String()
+	s.address = server.Listener.Addr().String()
+	return s
+}
+
+// copyJob copies the rows of a job to other IDs, as if it had been submitted so often.
+func (s *store) copyJob(id string, ids []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range slices.Collect(maps.Values(s.rows)) {
+		if r.Key != id {
+			continue
+		}
+		for _, other := range ids {
+			r.Key = other
+			s.put(r)
+		}
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 // put writes a row as the next version; the caller holds the lock, or the store is not in use yet.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"waxwing.example/croft/conf"
 	"waxwing.example/croft/fleet"
 	"waxwing.example/croft/front"
+	"waxwing.example/croft/inflow"
 	"waxwing.example/croft/lease"
 	"waxwing.example/croft/links"
 	"waxwing.example/croft/logs"
@@ -27,6 +28,7 @@
 	"waxwing.example/croft/peer"
 	"waxwing.example/croft/plat"
 	"waxwing.example/croft/roster"
+	"waxwing.example/croft/serve"
 	"waxwing.example/croft/setup"
 	"waxwing.example/croft/state"
 )
@@ -50,6 +52,7 @@
 	loop          *loop
 	claims        *claim.Claimer
 	front         *front.Front
+	gates         gates
 	metrics       *metrics
 }
 
@@ -80,6 +83,7 @@
 		Address:    settings.Peers,
 	}
 	c.log = logs.New(output, settings.Log, c.clock)
+	c.gates = c.newGates()
 	c.platform = plat.New(plat.Options{
 		Address: "http://" + settings.PlatformAddress,
 		Dial:    c.platformMeter.Dial(c.network.Dial),
@@ -158,9 +162,21 @@
 
 // listen opens all listeners; if one of them fails, it closes the others.
 func (d *Daemon) listen() (listeners, error) {
+	var opened []net.Listener
+	open := func(address string, gate *inflow.Gate, track func(net.Listener) net.Listener) (net.Listener, error) {
+		l, err := inflow.Listen(address, gate.Limits())
+		if err != nil {
+			for _, other := range opened {
+				other.Close()
+			}
+			return nil, err
+		}
+		opened = append(opened, l)
+		return gate.Wrap(track(l)), nil
+	}
 	var l listeners
 	var err error
-	if l.callers, err = d.network.Listen("tcp", d.settings.Callers); err != nil {
+	if l.callers, err = open(d.settings.Callers, d.gates.callers, d.network.Track); err != nil {
 		return l, err
 	}
 	if l.operators, err = net.Listen("tcp", d.settings.Operators); err != nil {
@@ -170,9 +186,8 @@
 	if l.peers, err = d.network.Listen("tcp", d.settings.Peers); err != nil {
 		l.callers.Close()
 		l.operators.Close()
-		return l, err
 	}
-	return l, nil
+	return l, err
 }
 
 // addActor adds an actor to the group; its context is cancelled when the group stops.
@@ -211,16 +226,9 @@
 	d.addHTTP(g, l.operators, ops.NewHandler(backend{d.components}, d.opsOptions()))
 }
 
-// headerTimeout bounds the time that a client may take to send a request's headers.
-const headerTimeout = 10 * croft.Second
-
 // addHTTP adds an HTTP server that is shut down gracefully, within the StopMs setting.
 func (d *Daemon) addHTTP(g *run.Group, l net.Listener, h http.Handler) {
-	s := &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: headerTimeout.Duration(),
-		MaxHeaderBytes:    d.settings.Limits.HeaderBytes,
-	}
+	s := serve.New(h, d.headerLimits())
 	g.Add(func() error { return s.Serve(l) }, func(error) {
 		ctx, cancel := context.WithTimeout(context.Background(), d.settings.Timing.StopMs.Duration())
 		defer cancel()
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/alexflint/go-arg"
 
+	"waxwing.example/croft/memory"
 	"waxwing.example/croft/setup"
 )
 
@@ -39,6 +40,7 @@
 	if code != exitDone || settings == nil {
 		return code
 	}
+	memory.Limit(settings.Limits.MemoryMB)
 	d, err := New(*settings, stderr)
 	if err != nil {
 		fmt.Fprintln(stderr, "entry:", err)
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -17,9 +17,11 @@
 	// libraryLines counts lines that libraries printed through the standard log package.
 	libraryLines expvar.Int
 	root         *expvar.Map
+	// inflow has what clients hold open at each listener.
+	inflow *expvar.Map
 }
 
-func newMetrics() *metrics { return &metrics{root: new(expvar.Map)} }
+func newMetrics() *metrics { return &metrics{root: new(expvar.Map), inflow: new(expvar.Map)} }
 
 // publish adds the metrics of all components to the map that operators read.
 func (m *metrics) publish(c *components) {
@@ -33,6 +35,7 @@
 	control.Set("ProcessorMillis", expvar.Func(func() any { return processCPUMillis() }))
 	control.Set("MemoryBytes", expvar.Func(func() any { return processMemoryBytes() }))
 	m.root.Set("Control", control)
+	m.root.Set("Inflow", m.inflow)
 	m.root.Set("Peers", c.peerMeter.Vars())
 	m.root.Set("Platform", c.platformMeter.Vars())
 	m.root.Set("Log", c.log.Metrics())
--- a/daemon/options.go
+++ b/daemon/options.go
@@ -25,7 +25,10 @@
 		Poster:   c.loop,
 		Log:      c.log,
 		Policies: c.selectedPolicies(),
-		Limits:   front.Limits{BodyBytes: c.settings.Limits.BodyBytes, BalancerDelay: balancerWait},
+		Limits: front.Limits{
+			BodyBytes: c.settings.Limits.BodyBytes, BodyTimeout: c.settings.Timing.BodyMs, BalancerDelay: balancerWait,
+		},
+		Gate: c.gates.callers,
 	}
 }
 
--- a/front/attempt.go
+++ b/front/attempt.go
@@ -119,7 +119,7 @@
 func (r *activeRequest) send(ctx context.Context, e croft.Endpoint, id string) (croft.Reply, error) {
 	f := r.front
 	defer f.Policies.Picker.Release(e.VM)
-	reply, err := f.Executor.Run(ctx, e, croft.Attempt{ID: id, Request: r.Request})
+	reply, err := f.Executor.Run(ctx, e, croft.Attempt{ID: id, Request: r.Request, Reserve: r.reserveReply})
 	leaving := reply.Leaving
 	var refused *croft.RefusedError
 	if errors.As(err, &refused) {
--- a/front/front.go
+++ b/front/front.go
@@ -10,9 +10,11 @@
 
 	"waxwing.example/croft"
 	"waxwing.example/croft/admit"
+	"waxwing.example/croft/inflow"
 	"waxwing.example/croft/meter"
 	"waxwing.example/croft/retry"
 	"waxwing.example/croft/route"
+	"waxwing.example/croft/serve"
 )
 
 const (
@@ -23,16 +25,20 @@
 	countInterval = croft.Second
 	// defaultMaxBodyBytes is the default of Limits.BodyBytes.
 	defaultMaxBodyBytes = 1 << 20
+	// defaultBodyTimeout is the default of Limits.BodyTimeout.
+	defaultBodyTimeout = 30 * croft.Second
 	// defaultBalancerDelay is the default of Limits.BalancerDelay.
 	defaultBalancerDelay = 5 * croft.Second
 	// defaultRetryShare is the number of retries that each first attempt earns, in thousandths of a retry.
 	defaultRetryShare = 100
 )
 
-// Limits holds the size limit of requests and the delay of a planned stop; a zero field selects its default.
+// Limits holds the limits of requests and the delay of a planned stop; a zero field selects its default.
 type Limits struct {
 	// BodyBytes is the maximum size of a request body.
 	BodyBytes int64
+	// BodyTimeout is the time for a request body to arrive.
+	BodyTimeout croft.Millis
 	// BalancerDelay is how long a planned stop keeps serving after readiness fails, so that the load balancer can
 	// react; a negative value disables the delay.
 	BalancerDelay croft.Millis
@@ -49,7 +55,7 @@
 	Picker route.Picker
 }
 
-// Options holds the dependencies and settings of a Front; all but Policies and Limits are required.
+// Options holds the dependencies and settings of a Front; all but Policies, Limits and Gate are required.
 type Options struct {
 	Clock    croft.Clock
 	Viewer   croft.Viewer
@@ -59,6 +65,8 @@
 	Log      croft.DecisionLog
 	Policies Policies
 	Limits   Limits
+	// Gate limits the memory of requests and replies; it has to be that of the listener, nil for no limit.
+	Gate *inflow.Gate
 }
 
 // Front is the traffic path of an entry: the HTTP handlers for callers, with admission and load balancing.
@@ -82,6 +90,9 @@
 	if options.Limits.BodyBytes == 0 {
 		options.Limits.BodyBytes = defaultMaxBodyBytes
 	}
+	if options.Limits.BodyTimeout == 0 {
+		options.Limits.BodyTimeout = defaultBodyTimeout
+	}
 	if options.Limits.BalancerDelay == 0 {
 		options.Limits.BalancerDelay = defaultBalancerDelay
 	}
@@ -109,7 +120,7 @@
 }
 
 // Handler returns the callers' HTTP interface.
-func (f *Front) Handler() http.Handler { return f.router }
+func (f *Front) Handler() http.Handler { return serve.Requests(f.router, f.Limits.BodyTimeout) }
 
 // Meter returns the traffic meter of this front.
 func (f *Front) Meter() *meter.Meter { return f.meter }
--- a/front/parse.go
+++ b/front/parse.go
@@ -1,9 +1,7 @@
 package front
 
 import (
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 
@@ -70,21 +68,6 @@
 	return acceptedRequest{Request: request, pool: service.Pool}, nil
 }
 
-// readBody reads a request body up to the limit.
-func (f *Front) readBody(c *echo.Context) ([]byte, *Problem) {
-	bounded := http.MaxBytesReader(c.Response(), c.Request().Body, f.Limits.BodyBytes)
-	body, err := io.ReadAll(bounded)
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		detail := fmt.Sprintf("body is over %d bytes", f.Limits.BodyBytes)
-		return nil, invalidAtEntry(http.StatusRequestEntityTooLarge, "body", detail)
-	}
-	if err != nil {
-		return nil, invalidAtEntry(http.StatusBadRequest, "body", "body could not be read whole")
-	}
-	return body, nil
-}
-
 // parseRepeatable returns whether the request may run more than once. The header can forbid repetitions that the kind
 // allows, but not allow them if the kind does not.
 func parseRepeatable(r *http.Request, kind croft.Kind) (bool, *Problem) {
--- a/front/serve.go
+++ b/front/serve.go
@@ -12,6 +12,7 @@
 
 	"waxwing.example/croft"
 	"waxwing.example/croft/admit"
+	"waxwing.example/croft/inflow"
 	"waxwing.example/croft/meter"
 )
 
@@ -41,6 +42,7 @@
 		active.recordOutcome(problem.Outcome)
 		return problem.write(w)
 	}
+	defer active.releaseReply()
 	reply, problem := active.process(c.Request().Context())
 	if problem != nil {
 		active.recordOutcome(problem.Outcome)
@@ -71,6 +73,8 @@
 	retried int
 	// repeated is set if an earlier attempt held the claim.
 	repeated bool
+	// replyMemory releases the memory of the reply, nil if there is none.
+	replyMemory func()
 }
 
 // recordOutcome counts the request in the traffic meter.
@@ -125,13 +129,18 @@
 // holder of its claim can report that it did not run.
 func (r *activeRequest) process(ctx context.Context) (croft.Reply, *Problem) {
 	id := uuid.NewString()
+	waiting, done, ok := inflow.FromContext(ctx).Wait(ctx)
+	if !ok {
+		return croft.Reply{}, r.refuse("connection closed in favour of others", droppedProblem())
+	}
+	defer done()
 	if r.Repeatable {
-		return r.admitAndAttempt(ctx, id)
+		return r.admitAndAttempt(ctx, waiting, id)
 	}
 	if problem := r.claim(ctx, id); problem != nil {
 		return croft.Reply{}, problem
 	}
-	reply, problem := r.admitAndAttempt(ctx, id)
+	reply, problem := r.admitAndAttempt(ctx, waiting, id)
 	if problem != nil && problem.Outcome == croft.OutcomeNotRun {
 		r.release(ctx, id)
 		problem.RetryAfter = max(problem.RetryAfter, releaseRetryAfter)
@@ -139,19 +148,19 @@
 	return reply, problem
 }
 
-// admitAndAttempt waits for a slot, as long as the caller stays connected, and then makes attempts until the request
+// admitAndAttempt waits for a slot and for memory, as long as the caller stays connected and the waiting context has not ended, and then makes attempts until the request
 // has a result, whether or not the caller is still connected.
-func (r *activeRequest) admitAndAttempt(ctx context.Context, id string) (croft.Reply, *Problem) {
+func (r *activeRequest) admitAndAttempt(ctx, waiting context.Context, id string) (croft.Reply, *Problem) {
 	p, ok := r.front.pools.get(r.pool)
 	if !ok {
 		reason := fmt.Sprintf("pool %q is not declared", r.pool)
 		return croft.Reply{}, r.refuse(reason, notRunProblem("the service's pool is not declared", croft.Second))
 	}
-	pass, err := p.gate.Enter(ctx, r.Class, r.Deadline)
-	if err != nil {
-		return croft.Reply{}, r.admissionProblem(err)
+	leave, problem := r.enter(ctx, waiting, p)
+	if problem != nil {
+		return croft.Reply{}, problem
 	}
-	defer pass.Leave()
+	defer leave()
 	timeout := r.Deadline - r.front.Clock.Now()
 	// The attempt continues until it ends or its deadline passes, since the claim remains if the caller disconnects.
 	attemptCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout.Duration())
--- a/inflow/conn_test.go
+++ b/inflow/conn_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net"
+	"sync/atomic"
+	"syscall"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -46,3 +48,51 @@
 	_, err = l.Accept()
 	assert.ErrorIs(t, err, net.ErrClosed)
 }
+
+// failingListener fails to accept for lack of descriptors a number of times, and is closed then.
+type failingListener struct {
+	net.Listener
+	failures int
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures == 0 {
+		return nil, net.ErrClosed
+	}
+	l.failures--
+	return nil, syscall.EMFILE
+}
+
+// Guards against an entry that ends for lack of descriptors: the server of other entries returned the error of its listener.
+func TestAcceptTriesAgain(t *testing.T) {
+	failed := 0
+	gate := NewGate(Options{Clock: clock.NewSystem(), Log: discardLog{}, Count: func(reason Reason) {
+		if reason == ReasonAccept {
+			failed++
+		}
+	}})
+	_, err := gate.Wrap(&failingListener{failures: 3}).Accept()
+	assert.ErrorIs(t, err, net.ErrClosed)
+	assert.Equal(t, failed, 3)
+}
+
+// Guards against responses that wait for ever for the memory of others whose clients read nothing.
+func TestRespondClosesConnectionsThatReadNothing(t *testing.T) {
+	gate := NewGate(Options{
+		Limits: Limits{Connections: 10, ResponseBytes: 100}, Clock: clock.NewSystem(), Log: discardLog{}, Count: func(Reason) {},
+	})
+	server, client := net.Pipe()
+	defer client.Close()
+	c := &Conn{Conn: server, gate: gate}
+	assert.Assert(t, gate.open(c, new(atomic.Bool)))
+	assert.Assert(t, c.Begin(false))
+	release, err := gate.Respond(t.Context(), 100)
+	assert.NilError(t, err)
+	go func() {
+		defer release()
+		_, _ = c.Write([]byte("the client reads nothing of this"))
+	}()
+	release, err = gate.Respond(t.Context(), 1000)
+	assert.NilError(t, err, "a response that is larger than the limit takes all of it")
+	release()
+}
--- a/inflow/gate.go
+++ b/inflow/gate.go
@@ -54,6 +54,9 @@
 	}
 }
 
+// Limits returns the limits of the gate.
+func (g *Gate) Limits() Limits { return g.options.Limits }
+
 // open adds a connection as soon as there is room for it, and closes the one that it replaces. It returns false if the listener is
 // closed before.
 func (g *Gate) open(c *Conn, closed *atomic.Bool) bool {
--- a/inflow/table_test.go
+++ b/inflow/table_test.go
@@ -187,3 +187,61 @@
 	assert.Assert(t, memory <= 184<<20*4/10, "%d", memory)
 	assert.Equal(t, SubmissionLimits(0, 0), limits)
 }
+
+// Guards against requests that wait for a slot and hold all connections: new clients could not connect until their deadlines.
+func TestOpenRefusesTheOldestWaitingRequest(t *testing.T) {
+	table := NewTable(Limits{Connections: 2, ReceivedBytes: 100})
+	for id := ID(1); id <= 2; id++ {
+		open(t, table, 0, id)
+		assert.Assert(t, table.Begin(id, false, 0))
+		assert.Assert(t, table.Wait(id, croft.Millis(id)))
+	}
+	assert.DeepEqual(t, table.Open(3, minStalled), Opening{Wait: maxWait})
+	opening := table.Open(3, minStalled+1)
+	assert.Assert(t, opening.Refused && opening.Wait > 0)
+	assert.Equal(t, opening.Refuse, ID(1))
+	table.Idle(1, minStalled+1)
+	opening = table.Open(3, minStalled+1+minUnfinished)
+	assert.Assert(t, opening.Dropped)
+	assert.Equal(t, opening.Drop, ID(1), "its request has been answered")
+}
+
+// Guards against a crowd of large requests that wait, at whose cost small ones were refused.
+func TestReceiveRefusesTheLargestWaitingBody(t *testing.T) {
+	table := NewTable(Limits{Connections: 10, ReceivedBytes: 100})
+	for id, bytes := range []int64{10, 60, 20} {
+		receive(t, table, ID(id+1), bytes)
+		assert.Assert(t, table.Wait(ID(id+1), 0))
+	}
+	assert.DeepEqual(t, receive(t, table, 4, 30), Drops{Refuse: []ID{2}})
+}
+
+// Guards against connections of other entries that are closed in favour of strangers', and strangers' that stay.
+func TestTrustedConnectionsAreKept(t *testing.T) {
+	table := NewTable(Limits{Connections: 2})
+	open(t, table, 0, 1)
+	assert.Assert(t, table.Trust(1))
+	table.Send(1, 0)
+	open(t, table, 0, 2)
+	table.Send(2, 0)
+	opening := table.Open(3, croft.Hour)
+	assert.Assert(t, opening.Dropped)
+	assert.Equal(t, opening.Drop, ID(2), "sending a challenge is no response")
+	assert.Assert(t, !table.Trust(2))
+}
+
+// Guards against clients that do not read their responses and hold the memory for those of others.
+func TestDropStalledTakesTheClientThatReadsNothing(t *testing.T) {
+	table := NewTable(Limits{Connections: 10})
+	for id := ID(1); id <= 2; id++ {
+		open(t, table, 0, id)
+		assert.Assert(t, table.Begin(id, false, 0))
+		table.Send(id, 0)
+	}
+	table.Send(1, minStalled)
+	id, ok := table.DropStalled(minStalled)
+	assert.Assert(t, ok)
+	assert.Equal(t, id, ID(2))
+	_, ok = table.DropStalled(minStalled)
+	assert.Assert(t, !ok, "the other one has read a part")
+}
--- a/invoke/client.go
+++ b/invoke/client.go
@@ -134,7 +134,7 @@
 	if err != nil {
 		return croft.Reply{}, true, &croft.RefusedError{Reason: err.Error()}
 	}
-	reply, err := c.exchange(conn, request, attempt.ID)
+	reply, err := c.exchange(conn, request, attempt)
 	if err == nil {
 		return reply, true, nil
 	}
@@ -178,11 +178,11 @@
 }
 
 // exchange sends the request on a connection and reads the verified reply.
-func (c *Client) exchange(conn *exclusiveConn, request *http.Request, id string) (croft.Reply, error) {
+func (c *Client) exchange(conn *exclusiveConn, request *http.Request, attempt croft.Attempt) (croft.Reply, error) {
 	response, err := conn.transport.RoundTrip(request)
 	if err != nil {
 		return croft.Reply{}, err
 	}
 	defer response.Body.Close()
-	return c.readReply(response, id)
+	return c.readReply(request.Context(), response, attempt)
 }
--- a/invoke/fuzz_test.go
+++ b/invoke/fuzz_test.go
@@ -23,7 +23,7 @@
 		outcome := response.Header.Get(HeaderOutcome)
 		digest := sha256Member(response.Header.Get(HeaderDigest))
 		client := New(Options{MaxBodyBytes: 64})
-		reply, err := client.readReply(response, id)
+		reply, err := client.readReply(t.Context(), response, croft.Attempt{ID: id})
 		own := len(echoed) == 1 && echoed[0] == id
 		if _, refused := err.(*croft.RefusedError); refused && (!own || outcome != OutcomeNotRun) { //nolint:errorlint // a refusal with an invalid body is wrapped, and not checked here
 			t.Fatalf("reported as not run without the executor's refusal: %q", sent)
--- a/invoke/reply.go
+++ b/invoke/reply.go
@@ -1,6 +1,7 @@
 package invoke
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -37,9 +38,9 @@
 
 // readReply reads and verifies a response. It returns the complete reply if it is the attempt's own, a
 // *croft.RefusedError if the executor reports that the attempt did not run, or the error of an invalid response.
-func (c *Client) readReply(response *http.Response, id string) (croft.Reply, error) {
+func (c *Client) readReply(ctx context.Context, response *http.Response, attempt croft.Attempt) (croft.Reply, error) {
 	header := response.Header
-	if echoed := header.Values(HeaderAttempt); len(echoed) != 1 || echoed[0] != id {
+	if echoed := header.Values(HeaderAttempt); len(echoed) != 1 || echoed[0] != attempt.ID {
 		return croft.Reply{}, ErrWrongAttempt
 	}
 	if response.StatusCode < http.StatusOK {
@@ -50,7 +51,7 @@
 		return croft.Reply{}, ErrNoLength
 	}
 	leaving := header.Get(HeaderLeaving) == LeavingTrue
-	body, err := c.readBody(response.Body, digest)
+	body, err := c.readBody(ctx, response, digest, attempt)
 	if header.Get(HeaderOutcome) == OutcomeNotRun {
 		// The header alone says that the attempt did not run; an invalid body does not change that.
 		if err != nil {
@@ -78,8 +79,8 @@
 }
 
 // readBody reads a body and verifies its digest, if there is one.
-func (c *Client) readBody(from io.Reader, digest string) ([]byte, error) {
-	body, err := readBounded(from, c.maxBodyBytes)
+func (c *Client) readBody(ctx context.Context, response *http.Response, digest string, attempt croft.Attempt) ([]byte, error) {
+	body, err := readBounded(ctx, response, c.maxBodyBytes, attempt)
 	if err != nil {
 		return nil, err
 	}
@@ -89,9 +90,29 @@
 	return body, nil
 }
 
-// readBounded reads a body of limited size.
-func readBounded(from io.Reader, maxBytes int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(from, maxBytes+1))
+// readBounded reads a body of limited size once the attempt has reserved the memory for it.
+func readBounded(ctx context.Context, response *http.Response, maxBytes int64, attempt croft.Attempt) ([]byte, error) {
+	size := response.ContentLength
+	if size > maxBytes {
+		return nil, ErrTooLong
+	}
+	if size < 0 {
+		// io.ReadAll copies its buffer when it grows.
+		size = 2 * maxBytes
+	}
+	if attempt.Reserve != nil {
+		if err := attempt.Reserve(ctx, size); err != nil {
+			return nil, fmt.Errorf("reading an answer: %w", err)
+		}
+	}
+	var body []byte
+	var err error
+	if response.ContentLength >= 0 {
+		body = make([]byte, size)
+		_, err = io.ReadFull(response.Body, body)
+	} else {
+		body, err = io.ReadAll(io.LimitReader(response.Body, maxBytes+1))
+	}
 	if err != nil {
 		return nil, fmt.Errorf("reading an answer: %w", err)
 	}
--- a/invoke/trusted.go
+++ b/invoke/trusted.go
@@ -63,7 +63,7 @@
 	if response.Header.Get(HeaderOutcome) == OutcomeNotRun {
 		return croft.Reply{}, newRefusal(response.Header, leaving)
 	}
-	body, err := readBounded(response.Body, t.maxBodyBytes)
+	body, err := readBounded(ctx, response, t.maxBodyBytes, attempt)
 	if err != nil {
 		return croft.Reply{}, err
 	}
--- a/links/conn.go
+++ b/links/conn.go
@@ -159,6 +159,17 @@
 	return c.Conn.Close()
 }
 
+// CloseWrite closes the sending half, unless the connection is partitioned or has none.
+func (c *conn) CloseWrite() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || c.partitioned {
+		return nil
+	}
+	return half.CloseWrite()
+}
+
 // SetDeadline sets both deadlines.
 func (c *conn) SetDeadline(t time.Time) error {
 	c.setDeadline(&c.readDeadline, t)
--- a/links/network.go
+++ b/links/network.go
@@ -134,9 +134,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("links: %w", err)
 	}
-	return &listener{Listener: l, network: n}, nil
+	return n.Track(l), nil
 }
 
+// Track returns a listener of another one's connections; those from partitioned prefixes hang, and are closed when the partition is
+// healed.
+func (n *Network) Track(l net.Listener) net.Listener { return &listener{Listener: l, network: n} }
+
 // listener accepts connections and tracks them in its network.
 type listener struct {
 	net.Listener
--- a/request.go
+++ b/request.go
@@ -40,6 +40,8 @@
 	// ID is unique to the attempt; the executor echoes it.
 	ID      string
 	Request Request
+	// Reserve waits for the memory of a reply of some size, before it is read; nil reserves nothing.
+	Reserve func(ctx context.Context, bytes int64) error
 }
 
 // Reply is an executor's complete answer to an attempt.
--- a/setup/entry.go
+++ b/setup/entry.go
@@ -32,6 +32,8 @@
 	AnswerBytes            int64 `validate:"min=1,max=67108864" doc:"Maximum size of the body of an executor's answer, in bytes; the outcome of a request with a larger answer is unknown."`
 	HeaderBytes            int   `validate:"min=1024,max=1048576" doc:"Maximum size of the headers of a request, in bytes."`
 	OperatorBytes          int64 `validate:"min=1024,max=67108864" doc:"Maximum size of a body on the address for operators, in bytes."`
+	MemoryMB               int64 `validate:"min=64,max=1048576" doc:"Memory of the process, in megabytes; the limits on connections, bodies and answers that are open at once follow from it."`
+	Descriptors            int64 `validate:"min=0,max=1048576" doc:"Maximum number of open descriptors, from which the limits on connections follow; zero takes the limit of the process."`
 	ConnectionsPerExecutor int   `validate:"min=1,max=1024" doc:"Maximum number of connections from this entry to one executor; an attempt is not sent if none is free."`
 }
 
@@ -42,6 +44,8 @@
 	ProbeTimeoutMs croft.Millis `validate:"min=10,max=60000" doc:"Timeout of one heartbeat, in milliseconds."`
 	PollMs         croft.Millis `validate:"min=50,max=60000" doc:"Interval between reads of the platform's VM list and table, in milliseconds."`
 	PlatformMs     croft.Millis `validate:"min=10,max=60000" doc:"Timeout of one call to the platform, in milliseconds."`
+	HeadersMs      croft.Millis `validate:"min=10,max=600000" doc:"Time for the headers of a request to arrive, and for the next request on a connection, in milliseconds."`
+	BodyMs         croft.Millis `validate:"min=10,max=600000" doc:"Time for the body of a request to arrive, in milliseconds."`
 	StopWaitMs     croft.Millis `validate:"min=0,max=600000" doc:"Time at a planned stop between reporting not ready and refusing requests, in milliseconds."`
 	StopMs         croft.Millis `validate:"max=3600000,gtfield=StopWaitMs" doc:"Timeout of a planned stop, in milliseconds."`
 }
@@ -95,6 +99,7 @@
 		AnswerBytes:            4 << 20,
 		HeaderBytes:            16 << 10,
 		OperatorBytes:          4 << 20,
+		MemoryMB:               256,
 		ConnectionsPerExecutor: 60,
 	}
 }
@@ -106,6 +111,8 @@
 		ProbeTimeoutMs: 500,
 		PollMs:         croft.Second,
 		PlatformMs:     croft.Second,
+		HeadersMs:      10 * croft.Second,
+		BodyMs:         30 * croft.Second,
 		StopWaitMs:     2 * croft.Second,
 		StopMs:         30 * croft.Second,
 	}
