ops: operators' requests are limited in size, memory and connections

What operators saw: 400 clients with the token and bodies of 4 MiB took an entry to 5 GB and more.

Cause: ops/server.go read bodies whole, many at a time, and decoded them at once; a list of a million names of one letter needs some 200 bytes for each byte while it is decoded. Nothing limited connections.

Change: the operators' listener has a gate. Bodies are received through the connection and decoded as far as the memory allows, large ones one at a time; package setup decodes no file with more than 40,000 fields, list elements and lines, and reports at most 1,000 problems. GET requests wait for memory of responses, and connections whose clients read nothing are closed for them. A dropped request is answered 503.

--- a/crowd/settings_test.go
+++ b/crowd/settings_test.go
@@ -278,6 +278,8 @@
 // ownNames are the names of the crowds at an entry with its own settings.
 var ownNames = []string{
 	"whole", "pieces", "large-chunks", "small-chunks", "expect", "headers", "idle", "unknown-service", "ready-bodies", "queued", "no-reading",
+	"whole-operators", "pieces-operators", "large-chunks-operators", "small-chunks-operators", "expect-operators",
+	"headers-operators", "idle-operators", "denied-operators", "reading-operators",
 }
 
 // playOwn plays a crowd at the entry.
@@ -317,7 +319,7 @@
 // Guards against clients that take the descriptors of an entry with its own settings: the process ended, since the listener for
 // other entries failed.
 func TestEntryWithOwnSettingsStandsConnections(t *testing.T) {
-	for _, name := range []string{"idle", "headers", "no-reading"} {
+	for _, name := range []string{"idle", "headers", "no-reading", "idle-operators"} {
 		t.Run(name, func(t *testing.T) {
 			e := startOwnEntry(t, ownMaxFDs)
 			playOwn(t, e, name)
@@ -336,4 +338,8 @@
 	assert.Equal(t, statusOf(http.MethodPost, e.callers, "/v1/intake/reading", body), http.StatusOK)
 	assert.Equal(t, statusOf(http.MethodPost, e.callers, "/v1/intake/reading", body, "Content-Type", typeLarge), http.StatusOK)
 	assert.Equal(t, statusOf(http.MethodPost, e.callers, "/v1/intake/reading", body+"r"), http.StatusRequestEntityTooLarge)
+	text := `{"IDs": ["a"]}`
+	text += strings.Repeat(" ", ownOperatorBytes-len(text))
+	assert.Equal(t, e.operate(http.MethodPost, "/v1/jobs/cancel", text), http.StatusConflict, "there is no such job")
+	assert.Equal(t, e.operate(http.MethodPost, "/v1/jobs/cancel", text+" "), http.StatusRequestEntityTooLarge)
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -174,13 +174,13 @@
 		opened = append(opened, l)
 		return gate.Wrap(track(l)), nil
 	}
+	untracked := func(l net.Listener) net.Listener { return l }
 	var l listeners
 	var err error
 	if l.callers, err = open(d.settings.Callers, d.gates.callers, d.network.Track); err != nil {
 		return l, err
 	}
-	if l.operators, err = net.Listen("tcp", d.settings.Operators); err != nil {
-		l.callers.Close()
+	if l.operators, err = open(d.settings.Operators, d.gates.operators, untracked); err != nil {
 		return l, err
 	}
 	if l.peers, err = d.network.Listen("tcp", d.settings.Peers); err != nil {
--- a/daemon/gates.go
+++ b/daemon/gates.go
@@ -9,7 +9,7 @@
 )
 
 // gates limit what clients hold open at each listener.
-type gates struct{ callers *inflow.Gate }
+type gates struct{ callers, operators *inflow.Gate }
 
 // newGates returns the gates of the settings, and publishes the metrics of each by the name of its listener.
 func (c *components) newGates() gates {
@@ -35,7 +35,10 @@
 		})
 	}
 	memoryMB := c.settings.Limits.MemoryMB
-	return gates{callers: gate("Callers", inflow.ForwardLimits(memoryMB, descriptors))}
+	return gates{
+		callers:   gate("Callers", inflow.ForwardLimits(memoryMB, descriptors)),
+		operators: gate("Operators", inflow.TrustedLimits(memoryMB, descriptors)),
+	}
 }
 
 // processDescriptors returns the maximum number of open descriptors of the process, zero if it is not known.
--- a/daemon/options.go
+++ b/daemon/options.go
@@ -71,8 +71,10 @@
 // opsOptions converts the settings to the options of the server for operators.
 func (c *components) opsOptions() ops.Options {
 	return ops.Options{
-		Token:     c.settings.OperatorToken,
-		BodyBytes: c.settings.Limits.OperatorBytes,
-		Metrics:   c.metrics.root,
+		Token:       c.settings.OperatorToken,
+		BodyBytes:   c.settings.Limits.OperatorBytes,
+		BodyTimeout: c.settings.Timing.BodyMs,
+		Gate:        c.gates.operators,
+		Metrics:     c.metrics.root,
 	}
 }
--- a/ops/errors.go
+++ b/ops/errors.go
@@ -41,7 +41,7 @@
 	return e.Winner
 }
 
-// UnavailableError is returned if nothing was done because the platform is unreachable.
+// UnavailableError is returned if nothing was done because the platform is unreachable or the entry has no memory for the request.
 type UnavailableError struct{ Reason string }
 
 // Error returns the reason.
--- a/ops/server.go
+++ b/ops/server.go
@@ -5,7 +5,6 @@
 	"crypto/subtle"
 	"errors"
 	"expvar"
-	"io"
 	"net/http"
 	"strings"
 
@@ -13,6 +12,8 @@
 	"github.com/labstack/echo/v5/middleware"
 
 	"waxwing.example/croft"
+	"waxwing.example/croft/inflow"
+	"waxwing.example/croft/serve"
 	"waxwing.example/croft/setup"
 )
 
@@ -20,18 +21,21 @@
 type Options struct {
 	// Token is the bearer token that each request must carry.
 	Token string
-	// BodyBytes is the size limit of a request's body.
-	BodyBytes int64
+	// BodyBytes is the size limit of a request's body, BodyTimeout the time for it to arrive, zero for no limit.
+	BodyBytes   int64
+	BodyTimeout croft.Millis
+	// Gate limits the memory of requests and responses; it has to be that of the listener, nil for no limit.
+	Gate *inflow.Gate
 	// Metrics are those of the entry itself, nil for none.
 	Metrics expvar.Var
 }
 
 // NewHandler returns the handler of the operators' API; every route requires the token.
 func NewHandler(backend Backend, options Options) http.Handler {
-	s := &server{backend: backend, tokenHash: sha256.Sum256([]byte(options.Token)), metrics: options.Metrics}
+	s := &server{Options: options, backend: backend, tokenHash: sha256.Sum256([]byte(options.Token))}
 	e := echo.New()
 	e.HTTPErrorHandler = writeProblem
-	e.Use(middleware.Recover(), s.authorize, middleware.BodyLimit(options.BodyBytes))
+	e.Use(middleware.Recover(), s.authorize, s.limitMemory)
 	e.GET("/v1/status", serveJSON(func() Status { return backend.Status() }))
 	e.GET("/v1/config", serveJSON(backend.Config))
 	e.GET("/v1/pools", serveJSON(func() []PoolLine { return nonNil(backend.Pools()) }))
@@ -47,14 +51,14 @@
 	e.POST("/v1/jobs/cancel", s.cancel)
 	e.POST("/v1/faults/cut", s.cut)
 	e.POST("/v1/faults/heal", s.heal)
-	return e
+	return serve.Requests(e, options.BodyTimeout)
 }
 
 type server struct {
+	Options
 	backend Backend
 	// tokenHash is the SHA-256 of the token.
 	tokenHash [sha256.Size]byte
-	metrics   expvar.Var
 }
 
 // authorize rejects requests without the token. It compares hashes in constant time, so that the response time reveals
@@ -84,15 +88,6 @@
 	return lines
 }
 
-// decodeBody decodes the request's body and checks it by its fields' validate tags.
-func decodeBody(c *echo.Context, target any) error {
-	body, err := io.ReadAll(c.Request().Body)
-	if err != nil {
-		return err
-	}
-	return toInvalidError(setup.Decode("body", body, target))
-}
-
 // toInvalidError converts a *setup.InvalidError to this package's error and returns any other unchanged.
 func toInvalidError(err error) error {
 	var settingsErr *setup.InvalidError
--- a/ops/vars.go
+++ b/ops/vars.go
@@ -16,8 +16,8 @@
 func (s *server) serveVars(c *echo.Context) error {
 	metrics := map[string]json.RawMessage{}
 	expvar.Do(func(v expvar.KeyValue) { metrics[v.Key] = json.RawMessage(v.Value.String()) })
-	if s.metrics != nil {
-		metrics[VarsEntry] = json.RawMessage(s.metrics.String())
+	if s.Metrics != nil {
+		metrics[VarsEntry] = json.RawMessage(s.Metrics.String())
 	}
 	return c.JSON(http.StatusOK, metrics)
 }
--- a/setup/decode.go
+++ b/setup/decode.go
@@ -1,6 +1,7 @@
 package setup
 
 import (
+	"bytes"
 	"fmt"
 	"reflect"
 	"regexp"
@@ -14,8 +15,15 @@
 // MaxFileBytes is the size limit of a settings file, in bytes.
 const MaxFileBytes = 4 << 20
 
-// maxDepth is the limit on nested brackets in a settings file.
-const maxDepth = 64
+// Limits on what a settings file needs in memory once it is decoded.
+const (
+	// maxDepth is the limit on nested brackets.
+	maxDepth = 64
+	// maxItems is the limit on the fields and list elements, counted by their separators, and on the lines.
+	maxItems = 40_000
+	// maxProblems is the limit on the problems that are reported.
+	maxProblems = 1000
+)
 
 // Decode reads JSON with comments into a struct that holds the defaults and checks it by its validate tags; it
 // returns an *InvalidError that lists every fault, including unknown and duplicate fields.
@@ -56,11 +64,10 @@
 
 func newDecoder(name string, body []byte) *decoder {
 	return &decoder{
-		file:       name,
-		body:       body,
-		lineBreaks: findLineBreaks(body),
-		lines:      Lines{"": 1},
-		mistyped:   map[string]bool{},
+		file:     name,
+		body:     body,
+		lines:    Lines{"": 1},
+		mistyped: map[string]bool{},
 	}
 }
 
@@ -79,7 +86,9 @@
 
 func (d *decoder) addProblem(line int, field, format string, args ...any) {
 	text := fmt.Sprintf(format, args...)
-	d.problems = append(d.problems, Problem{File: d.file, Line: line, Field: field, Text: text})
+	if len(d.problems) < maxProblems {
+		d.problems = append(d.problems, Problem{File: d.file, Line: line, Field: field, Text: text})
+	}
 }
 
 // parse decodes the file into target; it returns false if the file is not JSON or exceeds the limits on size or depth.
@@ -88,6 +97,11 @@
 		d.addProblem(0, "", "the file has %d bytes, more than %d", len(d.body), MaxFileBytes)
 		return false
 	}
+	if items := countItems(d.body); items > maxItems {
+		d.addProblem(0, "", "the file has %d fields, list elements and lines, more than %d", items, maxItems)
+		return false
+	}
+	d.lineBreaks = findLineBreaks(d.body)
 	if maxBracketDepth(d.body) > maxDepth {
 		d.addProblem(0, "", "nested deeper than %d", maxDepth)
 		return false
@@ -115,6 +129,16 @@
 	return line, "column " + parts[2] + ": " + parts[3]
 }
 
+// countItems returns an upper bound of the number of fields, list elements and lines; separators in strings and comments are counted
+// too.
+func countItems(body []byte) int {
+	items := 0
+	for _, separator := range []string{"\n", ",", ":", "[", "{", "/*", "//"} {
+		items += bytes.Count(body, []byte(separator))
+	}
+	return items
+}
+
 // maxBracketDepth returns an upper bound of the nesting depth, so that deep input never reaches the recursive parser;
 // brackets in strings and comments are counted too.
 func maxBracketDepth(body []byte) int {
--- a/setup/setup_test.go
+++ b/setup/setup_test.go
@@ -105,3 +105,17 @@
 		assert.Equal(t, string(rewritten), string(written))
 	})
 }
+
+// Guards against files that need far more memory than their size once they are decoded.
+func TestFileWithTooManyItemsIsNotDecoded(t *testing.T) {
+	var into struct{ Names []string }
+	list := func(count int) []byte { return []byte(`{"Names": [` + strings.Repeat(`"a",`, count-1) + `"a"]}`) }
+	const around = 4
+	assert.NilError(t, Decode("f", list(maxItems-around), &into))
+	assert.Equal(t, len(into.Names), maxItems-around)
+	for _, body := range [][]byte{list(maxItems), []byte("{" + strings.Repeat("\n", maxItems) + "}")} {
+		var invalid *InvalidError
+		assert.Assert(t, errors.As(Decode("f", body, &into), &invalid))
+		assert.Equal(t, len(invalid.Problems), 1)
+	}
+}
