peer: other entries' messages and connections are limited, and a failed accept no longer ends the entry

What callers saw: an entry with its own settings ended while 400 clients held connections to its address for other entries and its descriptors were used up; and it grew without bound under peers' messages.

Cause: Serve returned the first error of Accept, such as one for lack of descriptors, which ended the run group and so the process. Connections were not counted, before the handshake or after it. The length of a message was not limited, and requests were handled concurrently without limit, also for peers that read no responses.

Change: the listener has a gate: a connection may be closed for another one until it has proved the key, and a failed accept is tried again. A request has at most 1 MiB, is read once there is memory for it, within 5 s, and holds that memory until it has been handled; a response has at most 32 MiB.

--- a/crowd/settings_test.go
+++ b/crowd/settings_test.go
@@ -280,6 +280,7 @@
 	"whole", "pieces", "large-chunks", "small-chunks", "expect", "headers", "idle", "unknown-service", "ready-bodies", "queued", "no-reading",
 	"whole-operators", "pieces-operators", "large-chunks-operators", "small-chunks-operators", "expect-operators",
 	"headers-operators", "idle-operators", "denied-operators", "reading-operators",
+	"idle-peers", "denied-peers", "messages-peers", "reading-peers",
 }
 
 // playOwn plays a crowd at the entry.
@@ -319,7 +320,7 @@
 // Guards against clients that take the descriptors of an entry with its own settings: the process ended, since the listener for
 // other entries failed.
 func TestEntryWithOwnSettingsStandsConnections(t *testing.T) {
-	for _, name := range []string{"idle", "headers", "no-reading", "idle-operators"} {
+	for _, name := range []string{"idle", "headers", "no-reading", "idle-operators", "idle-peers", "messages-peers"} {
 		t.Run(name, func(t *testing.T) {
 			e := startOwnEntry(t, ownMaxFDs)
 			playOwn(t, e, name)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -183,10 +183,7 @@
 	if l.operators, err = open(d.settings.Operators, d.gates.operators, untracked); err != nil {
 		return l, err
 	}
-	if l.peers, err = d.network.Listen("tcp", d.settings.Peers); err != nil {
-		l.callers.Close()
-		l.operators.Close()
-	}
+	l.peers, err = open(d.settings.Peers, d.gates.peers, d.network.Track)
 	return l, err
 }
 
@@ -214,7 +211,7 @@
 
 // addServers adds the servers for other entries, callers and operators.
 func (d *Daemon) addServers(g *run.Group, l listeners) {
-	peers := peer.NewServer([]byte(d.settings.PeerKey), d.handlers(), d.peerMeter)
+	peers := peer.NewServer([]byte(d.settings.PeerKey), d.handlers(), d.peerMeter, d.gates.peers)
 	addActor(g, func(ctx context.Context) error {
 		go func() {
 			<-ctx.Done()
--- a/daemon/gates.go
+++ b/daemon/gates.go
@@ -9,7 +9,7 @@
 )
 
 // gates limit what clients hold open at each listener.
-type gates struct{ callers, operators *inflow.Gate }
+type gates struct{ callers, operators, peers *inflow.Gate }
 
 // newGates returns the gates of the settings, and publishes the metrics of each by the name of its listener.
 func (c *components) newGates() gates {
@@ -35,9 +35,11 @@
 		})
 	}
 	memoryMB := c.settings.Limits.MemoryMB
+	trusted := inflow.TrustedLimits(memoryMB, descriptors)
 	return gates{
 		callers:   gate("Callers", inflow.ForwardLimits(memoryMB, descriptors)),
-		operators: gate("Operators", inflow.TrustedLimits(memoryMB, descriptors)),
+		operators: gate("Operators", trusted),
+		peers:     gate("Peers", trusted),
 	}
 }
 
--- a/links/halfopen_test.go
+++ b/links/halfopen_test.go
@@ -108,7 +108,7 @@
 	l, err := links.New(remoteAddr).Listen("tcp", "127.2.0.6:0")
 	assert.NilError(t, err)
 	defer l.Close()
-	server := peer.NewServer(key, map[string]peer.Handler{"Echo": echo}, links.NewMeter())
+	server := peer.NewServer(key, map[string]peer.Handler{"Echo": echo}, links.NewMeter(), nil)
 	go func() { _ = server.Serve(t.Context(), l) }()
 	local := links.New(netip.MustParseAddr("127.1.0.6"))
 	var dials atomic.Int64
--- a/peer/client.go
+++ b/peer/client.go
@@ -122,7 +122,7 @@
 		netConn.Close()
 		return nil, err
 	}
-	stream := jsonrpc2.NewBufferedStream(metered, jsonrpc2.VarintObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(metered, &limitedCodec{conn: metered, maxBytes: maxResponseBytes})
 	// The connection outlives the call that opened it, and so must not end with its context.
 	return jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, ignoreRequests{}, withoutLog()), nil
 }
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -24,7 +24,7 @@
 			r.From.ID += "-echoed"
 			return r, err
 		},
-	}, links.NewMeter())
+	}, links.NewMeter(), nil)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/peer/server.go
+++ b/peer/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/sourcegraph/jsonrpc2"
 
+	"waxwing.example/croft/inflow"
 	"waxwing.example/croft/links"
 )
 
@@ -20,6 +21,7 @@
 	key      []byte
 	handlers map[string]Handler
 	meter    *links.Meter
+	gate     *inflow.Gate
 	// refused counts connections whose handshake failed.
 	refused expvar.Int
 	// mu guards conns.
@@ -27,12 +29,14 @@
 	conns map[*jsonrpc2.Conn]struct{}
 }
 
-// NewServer returns a server with a handler for each method; it serves only clients that hold the key.
-func NewServer(key []byte, handlers map[string]Handler, meter *links.Meter) *Server {
+// NewServer returns a server with a handler for each method; it serves only clients that hold the key. The gate limits the memory of
+// their messages; it has to be that of the listener, nil for no limit.
+func NewServer(key []byte, handlers map[string]Handler, meter *links.Meter, gate *inflow.Gate) *Server {
 	return &Server{
 		key:      key,
 		handlers: handlers,
 		meter:    meter,
+		gate:     gate,
 		conns:    map[*jsonrpc2.Conn]struct{}{},
 	}
 }
@@ -49,20 +53,22 @@
 		if err != nil {
 			return err
 		}
-		go s.serve(ctx, s.meter.Count(conn))
+		go s.serve(ctx, conn)
 	}
 }
 
 // serve performs the handshake and handles the messages of a connection until it is closed.
-func (s *Server) serve(ctx context.Context, conn net.Conn) {
-	if err := exchangeProofs(conn, s.key, listener); err != nil {
+func (s *Server) serve(ctx context.Context, accepted net.Conn) {
+	conn := s.meter.Count(accepted)
+	limited, _ := accepted.(*inflow.Conn)
+	if err := exchangeProofs(conn, s.key, listener); err != nil || !limited.Trust() {
 		s.refused.Add(1)
 		conn.Close()
 		return
 	}
-	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
+	codec := &limitedCodec{conn: conn, gate: s.gate, maxBytes: maxRequestBytes, timeout: messageTimeout}
 	handler := jsonrpc2.HandlerWithError(s.handle).SuppressErrClosed()
-	c := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(handler), withoutLog())
+	c := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(conn, codec), releasingHandler{Handler: handler, codec: codec}, withoutLog())
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
