sched: a new leader decodes the records of stored jobs one at a time

What callers saw: an entry that became the leader while many large jobs were stored exceeded its memory, and so did the next one.

Cause: the agent decoded all stored jobs and passed them to the planner, which parked those without room only once it had all of them. A job of 256 steps has a stored row of some KB and some 100 KB decoded.

Change: the agent passes the rows as they are stored. The planner decodes one at a time, keeps what ranks and refusals need, and leaves a job that has not begun encoded until it is opened; the others become parked jobs without being encoded again. A record that cannot be decoded is logged and skipped, as before.

--- a/agent/follow.go
+++ b/agent/follow.go
@@ -235,7 +235,8 @@
 }
 
 // joinJobStates joins job rows with their state rows. If stored is nil, the rows are of new jobs, which are still in the
-// state with which they were stored. Unreadable rows are logged and skipped, and jobs that have ended are skipped.
+// state with which they were stored; otherwise, the planner decodes them. Unreadable rows are logged and skipped, and jobs that have
+// ended are skipped.
 func (a *Agent) joinJobStates(rows []croft.Row, stored *storedJobs) []sched.JobRow {
 	out := make([]sched.JobRow, 0, len(rows))
 	for _, row := range rows {
@@ -245,11 +246,13 @@
 			continue
 		}
 		j := sched.JobRow{ID: id, Part: part, Version: row.Version, Progress: jobs.Progress{Status: jobs.Pending}}
-		if j.Record, err = jobs.DecodeRecord(row.Value); err != nil {
-			a.Log.Error("Unreadable", row.Key, err.Error())
-			continue
-		}
-		if stored != nil {
+		if stored == nil {
+			if j.Record, err = jobs.DecodeRecord(row.Value); err != nil {
+				a.Log.Error("Unreadable", row.Key, err.Error())
+				continue
+			}
+		} else {
+			j.Encoded = row.Value
 			state, ok := stored.states[id]
 			if !ok && row.Version <= stored.statesVersion {
 				// The job has ended. One that was stored after the states were read is new.
--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -178,3 +178,32 @@
 	assert.Equal(t, statusOf(http.MethodPost, e.callers, "/q/abcdef0123456789", body), http.StatusOK)
 	assert.Equal(t, statusOf(http.MethodPost, e.callers, "/q/abcdef012345678a", body+" "), http.StatusRequestEntityTooLarge)
 }
+
+// Guards against stored jobs that end each new leader, which decoded all of them before it parked any: some 100 KB for each.
+func TestLeaderStandsStoredJobs(t *testing.T) {
+	const jobs, id = 2000, "00000000000000aa"
+	s := newStore(t, config)
+	former := startEntryOn(t, s)
+	assert.Equal(t, statusOf(http.MethodPost, former.callers, "/q/"+id, string(storedBody())), http.StatusOK)
+	former.stop(t)
+	var ids []string
+	for i := range jobs {
+		ids = append(ids, fmt.Sprintf("%016x", i+0x1000))
+	}
+	s.copyJob(id, ids)
+	e := startEntryOn(t, s)
+	e.await(t, func() bool { return strings.Contains(e.output.String(), "all stored jobs have been read") })
+	status, probe := e.submit("abcdef0123456789"), e.probe()
+	after := e.usage(t)
+	t.Logf("%+v, job %d, probe %d", after, status, probe)
+	after.check(t, memoryMB, maxFDs)
+	assert.Check(t, status == http.StatusOK || status == http.StatusTooManyRequests, "an ordinary job was answered %d", status)
+	assert.Check(t, probe == http.StatusOK, "a readiness probe was answered %d", probe)
+}
+
+// storedBody is a valid job of 256 steps, whose record is small once it is compressed.
+func storedBody() []byte {
+	const steps = 256
+	step := `{"count":39,"cpu":500,"requires":"` + strings.Repeat("r", 200) + `"},`
+	return []byte(`{"spec":"s","steps":[` + strings.TrimSuffix(strings.Repeat(step, steps), ",") + `]}`)
+}
--- a/model/world.go
+++ b/model/world.go
@@ -433,7 +433,7 @@
 			w.violation("STORE", "%v", err)
 			continue
 		}
-		out = append(out, sched.JobRow{ID: t.id, Part: t.part, Version: row.Version, Record: t.record, Progress: progress})
+		out = append(out, sched.JobRow{ID: t.id, Part: t.part, Version: row.Version, Encoded: jobs.EncodeRecord(t.record), Progress: progress})
 	}
 	return out
 }
--- a/sched/helpers_test.go
+++ b/sched/helpers_test.go
@@ -83,7 +83,7 @@
 	b.event(testConfig())
 	b.event(WorkersRead{Changes: croft.WorkerChanges{Version: 1, Whole: true, Entries: testWorkers(workers)}})
 	b.event(FleetRead{RequestedAt: b.now, VMs: testFleet(workers)})
-	effects := b.event(JobsRead{Whole: true, Jobs: stored})
+	effects := b.event(JobsRead{Whole: true, Jobs: encodedRows(stored)})
 	for i := range workers {
 		effects = append(effects, b.answerHold(i)...)
 	}
@@ -184,6 +184,15 @@
 	}
 }
 
+// encodedRows returns rows as a new leader reads them.
+func encodedRows(rows []JobRow) []JobRow {
+	rows = slices.Clone(rows)
+	for i := range rows {
+		rows[i].Encoded, rows[i].Record = jobs.EncodeRecord(rows[i].Record), jobs.Record{}
+	}
+	return rows
+}
+
 // testJobs returns jobs with the same steps.
 func testJobs(n int, steps ...croft.Step) []JobRow {
 	var rows []JobRow
--- a/sched/job.go
+++ b/sched/job.go
@@ -162,7 +162,12 @@
 		if _, ended := p.tombstones[row.ID]; ended {
 			continue
 		}
-		added = append(added, p.addJob(row, e.Whole))
+		j, err := p.addEncodedJob(row, e.Whole)
+		if err != nil {
+			p.log("Unreadable", string(row.ID), "", err.Error())
+			continue
+		}
+		added = append(added, j)
 	}
 	p.openArrivals(added)
 	p.countArrivals(added)
@@ -172,6 +177,23 @@
 	}
 }
 
+// addEncodedJob decodes the record of a row, if necessary, and adds the job. One that has not begun is left encoded until openArrivals
+// opens it, so that a new leader does not hold the records of all stored jobs at once.
+func (p *Planner) addEncodedJob(row JobRow, inherited bool) (*job, error) {
+	if row.Encoded == nil {
+		return p.addJob(row, inherited), nil
+	}
+	var err error
+	if row.Record, err = jobs.DecodeRecord(row.Encoded); err != nil {
+		return nil, err
+	}
+	j := p.addJob(row, inherited)
+	if p.options.MaxTasks > 0 && !j.announced {
+		p.pack(j, row.Encoded)
+	}
+	return j, nil
+}
+
 // addJob adds a stored job, which openArrivals opens; inherited reports that it was stored before this term.
 func (p *Planner) addJob(row JobRow, inherited bool) *job {
 	j := &job{
--- a/sched/park.go
+++ b/sched/park.go
@@ -103,12 +103,32 @@
 	return false
 }
 
-// park keeps only the encoded record of a job until there is room for its tasks. One step is left, which has the number of the job's
-// tasks and whether the job is endless.
+// park keeps only the encoded record of a job until there is room for its tasks.
 func (p *Planner) park(j *job) {
+	p.pack(j, jobs.EncodeRecord(j.record))
+	p.queueParked(j)
+}
+
+// pack replaces the record of a job by its encoded form. One step is left, which has the number of the job's tasks and whether the job
+// is endless.
+func (p *Planner) pack(j *job, encoded []byte) {
 	summary := croft.Step{Count: j.occurrenceTasks(), Endless: j.endless()}
-	j.parked = &parkedJob{packed: jobs.EncodeRecord(j.record), work: p.workOfSpec(j)}
+	j.parked = &parkedJob{packed: encoded, work: p.workOfSpec(j)}
 	j.record.Spec.Steps, j.record.Spec.Payload = []croft.Step{summary}, ""
+}
+
+// unpacked returns the whole record of a job that is packed.
+func (j *job) unpacked() jobs.Record {
+	record, err := jobs.DecodeRecord(j.parked.packed)
+	if err != nil {
+		// Not reached: the record was encoded by park or has been decoded before.
+		panic(err)
+	}
+	return record
+}
+
+// queueParked adds a job that is packed to those that wait to be opened.
+func (p *Planner) queueParked(j *job) {
 	class := p.classOf(j)
 	at, _ := slices.BinarySearchFunc(class.parked, j, compareTurns)
 	class.parked = slices.Insert(class.parked, at, j)
@@ -148,13 +168,8 @@
 	if j.parked == nil {
 		return
 	}
-	record, err := jobs.DecodeRecord(j.parked.packed)
-	if err != nil {
-		// Not reached: park has encoded the record.
-		panic(err)
-	}
+	j.record = j.unpacked()
 	p.leaveParked(j)
-	j.record = record
 	p.open.opened++
 }
 
@@ -181,8 +196,20 @@
 		return compareTurns(a, b)
 	})
 	for _, j := range arrived {
-		p.openJobOccurrences(j)
+		p.openArrival(j)
+	}
+}
+
+// openArrival opens the occurrences of a new job. One that is packed and does not fit waits as it is.
+func (p *Planner) openArrival(j *job) {
+	if j.parked != nil {
+		if len(p.classOf(j).parked) > 0 || !p.hasRoom(j) {
+			p.queueParked(j)
+			return
+		}
+		j.record, j.parked = j.unpacked(), nil
 	}
+	p.openJobOccurrences(j)
 }
 
 // openParked opens the parked jobs for which there is room, in the order of their turns.
--- a/sched/park_test.go
+++ b/sched/park_test.go
@@ -263,3 +263,49 @@
 	}
 	assert.Assert(t, lines >= 2 && lines <= 4, "%d", lines)
 }
+
+// Guards against a new leader that holds the records of all stored jobs at once, or opens other jobs than one that has them decoded.
+func TestTakeoverLeavesJobsEncodedUntilTheyAreOpened(t *testing.T) {
+	var stored []JobRow
+	for i := range 9 {
+		row := testJob(croft.JobID(fmt.Sprint(i)), step(15, 1), step(15, 1))
+		row.Record.Accepted += croft.Millis(9 - i)
+		if i == 4 {
+			row.Progress = jobs.Progress{Status: jobs.Running, Announced: true}
+		}
+		stored = append(stored, row)
+	}
+	b := newLimitedBench(t, 150)
+	b.takeLeadership(1, 1, stored...)
+	b.checkOpenTasks()
+	assert.Equal(t, b.openJobs(), "45678", "the one that has begun and the earliest")
+	for id, j := range b.planner.jobs {
+		if j.parked == nil {
+			assert.Equal(t, len(j.record.Spec.Steps), 2, "%s", id)
+			continue
+		}
+		assert.Equal(t, len(j.record.Spec.Steps), 1, "%s has a summary of its steps", id)
+		assert.Equal(t, j.occurrenceTasks(), 30)
+	}
+	c := newLimitedBench(t, 150)
+	c.takeLeadership(1, 1)
+	c.event(JobsRead{Jobs: stored})
+	assert.Equal(t, c.openJobs(), b.openJobs())
+}
+
+// Guards against a row that cannot be decoded and ends a new leader, or hides the others.
+func TestTakeoverSkipsUnreadableRecords(t *testing.T) {
+	b := newLimitedBench(t, 150)
+	unreadable := JobRow{ID: "u", Part: "q.0", Version: 5, Encoded: []byte("{")}
+	b.event(LeadershipAcquired{Fence: 1_000_000, Term: 1})
+	b.event(testConfig())
+	effects := b.event(JobsRead{Whole: true, Jobs: append(encodedRows(testJobs(1, step(1, 1))), unreadable)})
+	assert.Equal(t, len(b.planner.jobs), 1)
+	logged := 0
+	for _, l := range effectsOf[Log](effects) {
+		if l.Decision.Action == "Unreadable" && l.Decision.Subject == "u" {
+			logged++
+		}
+	}
+	assert.Equal(t, logged, 1)
+}
