sched: the records of accepted jobs are limited

What callers saw: accepted jobs that wait, with large records and without an estimate or in a fleet without VMs, took the leader and the entries that stand by beyond their memory; the next leader read all of them again.

Cause: the planner limited the tasks that it holds, not the records of the jobs that it parks or that are not due, and jobs without an estimate never take longer than they are of use.

Entries limit the rate of records of 16 KB or more, so that little more is stored before the loads arrive. croft_record_bytes shows the sum.

--- a/agent/perform.go
+++ b/agent/perform.go
@@ -71,7 +71,7 @@
 		}
 		a.Stats.SetOrganisations(e.Organisations)
 		a.Stats.SetUses(e.Uses)
-		a.Stats.SetOpenTasks(e.ParkedJobs, e.OpenTasks)
+		a.Stats.SetOpenTasks(e.ParkedJobs, e.OpenTasks, e.RecordBytes)
 		if e.Shared {
 			a.loadReports.submit(ctx, e)
 		}
--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -1,7 +1,9 @@
 package crowd
 
 import (
+	"encoding/hex"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -207,3 +209,51 @@
 	step := `{"count":39,"cpu":500,"requires":"` + strings.Repeat("r", 200) + `"},`
 	return []byte(`{"spec":"s","steps":[` + strings.TrimSuffix(strings.Repeat(step, steps), ",") + `]}`)
 }
+
+// incompressibleBody is a valid job of 256 steps whose record takes some 50 KB once it is compressed.
+func incompressibleBody(number int) string {
+	const steps, labelBytes = 256, 200
+	random := rand.NewChaCha8([32]byte{byte(number), byte(number >> 8)})
+	label := make([]byte, labelBytes)
+	body := `{"spec":"s","steps":[`
+	for i := range steps {
+		_, _ = random.Read(label)
+		if i > 0 {
+			body += ","
+		}
+		body += `{"count":39,"cpu":500,"requires":"` + hex.EncodeToString(label) + `"}`
+	}
+	return body + "]}"
+}
+
+// Guards against accepted jobs that take the leader's memory, and that of the entries which stand by: their records were not limited.
+func TestLeaderStandsLargeRecords(t *testing.T) {
+	const jobs = 1500
+	e := startEntry(t)
+	counts := map[int]int{}
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	numbers := make(chan int)
+	for range 20 {
+		group.Go(func() {
+			for number := range numbers {
+				status := statusOf(http.MethodPost, e.callers, fmt.Sprintf("/q/%016x", number+1), incompressibleBody(number))
+				mu.Lock()
+				counts[status]++
+				mu.Unlock()
+			}
+		})
+	}
+	for number := range jobs {
+		numbers <- number
+	}
+	close(numbers)
+	group.Wait()
+	status, probe := e.submit("abcdef0123456789"), e.probe()
+	after := e.usage(t)
+	t.Logf("%+v, jobs %v, then %d, probe %d", after, counts, status, probe)
+	after.check(t, memoryMB, maxFDs)
+	assert.Check(t, counts[http.StatusOK] > 0, "%v", counts)
+	assert.Check(t, status == http.StatusOK || status == http.StatusTooManyRequests, "an ordinary job was answered %d", status)
+	assert.Check(t, probe == http.StatusOK, "a readiness probe was answered %d", probe)
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -6,6 +6,9 @@
 	"errors"
 	"fmt"
 	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
 
 	"waxwing.example/croft"
 	"waxwing.example/croft/jobs"
@@ -69,6 +72,8 @@
 	// unconfirmed reports that the configuration has been found to be out of use.
 	unconfirmed atomic.Bool
 	loads       atomic.Pointer[publishedLoads]
+	// records limits the rate of large records in bytes, nil for no limit.
+	records *rate.Limiter
 	// countRefusal is called for each job that is refused because of its organisation or the load; it may be nil.
 	countRefusal func(croft.OrganisationID)
 }
@@ -89,6 +94,35 @@
 	}
 }
 
+const (
+	// largeRecordBytes is the size of the stored rows of a job from which on they are limited.
+	largeRecordBytes = 16 << 10
+	// recordRetryAfter is the retry hint of a job that is refused for its size; the limit admits further ones each second.
+	recordRetryAfter = 2 * croft.Second
+	// recordSeconds is how long an entry may store large records until they take the memory that they are allowed at a leader.
+	recordSeconds = 60
+)
+
+// LimitRecords limits the rate of large records to what a leader with some memory for records notices in time, before it makes queues
+// refuse jobs. It must be called before the first submission.
+func (i *Intake) LimitRecords(leaderBytes int) {
+	perSecond := max(leaderBytes/recordSeconds, 1)
+	i.records = rate.NewLimiter(rate.Limit(perSecond), max(perSecond, leaderBytes/recordSeconds*int(LoadValidity/croft.Second), 2*i.rowBytes))
+}
+
+// admitsRecord reports whether the rows of a job are small, or large ones may be stored now.
+func (i *Intake) admitsRecord(ops []croft.Op) bool {
+	bytes := 0
+	for _, op := range ops {
+		bytes += len(op.Value)
+	}
+	if i.records == nil || bytes < largeRecordBytes {
+		return true
+	}
+	// A single record within the store's limit is admitted in calm.
+	return i.records.AllowN(time.UnixMilli(int64(i.clock.Elapsed())), min(bytes, i.records.Burst()))
+}
+
 // Configure puts a configuration into use, unless the one in use is as new or newer, and returns the version in use.
 func (i *Intake) Configure(config croft.QueueConfig) uint64 {
 	if old := i.index.Load(); old != nil && old.Version >= config.Version {
@@ -192,6 +226,10 @@
 			return Invalid, 0
 		}
 	}
+	if !i.admitsRecord(ops) && !i.mayBeStored(ctx, t) {
+		i.logDecision("Submit", id, string(Rejected), fmt.Sprintf("queue %s: too many large records; retry after %d ms", q.ID, recordRetryAfter))
+		return Rejected, recordRetryAfter
+	}
 	outcome, reason := i.writer.submit(ctx, part, jobs.Key(jobs.StateTable, part, id), t.Organisation, ops)
 	i.logDecision("Submit", id, string(outcome), fmt.Sprintf("queue %s: %s", q.ID, reason))
 	return outcome, retryAfter
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -269,3 +269,32 @@
 	assert.NilError(t, err)
 	assert.Assert(t, record.NeedsAdvice)
 }
+
+// Guards against large records that entries store faster than the leader can make queues refuse them.
+func TestLargeRecordsAreLimited(t *testing.T) {
+	store := &fakeTable{rows: map[string]croft.Row{}}
+	i := New(store, clock.NewSystem(), discardLog{}, func() croft.Millis { return 0 }, croft.Second, 2*largeRecordBytes)
+	const perSecond = 2 * largeRecordBytes
+	i.LimitRecords(recordSeconds * perSecond)
+	random := rand.New(rand.NewPCG(1, 2))
+	payload := make([]byte, largeRecordBytes*5/4)
+	for n := range payload {
+		payload[n] = byte('0' + random.IntN(70))
+	}
+	submit := func(number int, payload string) Outcome {
+		t.Helper()
+		target := Target{Queue: queue, ID: croft.JobID(fmt.Sprintf("%016x", number))}
+		outcome, retryAfter := i.Submit(shortContext(t), target, croft.JobSpec{Payload: payload})
+		assert.Assert(t, outcome == Accepted || outcome == Rejected && retryAfter == recordRetryAfter, "%s", outcome)
+		return outcome
+	}
+	accepted := 0
+	for number := range 20 {
+		if submit(number, string(payload)) == Accepted {
+			accepted++
+		}
+	}
+	assert.Assert(t, accepted >= 2 && accepted < 10, "%d", accepted)
+	assert.Equal(t, submit(100, "small"), Accepted)
+	assert.Equal(t, submit(0, string(payload)), Accepted, "it is stored already")
+}
--- a/sched/events.go
+++ b/sched/events.go
@@ -283,6 +283,8 @@
 	Uses map[croft.OrganisationID]croft.Resources
 	// ParkedJobs counts the jobs that are parked, and OpenTasks the tasks that are held in memory, for the metrics of this entry.
 	ParkedJobs, OpenTasks int
+	// RecordBytes is the memory of the records of jobs without open tasks.
+	RecordBytes int
 	// Shared reports that other entries need the loads too, since queues refuse jobs or have just ceased to, or the leader is new.
 	Shared bool
 }
@@ -294,8 +296,8 @@
 	Oldest  croft.Millis `json:",omitempty"`
 	// Wait is how long the caller of a refused job should wait before it tries again.
 	Wait croft.Millis
-	// Refuse reports that new jobs are refused, since they would end too late to be of use. It is not used in deployments with
-	// organisations.
+	// Refuse reports that new jobs are refused, since they would end too late to be of use, or since the records of waiting jobs take too
+	// much memory. The former is not used in deployments with organisations.
 	Refuse bool
 	// Admitted is the fraction of an organisation's jobs that entries admit, for organisations that are limited.
 	Admitted map[croft.OrganisationID]float64 `json:",omitempty"`
--- a/sched/load.go
+++ b/sched/load.go
@@ -35,15 +35,18 @@
 			loads[j.record.Queue] = load
 		}
 	}
+	if p.limitRecords(loads) {
+		refuse = true
+	}
 	limited := p.sharing.limiting
 	organisations := p.addShares(loads)
 	// The first loads replace those of a former leader, which may have limited jobs.
 	shared := !p.loadsPublished || refuse || p.refusing || limited || p.sharing.limiting
 	p.loadsPublished = true
-	p.emit(PublishLoads{Loads: loads, Organisations: organisations, Uses: p.ledger.Uses(), ParkedJobs: p.open.parkedJobs(), OpenTasks: p.open.total(), Shared: shared})
+	p.emit(PublishLoads{Loads: loads, Organisations: organisations, Uses: p.ledger.Uses(), ParkedJobs: p.open.parkedJobs(), OpenTasks: p.open.total(), RecordBytes: p.open.recordBytes, Shared: shared})
 	p.logPools()
 	if refuse != p.refusing {
-		p.log("Load", "queues", fmt.Sprintf("refusing %v", refuse), "queues refuse jobs while the backlog of their pool takes longer than the jobs are of use")
+		p.log("Load", "queues", fmt.Sprintf("refusing %v", refuse), "queues refuse jobs while the backlog of their pool takes longer than the jobs are of use, or its records take too much memory")
 	}
 	p.refusing = refuse
 }
--- a/sched/load_test.go
+++ b/sched/load_test.go
@@ -11,10 +11,17 @@
 // nextPublishedLoad advances to the next publication and returns the load of the test queue and whether it is to be
 // sent to the other entries.
 func (b *testBench) nextPublishedLoad() (Load, bool) {
+	b.t.Helper()
+	got := b.nextLoads()
+	return got.Loads["q"], got.Shared
+}
+
+// nextLoads advances to the next publication and returns it.
+func (b *testBench) nextLoads() PublishLoads {
 	b.t.Helper()
 	got := effectsOf[PublishLoads](b.advance(loadInterval))
 	assert.Equal(b.t, len(got), 1)
-	return got[0].Loads["q"], got[0].Shared
+	return got[0]
 }
 
 // New jobs are refused, with the time after which to retry, while the backlog takes longer than they are of use. Once
--- a/sched/park.go
+++ b/sched/park.go
@@ -39,6 +39,10 @@
 // openTasks is what the planner keeps of tasks, by class of their jobs.
 type openTasks struct {
 	small, large taskClass
+	// recordBytes is the memory of the records of jobs without open tasks, and recordsFull whether it was too much, when the loads were
+	// last published.
+	recordBytes int
+	recordsFull bool
 	// parked and opened count the jobs since the last log line, which may be followed by another at nextLog.
 	parked, opened int
 	nextLog        croft.Millis
--- a/sched/park_test.go
+++ b/sched/park_test.go
@@ -309,3 +309,42 @@
 	}
 	assert.Equal(t, logged, 1)
 }
+
+// Guards against accepted jobs whose records take more memory than the leader has: jobs without an estimate were not refused.
+func TestQueuesRefuseJobsWhileRecordsTakeTooMuchMemory(t *testing.T) {
+	b := newLimitedBench(t, 10)
+	b.planner.options.MaxRecordBytes = 10 * jobBytes
+	b.takeLeadership(1, 0)
+	quiet := testJob("quiet", step(1, 1))
+	quiet.Record.Queue = "quiet"
+	b.event(JobsRead{Jobs: []JobRow{quiet}})
+	var ids []croft.JobID
+	for i := range 12 {
+		id := croft.JobID(fmt.Sprint(i))
+		s := step(8, 1)
+		s.Estimate = 0
+		b.event(JobsRead{Jobs: []JobRow{testJob(id, s)}})
+		ids = append(ids, id)
+	}
+	loads := b.nextLoads()
+	assert.Assert(t, loads.Loads["q"].Refuse)
+	assert.Equal(t, loads.Loads["q"].Wait, recordsRetryAfter)
+	assert.Assert(t, !loads.Loads["quiet"].Refuse, "it has no job without open tasks")
+	assert.Assert(t, loads.Shared)
+	assert.Assert(t, loads.RecordBytes > b.planner.options.MaxRecordBytes)
+	b.confirm(b.event(JobsCancelled{IDs: ids[4:]}))
+	loads = b.nextLoads()
+	assert.Assert(t, !loads.Loads["q"].Refuse)
+}
+
+// Guards against scheduled jobs, which are decoded and not parked until they are due, and escape the limit.
+func TestScheduledJobsCountAsRecords(t *testing.T) {
+	b := newLimitedBench(t, 1000)
+	b.takeLeadership(1, 0)
+	row := testJob("s", step(1, 1))
+	row.Record.Spec.Repeats, row.Record.Spec.Interval, row.Record.Spec.First = 2, croft.Hour, croft.Millis(1)<<50
+	row.Record.Spec.Steps[0].Requires = strings.Repeat("r", 5000)
+	b.event(JobsRead{Jobs: []JobRow{row}})
+	assert.Equal(t, len(b.planner.jobs["s"].stages), 0)
+	assert.Assert(t, b.nextLoads().RecordBytes > 5000+jobBytes)
+}
--- a/sched/planner.go
+++ b/sched/planner.go
@@ -32,6 +32,9 @@
 	// MaxTasks is the number of tasks that may be held in memory; beyond it, new jobs are parked. Zero means no limit. Jobs that may
 	// run already, and one job of each class of size, are kept beyond it.
 	MaxTasks int
+	// MaxRecordBytes is the memory that the records of jobs without open tasks may take; beyond it, the queues of such jobs refuse new
+	// ones. Zero means no limit.
+	MaxRecordBytes int
 }
 
 // ReservationMode is where the planner makes reservations.
--- a/stats/stats.go
+++ b/stats/stats.go
@@ -35,6 +35,7 @@
 	reservations   *prometheus.CounterVec
 	parkedJobs     prometheus.Gauge
 	openTasks      prometheus.Gauge
+	recordBytes    prometheus.Gauge
 	// countedQueues are the queues that have series.
 	countedQueues map[croft.QueueID]bool
 	organisations organisationStats
@@ -69,12 +70,13 @@
 		inflowBytes:    newGaugeVec("croft_inflow_body_bytes", "Size of the buffers of bodies that are being received or wait.", "listener"),
 		parkedJobs:     prometheus.NewGauge(prometheus.GaugeOpts{Name: "croft_parked_jobs", Help: "Jobs whose tasks the leader does not hold in memory yet."}),
 		openTasks:      prometheus.NewGauge(prometheus.GaugeOpts{Name: "croft_open_tasks", Help: "Tasks that the leader holds in memory."}),
+		recordBytes:    prometheus.NewGauge(prometheus.GaugeOpts{Name: "croft_record_bytes", Help: "Memory of the records of jobs without open tasks at the leader, in bytes."}),
 		reservations:   newCounterVec("croft_reservations_total", "Reservations of executors for large tasks that the leader made or released, by outcome.", "outcome"),
 		countedQueues:  map[croft.QueueID]bool{},
 		organisations:  newOrganisationStats(),
 	}
 	s.registry.MustRegister(s.decisions, s.calls, s.storeTimes, s.orderTimes, s.requestTimes, s.feedTimes, s.queueWaiting, s.queueOldest, s.leading,
-		s.configVersion, s.ordersInFlight, s.ordersLimit, s.removedStates, s.reservations, s.parkedJobs, s.openTasks, s.inflowDrops, s.inflowConns, s.inflowBytes, collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
+		s.configVersion, s.ordersInFlight, s.ordersLimit, s.removedStates, s.reservations, s.parkedJobs, s.openTasks, s.recordBytes, s.inflowDrops, s.inflowConns, s.inflowBytes, collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	s.organisations.register(s.registry)
 	return s
 }
@@ -134,10 +136,12 @@
 // CountReservation counts a reservation of executors that was made, or released with an outcome.
 func (s *Stats) CountReservation(outcome string) { s.reservations.WithLabelValues(outcome).Inc() }
 
-// SetOpenTasks records how many jobs are parked and how many tasks this entry holds in memory as leader.
-func (s *Stats) SetOpenTasks(parkedJobs, tasks int) {
+// SetOpenTasks records how many jobs are parked, how many tasks this entry holds in memory as leader, and how much memory the records of
+// jobs without open tasks take.
+func (s *Stats) SetOpenTasks(parkedJobs, tasks, recordBytes int) {
 	s.parkedJobs.Set(float64(parkedJobs))
 	s.openTasks.Set(float64(tasks))
+	s.recordBytes.Set(float64(recordBytes))
 }
 
 // SetLeading records whether this entry is the leader.
@@ -147,7 +151,7 @@
 		value = 1
 	} else {
 		s.organisations.use.Reset()
-		s.SetOpenTasks(0, 0)
+		s.SetOpenTasks(0, 0, 0)
 	}
 	s.leading.Set(value)
 }
