inflow: shares of listeners in one table, and room for the connections of all entries

The listener for other entries admitted 102 trusted connections with 1,024 descriptors, which is hardly more than the 90 entries of the target; it gets a quarter of the descriptors. Idle connections at the listeners of the own settings are closed after IdleMs, 90 s by default, instead of the timeout of headers, so that balancers that keep connections for a minute do not lose requests. A request that may not be repeated and is dropped before its claim is unknown, not known not to have run.

--- a/agent/follow.go
+++ b/agent/follow.go
@@ -246,31 +246,38 @@
 			continue
 		}
 		j := sched.JobRow{ID: id, Part: part, Version: row.Version, Progress: jobs.Progress{Status: jobs.Pending}}
-		if stored == nil {
-			if j.Record, err = jobs.DecodeRecord(row.Value); err != nil {
-				a.Log.Error("Unreadable", row.Key, err.Error())
-				continue
-			}
-		} else {
+		if stored != nil {
 			j.Encoded = row.Value
-			state, ok := stored.states[id]
-			if !ok && row.Version <= stored.statesVersion {
-				// The job has ended. One that was stored after the states were read is new.
-				continue
-			}
-			if ok {
-				j.Version = state.Version
-				if j.Progress, err = jobs.DecodeProgress(state.Value); err != nil {
-					a.Log.Error("Unreadable", state.Key, err.Error())
-					continue
-				}
+			if a.joinState(&j, row, stored) {
+				out = append(out, j)
 			}
+			continue
+		}
+		if j.Record, err = jobs.DecodeRecord(row.Value); err != nil {
+			a.Log.Error("Unreadable", row.Key, err.Error())
+			continue
 		}
 		out = append(out, j)
 	}
 	return out
 }
 
+// joinState sets the progress of a stored job; it reports false if the job has ended or its state cannot be read.
+func (a *Agent) joinState(j *sched.JobRow, row croft.Row, stored *storedJobs) bool {
+	state, ok := stored.states[j.ID]
+	if !ok {
+		// The job has ended. One that was stored after the states were read is new.
+		return row.Version > stored.statesVersion
+	}
+	var err error
+	j.Version = state.Version
+	if j.Progress, err = jobs.DecodeProgress(state.Value); err != nil {
+		a.Log.Error("Unreadable", state.Key, err.Error())
+		return false
+	}
+	return true
+}
+
 // followCancels follows the cancellations of jobs after a version while the entry leads.
 func (a *Agent) followCancels(ctx context.Context, after uint64) {
 	a.follow(ctx, "cancels", after, followWait, func(ctx context.Context, after uint64, wait croft.Millis) (uint64, error) {
--- a/daemon/gates.go
+++ b/daemon/gates.go
@@ -35,11 +35,10 @@
 		})
 	}
 	memoryMB := c.settings.Limits.MemoryMB
-	trusted := inflow.TrustedLimits(memoryMB, descriptors)
 	return gates{
 		callers:   gate("Callers", inflow.ForwardLimits(memoryMB, descriptors)),
-		operators: gate("Operators", trusted),
-		peers:     gate("Peers", trusted),
+		operators: gate("Operators", inflow.OperatorLimits(memoryMB, descriptors)),
+		peers:     gate("Peers", inflow.PeerLimits(memoryMB, descriptors)),
 	}
 }
 
@@ -55,6 +54,7 @@
 
 // headerLimits are the limits of headers at both HTTP listeners.
 func (c *components) headerLimits() serve.HeaderLimits {
-	timeout := c.settings.Timing.HeadersMs
-	return serve.HeaderLimits{Bytes: c.settings.Limits.HeaderBytes, Timeout: timeout, Idle: timeout}
+	return serve.HeaderLimits{
+		Bytes: c.settings.Limits.HeaderBytes, Timeout: c.settings.Timing.HeadersMs, Idle: c.settings.Timing.IdleMs,
+	}
 }
--- a/front/body.go
+++ b/front/body.go
@@ -52,6 +52,15 @@
 	return problem
 }
 
+// droppedBeforeClaim returns the problem for a request that was dropped before its claim was taken, if it needs one.
+func (r *activeRequest) droppedBeforeClaim() *Problem {
+	problem := droppedProblem()
+	if r.Repeatable {
+		return problem
+	}
+	return notDispatched(problem.Detail, problem.RetryAfter)
+}
+
 // enter waits for a slot of the pool, until the waiting context ends, and then for the memory that the request needs. leave must be
 // called once the request has ended.
 func (r *activeRequest) enter(ctx, waiting context.Context, p *pool) (leave func(), problem *Problem) {
--- a/front/body_test.go
+++ b/front/body_test.go
@@ -28,12 +28,13 @@
 	assert.NilError(t, err)
 	s := serve.New(b.front.Handler(), serve.HeaderLimits{Bytes: 4096, Timeout: croft.Second, Idle: croft.Second})
 	go func() { _ = s.Serve(gate.Wrap(l)) }()
-	t.Cleanup(func() { s.Close() })
+	t.Cleanup(func() { _ = s.Close() })
 	return l.Addr().String()
 }
 
-// sendPart sends a request on a connection of its own, with a part of its body, and returns the response and its problem.
-func sendPart(t *testing.T, address, headers, body string, length int) (*http.Response, Problem) {
+// sendPart sends a request on a connection of its own, with a part of its body, and returns the status of the response, its problem,
+// and whether it announces that the connection is closed.
+func sendPart(t *testing.T, address, headers, body string, length int) (status int, problem Problem, closes bool) {
 	t.Helper()
 	conn, err := net.Dial("tcp", address)
 	assert.NilError(t, err)
@@ -45,11 +46,10 @@
 	defer resp.Body.Close()
 	raw, err := io.ReadAll(resp.Body)
 	assert.NilError(t, err)
-	var problem Problem
 	if resp.StatusCode != http.StatusOK {
 		assert.NilError(t, json.Unmarshal(raw, &problem))
 	}
-	return resp, problem
+	return resp.StatusCode, problem, resp.Close
 }
 
 var limitsOfTest = inflow.Limits{Connections: 10, ReceivedBytes: 1 << 20, ProcessedBytes: 40, ResponseBytes: 1 << 20}
@@ -57,14 +57,14 @@
 // Guards against a body that is held back for ever.
 func TestBodyTimeout(t *testing.T) {
 	address := startLimited(t, newSystemBench(t), limitsOfTest)
-	resp, problem := sendPart(t, address, "", "part", 10)
-	assert.Equal(t, resp.StatusCode, http.StatusRequestTimeout)
-	assert.Assert(t, resp.Close)
+	status, problem, closes := sendPart(t, address, "", "part", 10)
+	assert.Equal(t, status, http.StatusRequestTimeout)
+	assert.Assert(t, closes)
 	assert.Equal(t, problem.Outcome, croft.OutcomeNotRun)
-	_, problem = sendPart(t, address, HeaderKey+": k\r\n", "part", 10)
+	_, problem, _ = sendPart(t, address, HeaderKey+": k\r\n", "part", 10)
 	assert.Equal(t, problem.Outcome, croft.OutcomeUnknown, "an earlier request with the key may have run")
-	resp, _ = sendPart(t, address, "", "whole", 5)
-	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	status, _, _ = sendPart(t, address, "", "whole", 5)
+	assert.Equal(t, status, http.StatusOK)
 }
 
 // Guards against requests for which there is no memory before their deadline, and that were sent all the same or not answered.
@@ -73,12 +73,12 @@
 	address := startLimited(t, b, limitsOfTest)
 	release, err := b.front.Gate.Process(context.Background(), nil, limitsOfTest.ProcessedBytes)
 	assert.NilError(t, err)
-	resp, problem := sendPart(t, address, HeaderTimeout+": 100\r\n", "whole", 5)
-	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	status, problem, _ := sendPart(t, address, HeaderTimeout+": 100\r\n", "whole", 5)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
 	assert.Equal(t, problem.Outcome, croft.OutcomeNotRun)
 	assert.Equal(t, problem.RetryAfter, droppedRetryAfter)
 	assert.Equal(t, len(b.attempts), 0)
 	release()
-	resp, _ = sendPart(t, address, "", "whole", 5)
-	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	status, _, _ = sendPart(t, address, "", "whole", 5)
+	assert.Equal(t, status, http.StatusOK)
 }
--- a/front/serve.go
+++ b/front/serve.go
@@ -131,7 +131,7 @@
 	id := uuid.NewString()
 	waiting, done, ok := inflow.FromContext(ctx).Wait(ctx)
 	if !ok {
-		return croft.Reply{}, r.refuse("connection closed in favour of others", droppedProblem())
+		return croft.Reply{}, r.refuse("connection closed in favour of others", r.droppedBeforeClaim())
 	}
 	defer done()
 	if r.Repeatable {
@@ -148,8 +148,8 @@
 	return reply, problem
 }
 
-// admitAndAttempt waits for a slot and for memory, as long as the caller stays connected and the waiting context has not ended, and then makes attempts until the request
-// has a result, whether or not the caller is still connected.
+// admitAndAttempt waits for a slot and for memory, as long as the caller stays connected and the waiting context has not ended, and then
+// makes attempts until the request has a result, whether or not the caller is still connected.
 func (r *activeRequest) admitAndAttempt(ctx, waiting context.Context, id string) (croft.Reply, *Problem) {
 	p, ok := r.front.pools.get(r.pool)
 	if !ok {
--- a/inflow/limits.go
+++ b/inflow/limits.go
@@ -2,16 +2,25 @@
 
 import "waxwing.example/croft"
 
-// Shares of the process's limits that connections and bodies of callers may use.
+// shares are divisors of the limits of a process, which yield the limits of one listener; zero is none.
+type shares struct {
+	// descriptors is a divisor of the descriptors, and connections one of the memory; the lower result counts.
+	descriptors, connections int64
+	// received, processed and responses are divisors of the memory.
+	received, processed, responses int64
+}
+
+// The shares of listeners. Those of submissions are a third of the memory; the runtime may use 60 percent, and an entry that does not
+// lead has some 10 MB of live data. A leader of 300 executors needs 3,353 connections of 4,100 descriptors.
+var (
+	submissionShares = shares{descriptors: 10, connections: 6, received: 16, processed: 8}
+	forwardShares    = shares{descriptors: 10, connections: 6, received: 16, processed: 8, responses: 8}
+	operatorShares   = shares{descriptors: 10, connections: 12, received: 32, processed: 16, responses: 16}
+	// peerShares leave room for the connections of some hundred entries.
+	peerShares = shares{descriptors: 4, connections: 6, processed: 16}
+)
+
 const (
-	// descriptorShare is the divisor of max_fds: a leader of 300 executors needs 3,353 connections of 4,100 descriptors.
-	descriptorShare = 10
-	// connectionShare, receivedShare and processedShare are divisors of memory_mb. Together they are a third of it;
-	// the runtime may use 60 percent, and an entry that does not lead has some 10 MB of live data.
-	connectionShare = 6
-	receivedShare   = 16
-	processedShare  = 8
-	responseShare   = 8
 	// connectionBytes is the maximum memory of one connection without its body: the kernel's buffers, which are twice
 	// the sizes set, 64 KB for the goroutine, the server's buffers and the headers, and the received bytes of a
 	// connection that waits to be accepted, of which there may be as many as are open.
@@ -32,13 +41,6 @@
 	sendBufferBytes = 16 << 10
 )
 
-// Shares of the process's memory that the listeners of operators and peers may use.
-const (
-	trustedConnectionShare = 12
-	trustedReceivedShare   = 32
-	trustedProcessedShare  = 16
-)
-
 // ProcessedFactor is the number of bytes of memory that a byte of a body needs from its decoding to the end of the
 // submission; TestProcessedFactor measures the largest for valid bodies.
 const ProcessedFactor = 24
@@ -58,47 +60,43 @@
 // SubmissionLimits returns the limits of a listener whose requests are decoded and stored, derived from the limits of the
 // process; zero means unknown.
 func SubmissionLimits(memoryMB, descriptors int64) Limits {
-	memory, descriptors := orFallback(memoryMB, descriptors)
-	return Limits{
-		Connections:    connections(memory/connectionShare, descriptors),
-		ReceivedBytes:  memory / receivedShare,
-		ProcessedBytes: memory / processedShare,
-	}
+	return submissionShares.of(memoryMB, descriptors)
 }
 
 // ForwardLimits returns the limits of a listener whose requests are forwarded to executors, and their replies to the clients.
 func ForwardLimits(memoryMB, descriptors int64) Limits {
-	limits := SubmissionLimits(memoryMB, descriptors)
-	memory, _ := orFallback(memoryMB, descriptors)
-	limits.ResponseBytes = memory / responseShare
-	return limits
+	return forwardShares.of(memoryMB, descriptors)
 }
 
-// TrustedLimits returns the limits of a listener for clients that hold a key of the deployment: operators and peers.
-func TrustedLimits(memoryMB, descriptors int64) Limits {
-	memory, descriptors := orFallback(memoryMB, descriptors)
-	return Limits{
-		Connections:    connections(memory/trustedConnectionShare, descriptors),
-		ReceivedBytes:  memory / trustedReceivedShare,
-		ProcessedBytes: memory / trustedProcessedShare,
-		ResponseBytes:  memory / trustedProcessedShare,
-	}
+// OperatorLimits returns the limits of a listener for operators.
+func OperatorLimits(memoryMB, descriptors int64) Limits {
+	return operatorShares.of(memoryMB, descriptors)
 }
 
-// orFallback returns the memory in bytes and the descriptors of a process, those of the smallest machine if they are not known.
-func orFallback(memoryMB, descriptors int64) (int64, int64) {
+// PeerLimits returns the limits of a listener for other entries.
+func PeerLimits(memoryMB, descriptors int64) Limits { return peerShares.of(memoryMB, descriptors) }
+
+// of returns the limits of a listener, by the limits of the process.
+func (s shares) of(memoryMB, descriptors int64) Limits {
 	if memoryMB <= 0 {
 		memoryMB = fallbackMemoryMB
 	}
 	if descriptors <= 0 {
 		descriptors = fallbackDescriptors
 	}
-	return memoryMB << 20, descriptors
-}
-
-// connections returns the number of connections that fit some memory and the share of the descriptors.
-func connections(memory, descriptors int64) int {
-	return int(max(minConnections, min(descriptors/descriptorShare, memory/connectionBytes)))
+	memory := memoryMB << 20
+	part := func(divisor int64) int64 {
+		if divisor == 0 {
+			return 0
+		}
+		return memory / divisor
+	}
+	return Limits{
+		Connections:    int(max(minConnections, min(descriptors/s.descriptors, part(s.connections)/connectionBytes))),
+		ReceivedBytes:  part(s.received),
+		ProcessedBytes: part(s.processed),
+		ResponseBytes:  part(s.responses),
+	}
 }
 
 // ProbeLimits are the limits of a listener for readiness probes or metrics: probes come once a second from a few balancers,
--- a/inflow/table.go
+++ b/inflow/table.go
@@ -236,8 +236,9 @@
 	}
 }
 
-// Send records that a part of a response begins to be sent. Data that is sent before a request is no response. A body that the handler still receives stays so: the server sends the
-// interim response 100 (Continue) before it reads such a body, whose buffer counts all the same.
+// Send records that a part of a response begins to be sent. Data that is sent before a request is no response. A body that the handler
+// still receives stays so: the server sends the interim response 100 (Continue) before it reads such a body, whose buffer counts all the
+// same.
 func (t *Table) Send(id ID, at croft.Millis) {
 	e, ok := t.entries[id]
 	if ok && e.phase != heading && e.phase != trusted && (e.phase != receiving || e.handled) {
--- a/inflow/table_test.go
+++ b/inflow/table_test.go
@@ -245,3 +245,10 @@
 	_, ok = table.DropStalled(minStalled)
 	assert.Assert(t, !ok, "the other one has read a part")
 }
+
+// Guards against a listener for other entries that keeps some of them out: the target has 90 entries, each of which may also have a
+// connection that has not been closed yet.
+func TestPeerLimitsHoldAllEntries(t *testing.T) {
+	const entries, memoryMB, descriptors = 90, 256, 1024
+	assert.Assert(t, PeerLimits(memoryMB, descriptors).Connections >= 2*entries)
+}
--- a/sched/park_test.go
+++ b/sched/park_test.go
@@ -303,7 +303,7 @@
 	assert.Equal(t, len(b.planner.jobs), 1)
 	logged := 0
 	for _, l := range effectsOf[Log](effects) {
-		if l.Decision.Action == "Unreadable" && l.Decision.Subject == "u" {
+		if l.Action == "Unreadable" && l.Subject == "u" {
 			logged++
 		}
 	}
--- a/setup/entry.go
+++ b/setup/entry.go
@@ -44,7 +44,8 @@
 	ProbeTimeoutMs croft.Millis `validate:"min=10,max=60000" doc:"Timeout of one heartbeat, in milliseconds."`
 	PollMs         croft.Millis `validate:"min=50,max=60000" doc:"Interval between reads of the platform's VM list and table, in milliseconds."`
 	PlatformMs     croft.Millis `validate:"min=10,max=60000" doc:"Timeout of one call to the platform, in milliseconds."`
-	HeadersMs      croft.Millis `validate:"min=10,max=600000" doc:"Time for the headers of a request to arrive, and for the next request on a connection, in milliseconds."`
+	HeadersMs      croft.Millis `validate:"min=10,max=600000" doc:"Time for the headers of a request to arrive, in milliseconds."`
+	IdleMs         croft.Millis `validate:"min=10,max=3600000" doc:"Time after which a connection without a request is closed, in milliseconds."`
 	BodyMs         croft.Millis `validate:"min=10,max=600000" doc:"Time for the body of a request to arrive, in milliseconds."`
 	StopWaitMs     croft.Millis `validate:"min=0,max=600000" doc:"Time at a planned stop between reporting not ready and refusing requests, in milliseconds."`
 	StopMs         croft.Millis `validate:"max=3600000,gtfield=StopWaitMs" doc:"Timeout of a planned stop, in milliseconds."`
@@ -112,6 +113,7 @@
 		PollMs:         croft.Second,
 		PlatformMs:     croft.Second,
 		HeadersMs:      10 * croft.Second,
+		IdleMs:         90 * croft.Second,
 		BodyMs:         30 * croft.Second,
 		StopWaitMs:     2 * croft.Second,
 		StopMs:         30 * croft.Second,
