agent: a new leader's planner decodes only the stored jobs beyond its memory for records

The agent decodes records up to the planner's memory for records, as before, and passes on the others as they are stored.

--- a/agent/follow.go
+++ b/agent/follow.go
@@ -235,10 +235,11 @@
 }
 
 // joinJobStates joins job rows with their state rows. If stored is nil, the rows are of new jobs, which are still in the
-// state with which they were stored; otherwise, the planner decodes them. Unreadable rows are logged and skipped, and jobs that have
-// ended are skipped.
+// state with which they were stored. Records are decoded up to the planner's limit; the planner decodes the others one at a time.
+// Unreadable rows are logged and skipped, and jobs that have ended are skipped.
 func (a *Agent) joinJobStates(rows []croft.Row, stored *storedJobs) []sched.JobRow {
 	out := make([]sched.JobRow, 0, len(rows))
+	limit, decoded := a.Planner.MaxRecordBytes, 0
 	for _, row := range rows {
 		part, id, err := jobs.SplitKey(row.Key)
 		if err != nil {
@@ -246,17 +247,16 @@
 			continue
 		}
 		j := sched.JobRow{ID: id, Part: part, Version: row.Version, Progress: jobs.Progress{Status: jobs.Pending}}
-		if stored != nil {
-			j.Encoded = row.Value
-			if a.joinState(&j, row, stored) {
-				out = append(out, j)
-			}
+		if stored != nil && !a.joinState(&j, row, stored) {
 			continue
 		}
-		if j.Record, err = jobs.DecodeRecord(row.Value); err != nil {
+		if limit > 0 && decoded >= limit {
+			j.Encoded = row.Value
+		} else if j.Record, err = jobs.DecodeRecord(row.Value); err != nil {
 			a.Log.Error("Unreadable", row.Key, err.Error())
 			continue
 		}
+		decoded += sched.DecodedBytes(j.Record)
 		out = append(out, j)
 	}
 	return out
--- a/sched/events.go
+++ b/sched/events.go
@@ -76,7 +76,7 @@
 	Version  uint64
 	Record   jobs.Record
 	Progress jobs.Progress
-	// Encoded is the stored value of the record; if it is set, Record is not, and the planner decodes one at a time.
+	// Encoded is the stored value of the record; if it is set, Record is not, and the planner decodes it.
 	Encoded []byte
 }
 
--- a/sched/record.go
+++ b/sched/record.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"waxwing.example/croft"
+	"waxwing.example/croft/jobs"
 )
 
 const (
@@ -22,9 +23,14 @@
 	case j.ended || len(j.stages) > 0:
 		return 0
 	}
-	bytes := jobBytes + len(j.record.Spec.Payload)
-	for i := range j.record.Spec.Steps {
-		s := &j.record.Spec.Steps[i]
+	return DecodedBytes(j.record)
+}
+
+// DecodedBytes returns the memory of a job with its decoded record and without tasks.
+func DecodedBytes(r jobs.Record) int {
+	bytes := jobBytes + len(r.Spec.Payload)
+	for i := range r.Spec.Steps {
+		s := &r.Spec.Steps[i]
 		bytes += stepBytes + len(s.Requires) + len(s.Image) + len(s.DataRack)
 	}
 	return bytes
