inflow: a connection whose client does not read a response is closed

What other entries saw: after 400 clients with the key of the entries had asked for the fleet many times and read nothing, no further entry could connect.

Cause: a write that timed out failed, but only net/http closes a connection after that. The server of other entries went on reading, and its trusted connections are not closed for others.

Change: Conn closes itself when a part of a response was not read within the time.

--- a/inflow/conn.go
+++ b/inflow/conn.go
@@ -198,7 +198,7 @@
 	}
 }
 
-// writePart writes a part of a response within writeTimeout.
+// writePart writes a part of a response within writeTimeout, and closes the connection if that fails.
 func (c *Conn) writePart(b []byte) (int, error) {
 	c.gate.send(c)
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout.Duration())); err != nil {
@@ -207,6 +207,8 @@
 	n, err := c.Conn.Write(b)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		c.gate.record(ReasonWriteTime)
+		// A server may go on reading requests although it cannot respond, and would keep the connection.
+		_ = c.Close()
 	}
 	return n, err
 }
--- a/inflow/conn_test.go
+++ b/inflow/conn_test.go
@@ -1,7 +1,9 @@
 package inflow
 
 import (
+	"io"
 	"net"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -96,3 +98,18 @@
 	assert.NilError(t, err, "a response that is larger than the limit takes all of it")
 	release()
 }
+
+// Guards against other entries' connections whose clients read nothing and that are kept: their server reads on after a failed write.
+func TestConnectionIsClosedIfItsClientReadsNothing(t *testing.T) {
+	gate := NewGate(Options{Limits: Limits{Connections: 10}, Clock: clock.NewSystem(), Log: discardLog{}, Count: func(Reason) {}})
+	server, client := net.Pipe()
+	defer client.Close()
+	c := &Conn{Conn: server, gate: gate}
+	assert.Assert(t, gate.open(c, new(atomic.Bool)))
+	assert.Assert(t, c.Trust())
+	_, err := c.Write([]byte("the client reads nothing of this"))
+	assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	_, err = client.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF)
+	assert.Equal(t, gate.table.Connections(), 0)
+}
