intake: cancel jobs before they are stored

What callers saw: a caller whose submission had got 504 cancelled the job and was told that it did not exist (410).

Cause: Intake.Cancel took a missing state row for a job that does not exist. The submission may still wait in an entry, be on its way to the store, or be repeated, at this entry or another one, also one that has ended since. All that its transaction requires is that the state row is missing.

Change: a cancellation that finds no row stores a tombstone in its place, under the condition that there is none, and is answered 410 once this is confirmed. Each later submission of the ID conflicts with it and is answered 410. If a submission was faster, the cancellation conflicts and cancels the stored job. A tombstone has the organisations that stored it and rejects only jobs that these may cancel; the job of another one replaces it.

A conflict that names no row was taken for a stored job; its outcome is unknown now.

--- a/agent/retention_test.go
+++ b/agent/retention_test.go
@@ -82,6 +82,16 @@
 	})
 }
 
+// Guards against a store that keeps the tombstones of cancelled IDs for ever.
+func TestTombstonesAreRemovedLikeStatesOfEndedJobs(t *testing.T) {
+	table, a, ctx := newRetentionTest(t)
+	tombstone := jobs.EncodeProgress(jobs.Progress{}.WithCancellationBy("red"))
+	newest := table.put(map[string][]byte{jobs.Key(jobs.StateTable, testPart, "old"): tombstone})
+	table.put(map[string][]byte{jobs.Key(jobs.StateTable, testPart, "recent"): tombstone})
+	a.removeStatesUpTo(ctx, newest)
+	assert.DeepEqual(t, table.keys(), []string{jobs.Key(jobs.StateTable, testPart, "recent")})
+}
+
 // Guards against a removal that takes the store from the jobs: it ends with the first refusal, and the next pass goes on.
 func TestRemovalOfStatesEndsWhenTheStoreRefuses(t *testing.T) {
 	table, a, ctx := newRetentionTest(t)
--- a/intake/group.go
+++ b/intake/group.go
@@ -19,14 +19,18 @@
 	maxGroupBytes = 512 << 10
 )
 
-// submission is a job that waits until its transaction has an outcome.
+// submission is a job, or the tombstone of one, that waits until its transaction has an outcome.
 type submission struct {
-	// stateKey is the key of the job's state row, whose existence shows that the job is stored.
+	// stateKey is the key of the job's state row, whose existence shows that the job is stored or cancelled.
 	stateKey string
 	// organisation owns the job.
 	organisation croft.OrganisationID
-	ops          []croft.Op
-	began        croft.Millis
+	// tombstone reports that a tombstone is to be stored, and found is the row that exists in its place.
+	tombstone bool
+	found     croft.Row
+	// ops begins with the operation on the state row.
+	ops   []croft.Op
+	began croft.Millis
 	// sent reports that a transaction with the job was sent, and mayBeStored that the outcome of one is unknown.
 	sent, mayBeStored bool
 	// alone reports that the job shares no transaction, since one of it was refused for what it contained.
@@ -58,6 +62,11 @@
 	writing bool
 }
 
+// newGroupWriter returns a writer without submissions.
+func newGroupWriter(table croft.Table, clock croft.Clock) *groupWriter {
+	return &groupWriter{table: table, clock: clock, parts: map[string]*partQueue{}}
+}
+
 // submit stores a job in a part and returns its outcome, or the best that is known once the caller's context ends. A
 // submission that the store keeps refusing is abandoned, so that the caller can try another entry. Nothing is sent if the context has
 // ended: the checks before may have ended with it.
@@ -68,7 +77,27 @@
 		}
 		return Unavailable, err.Error()
 	}
-	s := &submission{stateKey: stateKey, organisation: org, ops: ops, began: g.clock.Elapsed(), decided: make(chan struct{})}
+	return g.store(ctx, part, &submission{stateKey: stateKey, organisation: org, ops: ops})
+}
+
+// commitTombstone stores a tombstone in a part. Its errors are those of a Commit, whose outcome is unknown if the context ends.
+func (g *groupWriter) commitTombstone(ctx context.Context, part string, op croft.Op) error {
+	s := &submission{stateKey: op.Key, tombstone: true, ops: []croft.Op{op}}
+	switch outcome, reason := g.store(ctx, part, s); outcome {
+	case Accepted:
+		return nil
+	case Conflict:
+		return &croft.ConflictError{Rows: []croft.Row{s.found}}
+	case Unknown:
+		return &croft.LostAnswerError{Reason: reason}
+	default:
+		return &croft.UnavailableError{Reason: reason}
+	}
+}
+
+// store queues a submission and waits for its outcome, until the context ends.
+func (g *groupWriter) store(ctx context.Context, part string, s *submission) (Outcome, string) {
+	s.began, s.decided = g.clock.Elapsed(), make(chan struct{})
 	g.enqueue(part, s)
 	select {
 	case <-s.decided:
@@ -109,8 +138,7 @@
 	if s.sent || q.inFlight[s.stateKey] || g.isUncertain(s.stateKey) {
 		outcome = Unknown
 	}
-	s.decide(outcome, cause.Error())
-	q.drop(s)
+	q.decide(s, outcome, cause.Error())
 }
 
 // isUncertain reports whether a transaction with the key has had no answer and may still be carried out; the caller holds the lock.
@@ -129,12 +157,6 @@
 	return ok && (q.inFlight[stateKey] || slices.ContainsFunc(q.waiting, func(s *submission) bool { return s.stateKey == stateKey }))
 }
 
-// decide sets the final outcome; the caller holds the writer's lock.
-func (s *submission) decide(outcome Outcome, reason string) {
-	s.outcome, s.reason = outcome, reason
-	close(s.decided)
-}
-
 // isDecided reports whether the outcome is final.
 func (s *submission) isDecided() bool {
 	select {
@@ -145,8 +167,13 @@
 	}
 }
 
-// drop removes a submission from the waiting ones.
-func (q *partQueue) drop(s *submission) {
+// decide sets the outcome of a submission, unless it has one already, and removes it from the waiting ones; the caller holds the
+// writer's lock.
+func (q *partQueue) decide(s *submission, outcome Outcome, reason string) {
+	if !s.isDecided() {
+		s.outcome, s.reason = outcome, reason
+		close(s.decided)
+	}
 	q.waiting = slices.DeleteFunc(q.waiting, func(other *submission) bool { return other == s })
 }
 
@@ -211,20 +238,19 @@
 	switch {
 	case err == nil:
 		for _, s := range group {
-			q.accept(s, "stored")
+			q.decide(s, Accepted, "stored")
 		}
 		return true, false
 	case errors.As(err, &conflict):
-		return true, q.acceptStored(group, conflict)
+		return true, q.resolveConflict(group, conflict)
 	case errors.As(err, &unavailable) && unavailable.Invalid:
 		q.separateInvalid(group, err)
 		return true, false
 	case errors.As(err, &unavailable):
 		for _, s := range group {
 			s.lastErr = err
-			if !s.mayBeStored && !g.isUncertain(s.stateKey) && g.clock.Elapsed()-s.began > refusalTimeout && !s.isDecided() {
-				s.decide(Unavailable, err.Error())
-				q.drop(s)
+			if !s.mayBeStored && !g.isUncertain(s.stateKey) && g.clock.Elapsed()-s.began > refusalTimeout {
+				q.decide(s, Unavailable, err.Error())
 				continue
 			}
 			s.sent = s.mayBeStored
@@ -244,40 +270,28 @@
 func (q *partQueue) separateInvalid(group []*submission, cause error) {
 	for _, s := range group {
 		s.alone, s.sent = true, s.mayBeStored
-		if len(group) == 1 && !s.isDecided() {
-			s.decide(Invalid, cause.Error())
-			q.drop(s)
+		if len(group) == 1 {
+			q.decide(s, Invalid, cause.Error())
 		}
 	}
 }
 
-// accept decides a submission as accepted.
-func (q *partQueue) accept(s *submission, reason string) {
-	if !s.isDecided() {
-		s.decide(Accepted, reason)
-	}
-	q.drop(s)
-}
-
-// acceptStored accepts the submissions whose state row exists according to a conflict; the others were not stored with
-// them. It reports whether they have to be sent one by one, since the conflict does not tell which of them exist.
-func (q *partQueue) acceptStored(group []*submission, conflict *croft.ConflictError) bool {
-	existing := map[string]croft.Row{}
+// resolveConflict decides the submissions in whose place a conflict has another state row; the others were not stored with them. It
+// reports whether they have to be sent one by one, since the conflict does not tell which of them it is about.
+func (q *partQueue) resolveConflict(group []*submission, conflict *croft.ConflictError) bool {
+	current := map[string]croft.Row{}
 	for _, row := range conflict.Rows {
-		if row.Version > 0 {
-			existing[row.Key] = row
-		}
+		current[row.Key] = row
 	}
 	found := 0
 	for _, s := range group {
-		row, exists := existing[s.stateKey]
+		row, listed := current[s.stateKey]
 		switch {
-		case exists && s.isOthers(row):
-			q.reject(s)
-			found++
-		case exists || len(group) == 1:
-			q.accept(s, "already stored")
+		case listed && row.Version != s.ops[0].Version:
+			q.resolve(s, row)
 			found++
+		case len(group) == 1:
+			q.decide(s, Unknown, "the store reported a conflict without the row")
 		default:
 			s.sent = s.mayBeStored
 		}
@@ -285,17 +299,23 @@
 	return found == 0
 }
 
-// isOthers reports whether a state row is that of another organisation's job. A row that cannot be decoded is taken for the
-// submission's own: IDs are random.
-func (s *submission) isOthers(row croft.Row) bool {
+// resolve decides a submission by the state row that exists in its place, or makes it replace the tombstone of an organisation that
+// may not cancel the job. A row that cannot be decoded is taken for the submission's own: IDs are random.
+func (q *partQueue) resolve(s *submission, row croft.Row) {
 	progress, err := jobs.DecodeProgress(row.Value)
-	return err == nil && s.organisation != "" && !progress.IsVisibleTo(s.organisation)
-}
-
-// reject decides a submission whose ID another organisation's job has.
-func (q *partQueue) reject(s *submission) {
-	if !s.isDecided() {
-		s.decide(Conflict, "a job of another organisation has the ID")
+	switch isDecoded := err == nil && row.Version > 0; {
+	case s.tombstone:
+		s.found = row
+		q.decide(s, Conflict, "the state row has changed")
+	case row.Version == 0 || isDecoded && progress.IsTombstone() && !progress.RejectsJobOf(s.organisation):
+		s.ops = slices.Clone(s.ops)
+		s.ops[0].Version = row.Version
+		s.sent = s.mayBeStored
+	case isDecoded && progress.IsTombstone():
+		q.decide(s, Cancelled, "the job was cancelled before it was stored")
+	case isDecoded && s.organisation != "" && !progress.IsVisibleTo(s.organisation):
+		q.decide(s, Conflict, "a job of another organisation has the ID")
+	default:
+		q.decide(s, Accepted, "already stored")
 	}
-	q.drop(s)
 }
--- a/intake/group_test.go
+++ b/intake/group_test.go
@@ -50,7 +50,7 @@
 // submitMany submits jobs to one part at once and returns their outcomes.
 func submitMany(t *testing.T, store croft.Table, ids []croft.JobID, patience time.Duration) []Outcome {
 	t.Helper()
-	g := &groupWriter{table: store, clock: clock.NewSystem(), parts: map[string]*partQueue{}}
+	g := newGroupWriter(store, clock.NewSystem())
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	outcomes := make([]Outcome, len(ids))
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -30,6 +30,8 @@
 	Invalid Outcome = "Invalid"
 	// Conflict means that a job of another organisation has the same ID.
 	Conflict Outcome = "Conflict"
+	// Cancelled means that the job is not stored and never will be, because it was cancelled before.
+	Cancelled Outcome = "Cancelled"
 	// Unknown means that the job may be stored.
 	Unknown Outcome = "Unknown"
 )
@@ -42,6 +44,8 @@
 	ErrStoreUnavailable = errors.New("intake: the store did not answer")
 	// ErrCancelUnknown reports that it is unknown whether a cancellation has been stored.
 	ErrCancelUnknown = errors.New("intake: the cancellation may or may not be stored")
+	// ErrTooManyCancellations reports that too many jobs that are not stored are being cancelled.
+	ErrTooManyCancellations = errors.New("intake: too many cancellations of jobs that are not stored")
 )
 
 // Delays and timeouts of an Intake.
@@ -57,11 +61,14 @@
 
 // Intake stores callers' jobs, reports their status and cancels them; it is safe for concurrent use.
 type Intake struct {
-	table       croft.Table
-	writer      groupWriter
-	clock       croft.Clock
-	log         croft.DecisionLog
-	storeOutage func() croft.Millis
+	table  croft.Table
+	writer *groupWriter
+	// tombstones stores tombstones apart from the submissions, so that cancellations do not wait for these.
+	tombstones     *groupWriter
+	tombstoneLimit *tombstoneLimit
+	clock          croft.Clock
+	log            croft.DecisionLog
+	storeOutage    func() croft.Millis
 	// configValidity is how long a configuration is used after it was last confirmed to be the newest one.
 	configValidity croft.Millis
 	// rowBytes is the maximum size of the value of a row in the store, zero if it is not known.
@@ -89,7 +96,7 @@
 // rowBytes, zero for no limit.
 func New(table croft.Table, clock croft.Clock, log croft.DecisionLog, storeOutage func() croft.Millis, configValidity croft.Millis, rowBytes int) *Intake {
 	return &Intake{
-		table: table, writer: groupWriter{table: table, clock: clock, parts: map[string]*partQueue{}},
+		table: table, writer: newGroupWriter(table, clock), tombstones: newGroupWriter(table, clock), tombstoneLimit: newTombstoneLimit(),
 		clock: clock, log: log, storeOutage: storeOutage, configValidity: configValidity, rowBytes: rowBytes,
 	}
 }
@@ -194,6 +201,9 @@
 // part returns the part of the store that holds the job's rows.
 func (t Target) part() string { return jobs.Part(t.Queue.ID, t.ID) }
 
+// stateKey returns the key of the job's state row.
+func (t Target) stateKey() string { return jobs.Key(jobs.StateTable, t.part(), t.ID) }
+
 // isVisible reports whether the caller may ask for the job with this progress and cancel it.
 func (t Target) isVisible(progress jobs.Progress) bool {
 	return t.Queue.Public || progress.IsVisibleTo(t.Organisation)
@@ -218,7 +228,6 @@
 		i.logDecision("Submit", id, string(Unavailable), fmt.Sprintf("queue %s: the store has not answered this entry for %d ms; retry after %d ms", q.ID, outage, wait))
 		return Unavailable, wait
 	}
-	part := t.part()
 	ops := i.submissionOps(t, spec)
 	for _, op := range ops {
 		if i.rowBytes > 0 && len(op.Value) > i.rowBytes {
@@ -230,7 +239,7 @@
 		i.logDecision("Submit", id, string(Rejected), fmt.Sprintf("queue %s: too many large records; retry after %d ms", q.ID, recordRetryAfter))
 		return Rejected, recordRetryAfter
 	}
-	outcome, reason := i.writer.submit(ctx, part, jobs.Key(jobs.StateTable, part, id), t.Organisation, ops)
+	outcome, reason := i.writer.submit(ctx, t.part(), t.stateKey(), t.Organisation, ops)
 	i.logDecision("Submit", id, string(outcome), fmt.Sprintf("queue %s: %s", q.ID, reason))
 	return outcome, retryAfter
 }
@@ -254,7 +263,7 @@
 	return min(max(outage/outageDivisor, retryAfter), maxRetryAfter)
 }
 
-// submissionOps returns the transaction that stores a job; it conflicts if the job is stored already.
+// submissionOps returns the transaction that stores a job; it conflicts if the job is stored already, or has a tombstone.
 func (i *Intake) submissionOps(t Target, spec croft.JobSpec) []croft.Op {
 	q, part := t.Queue, t.part()
 	record := jobs.Record{
@@ -271,19 +280,19 @@
 	}
 }
 
-// mayBeStored reports whether a job is stored, may still be stored by this entry, or is not known to be missing, as the store does not
+// mayBeStored reports whether a job is stored or cancelled, may still be stored by this entry, or is not known to be missing, as the store does not
 // answer. Only other jobs may be refused without an attempt to store them.
 func (i *Intake) mayBeStored(ctx context.Context, t Target) bool {
 	if i.isPending(t) {
 		return true
 	}
-	_, _, err := i.readProgress(ctx, t)
+	_, err := i.readProgress(ctx, t)
 	return !errors.Is(err, ErrNoJob)
 }
 
 // isPending reports whether this entry may still store a job.
 func (i *Intake) isPending(t Target) bool {
-	return i.writer.isPending(t.part(), jobs.Key(jobs.StateTable, t.part(), t.ID))
+	return i.writer.isPending(t.part(), t.stateKey())
 }
 
 // logDecision logs a decision about a job.
@@ -291,81 +300,57 @@
 	i.log.Log(croft.Decision{Action: action, Subject: string(id), Choice: choice, Reason: reason})
 }
 
-// readProgress returns a job's stored progress and the version of its row.
-func (i *Intake) readProgress(ctx context.Context, t Target) (jobs.Progress, uint64, error) {
-	key := jobs.Key(jobs.StateTable, t.part(), t.ID)
+// readState returns the job's state row, with Version zero if there is none.
+func (i *Intake) readState(ctx context.Context, t Target) (croft.Row, error) {
 	if i.storeOutage() > 0 {
 		i.logDecision("Read", t.ID, "NoAnswer", "the store does not answer this entry")
-		return jobs.Progress{}, 0, ErrStoreUnavailable
+		return croft.Row{}, ErrStoreUnavailable
 	}
 	for {
-		row, err := i.table.Get(ctx, key)
+		row, err := i.table.Get(ctx, t.stateKey())
 		if err == nil {
-			progress, err := jobs.DecodeProgress(row.Value)
-			return progress, row.Version, err
+			return row, nil
 		}
 		if errors.Is(err, croft.ErrNoRow) {
-			return jobs.Progress{}, 0, ErrNoJob
+			return croft.Row{Key: t.stateKey()}, nil
 		}
 		if i.clock.Sleep(ctx, retryDelay) != nil || ctx.Err() != nil {
 			i.logDecision("Read", t.ID, "NoAnswer", err.Error())
-			return jobs.Progress{}, 0, ErrStoreUnavailable
+			return croft.Row{}, ErrStoreUnavailable
 		}
 	}
 }
 
-// readOwnProgress returns what readProgress does, and ErrNoJob for a job that the caller may not see.
-func (i *Intake) readOwnProgress(ctx context.Context, t Target) (jobs.Progress, uint64, error) {
-	progress, version, err := i.readProgress(ctx, t)
-	if err == nil && !t.isVisible(progress) {
-		i.logDecision("Read", t.ID, "Hidden", fmt.Sprintf("the job of organisation %s was asked for by organisation %s", progress.Organisation, t.Organisation))
-		return jobs.Progress{}, 0, ErrNoJob
+// readProgress returns the progress in the job's state row, which may be that of a tombstone, and ErrNoJob if there is no row.
+func (i *Intake) readProgress(ctx context.Context, t Target) (jobs.Progress, error) {
+	row, err := i.readState(ctx, t)
+	if err != nil {
+		return jobs.Progress{}, err
 	}
-	return progress, version, err
-}
-
-// Status returns the status of a job.
-func (i *Intake) Status(ctx context.Context, t Target) (jobs.Status, error) {
-	progress, _, err := i.readOwnProgress(ctx, t)
-	return progress.Status, err
+	if row.Version == 0 {
+		return jobs.Progress{}, ErrNoJob
+	}
+	return jobs.DecodeProgress(row.Value)
 }
 
-// Cancel cancels a job, unless it has ended; it returns ErrNoJob if there is none that the caller may see.
-func (i *Intake) Cancel(ctx context.Context, t Target) error {
-	part, id := t.part(), t.ID
-	for {
-		progress, version, err := i.readOwnProgress(ctx, t)
-		if err != nil || progress.Status.Final() {
-			i.logDecision("Cancel", id, string(progress.Status), reasonOr(err, "the job had already ended"))
-			return err
-		}
-		progress.Status = jobs.Canceled
-		_, err = i.table.Commit(ctx, []croft.Op{
-			{Kind: croft.OpPut, Key: jobs.Key(jobs.StateTable, part, id), Version: version, Value: jobs.EncodeProgress(progress)},
-			{Kind: croft.OpPut, Key: jobs.Key(jobs.CancelTable, part, id), Version: croft.AnyVersion, Value: jobs.PresenceValue},
-			{Kind: croft.OpDelete, Key: jobs.Key(jobs.WaitTable, part, id), Version: croft.AnyVersion},
-		})
-		if err == nil {
-			i.logDecision("Cancel", id, string(jobs.Canceled), "stored")
-			return nil
-		}
-		var conflict *croft.ConflictError
-		if errors.As(err, &conflict) {
-			continue
-		}
-		if i.clock.Sleep(ctx, retryDelay) != nil || ctx.Err() != nil {
-			i.logDecision("Cancel", id, "NoAnswer", err.Error())
-			return ErrCancelUnknown
-		}
-	}
+// logHidden logs that a caller has asked for a job of another organisation.
+func (i *Intake) logHidden(action string, t Target, progress jobs.Progress) {
+	i.logDecision(action, t.ID, "Hidden", fmt.Sprintf("the job of organisation %s was asked for by organisation %s", progress.Organisation, t.Organisation))
 }
 
-// reasonOr returns the error's text, or another reason if there is no error.
-func reasonOr(err error, otherwise string) string {
-	if err != nil {
-		return err.Error()
+// Status returns the status of a job, and ErrNoJob if there is none that the caller may see.
+func (i *Intake) Status(ctx context.Context, t Target) (jobs.Status, error) {
+	progress, err := i.readProgress(ctx, t)
+	switch {
+	case err != nil:
+		return "", err
+	case progress.IsTombstone():
+		return "", ErrNoJob
+	case !t.isVisible(progress):
+		i.logHidden("Read", t, progress)
+		return "", ErrNoJob
 	}
-	return otherwise
+	return progress.Status, nil
 }
 
 // Waiting returns the number of jobs of a queue that have not begun.
--- a/jobs/progress.go
+++ b/jobs/progress.go
@@ -29,6 +29,29 @@
 	// Crashed has the tasks because of which the executor of their last start may have gone down, and for each how many
 	// executors went down just after they had begun it, since one last survived that; the keys are made by TaskName.
 	Crashed map[string]int `json:",omitempty"`
+	// CancelledBy makes the row a tombstone: it has the organisations that cancelled the ID while no job with it was stored, "" for
+	// callers of public queues.
+	CancelledBy []croft.OrganisationID `json:",omitempty"`
+}
+
+// IsTombstone reports whether the row is that of an ID that was cancelled while no job with it was stored.
+func (p Progress) IsTombstone() bool { return len(p.CancelledBy) > 0 }
+
+// IsCancelledBy reports whether the row is a tombstone that covers all jobs which callers of an organisation may cancel.
+func (p Progress) IsCancelledBy(org croft.OrganisationID) bool {
+	return slices.Contains(p.CancelledBy, "") || slices.Contains(p.CancelledBy, org)
+}
+
+// RejectsJobOf reports whether the row is a tombstone of a caller who may cancel the jobs of an organisation.
+func (p Progress) RejectsJobOf(org croft.OrganisationID) bool {
+	return p.IsTombstone() && (org == "" || p.IsCancelledBy(org))
+}
+
+// WithCancellationBy returns a copy that is a tombstone, also of an organisation.
+func (p Progress) WithCancellationBy(org croft.OrganisationID) Progress {
+	p.Status = Canceled
+	p.CancelledBy = append(slices.Clone(p.CancelledBy), org)
+	return p
 }
 
 // IsVisibleTo reports whether callers of an organisation may ask for the job and cancel it.
--- a/jobs/rows_test.go
+++ b/jobs/rows_test.go
@@ -212,3 +212,35 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, decoded, record)
 }
+
+// Guards against an organisation that keeps the jobs of another one from being stored, and against jobs that are stored after their
+// cancellation.
+func TestTombstoneRejectsJobsThatItsOrganisationsMayCancel(t *testing.T) {
+	red := Progress{}.WithCancellationBy("red")
+	both := red.WithCancellationBy("blue")
+	public := red.WithCancellationBy("")
+	for _, test := range []struct {
+		progress  Progress
+		org       croft.OrganisationID
+		cancelled bool
+		rejects   bool
+	}{
+		{Progress{Status: Canceled}, "red", false, false},
+		{Progress{Status: Canceled}, "", false, false},
+		{red, "red", true, true},
+		{red, "blue", false, false},
+		{red, "", false, true},
+		{both, "blue", true, true},
+		{both, "red", true, true},
+		{both, "green", false, false},
+		{public, "green", true, true},
+		{public, "", true, true},
+	} {
+		decoded, err := DecodeProgress(EncodeProgress(test.progress))
+		assert.NilError(t, err)
+		assert.Equal(t, decoded.Status, Canceled)
+		assert.Equal(t, decoded.IsCancelledBy(test.org), test.cancelled, "%v %q", test.progress.CancelledBy, test.org)
+		assert.Equal(t, decoded.RejectsJobOf(test.org), test.rejects, "%v %q", test.progress.CancelledBy, test.org)
+	}
+	assert.Equal(t, len(red.CancelledBy), 1)
+}
