intake: report a lost cancellation as unknown during an outage

What callers saw: 503, which says that nothing was done, for a cancellation whose transaction had lost its answer and may be stored: the entry read the state row again before repeating it, and the store had stopped answering.

Cause: Cancel returned the error of that read, whatever it had sent before.

Change: once an answer was lost, an outage, or a refusal for too many cancellations, is ErrCancelUnknown, which is answered 504.

TestLostCancellationIsUnknownDuringAnOutage failed before with ErrStoreUnavailable and passes.

--- a/intake/cancel.go
+++ b/intake/cancel.go
@@ -13,9 +13,12 @@
 // that is under way, at any entry, will store one.
 func (i *Intake) Cancel(ctx context.Context, t Target) error {
 	row, err := i.readState(ctx, t)
+	mayBeStored := false
 	for err == nil {
 		err = i.cancelState(ctx, t, row)
 		var conflict *croft.ConflictError
+		var lost *croft.LostAnswerError
+		mayBeStored = mayBeStored || errors.As(err, &lost)
 		switch {
 		case err == nil:
 			return nil
@@ -30,6 +33,9 @@
 			row, err = i.readState(ctx, t)
 		}
 	}
+	if mayBeStored && (errors.Is(err, ErrStoreUnavailable) || errors.Is(err, ErrTooManyCancellations)) {
+		return ErrCancelUnknown
+	}
 	return err
 }
 
--- a/intake/cancel_test.go
+++ b/intake/cancel_test.go
@@ -300,6 +300,17 @@
 	})
 }
 
+// Guards against 503, which says that nothing was done, for a cancellation whose answer was lost before the store stopped answering.
+func TestLostCancellationIsUnknownDuringAnOutage(t *testing.T) {
+	c := newCancellationTest()
+	c.submit(t, c.red, Accepted)
+	c.table.fail = func(int) error {
+		c.table.outage = &croft.UnavailableError{Reason: "test"}
+		return &croft.LostAnswerError{Reason: "test"}
+	}
+	assert.ErrorIs(t, c.intake.Cancel(shortContext(t), c.red), ErrCancelUnknown)
+}
+
 // Guards against a store that is written for each repetition of a cancellation.
 func TestRepeatedCancellationOfAMissingJobWritesNothing(t *testing.T) {
 	c := newCancellationTest()
