--- a/intake/group.go
+++ b/intake/group.go
@@ -300,22 +300,34 @@
 }
 
 // resolve decides a submission by the state row that exists in its place, or makes it replace the tombstone of an organisation that
-// may not cancel the job. A row that cannot be decoded is taken for the submission's own: IDs are random.
+// may not cancel the job.
 func (q *partQueue) resolve(s *submission, row croft.Row) {
-	progress, err := jobs.DecodeProgress(row.Value)
-	switch isDecoded := err == nil && row.Version > 0; {
-	case s.tombstone:
+	if s.tombstone {
 		s.found = row
 		q.decide(s, Conflict, "the state row has changed")
-	case row.Version == 0 || isDecoded && progress.IsTombstone() && !progress.RejectsJobOf(s.organisation):
-		s.ops = slices.Clone(s.ops)
-		s.ops[0].Version = row.Version
-		s.sent = s.mayBeStored
-	case isDecoded && progress.IsTombstone():
+		return
+	}
+	progress, err := jobs.DecodeProgress(row.Value)
+	switch {
+	case row.Version == 0:
+		s.expect(0)
+	case err != nil:
+		// IDs are random, so that a row which cannot be decoded is taken for the submission's own.
+		q.decide(s, Accepted, "already stored")
+	case progress.RejectsJobOf(s.organisation):
 		q.decide(s, Cancelled, "the job was cancelled before it was stored")
-	case isDecoded && s.organisation != "" && !progress.IsVisibleTo(s.organisation):
+	case progress.IsTombstone():
+		s.expect(row.Version)
+	case s.organisation != "" && !progress.IsVisibleTo(s.organisation):
 		q.decide(s, Conflict, "a job of another organisation has the ID")
 	default:
 		q.decide(s, Accepted, "already stored")
 	}
 }
+
+// expect makes the next transaction require a version of the state row.
+func (s *submission) expect(version uint64) {
+	s.ops = slices.Clone(s.ops)
+	s.ops[0].Version = version
+	s.sent = s.mayBeStored
+}
