crowd: soak cancellations against restarting entries and an unreliable store

24 callers submit jobs, most with little patience, repeat them at other entries, cancel them and let duplicates arrive late. Meanwhile entries are stopped, killed and replaced, some killed while they stop, and the store is slow, refuses transactions or carries them out up to 2 s after it has lost the answer. Checked: what was acknowledged as cancelled is stored as cancelled and was not stored after that, what was accepted and not cancelled is kept, and what every attempt refused is not stored.

--- a/crowd/entry_test.go
+++ b/crowd/entry_test.go
@@ -60,19 +60,26 @@
 
 // startEntryOn starts an entry with a store and returns once it is ready.
 func startEntryOn(t *testing.T, s *store) *entry {
+	t.Helper()
+	e := launchEntry(t, s, "e1")
+	e.await(t, func() bool { return e.probe() == http.StatusOK })
+	return e
+}
+
+// launchEntry starts an entry with a name, which no other entry on the store may have.
+func launchEntry(t *testing.T, s *store, name string) *entry {
 	t.Helper()
 	addresses := freeAddresses(t, 3)
 	e := &entry{callers: addresses[0], ready: addresses[1], metrics: addresses[2]}
 	settings := filepath.Join(t.TempDir(), "settings.yaml")
-	text := fmt.Sprintf("node_name: e1\nzone: a\nlisten: {front: %q, ready: %q, metrics: %q}\nlimits: {cpu_share: 0.8, memory_mb: %d, max_fds: %d}\n"+
+	text := fmt.Sprintf("node_name: %s\nzone: a\nlisten: {front: %q, ready: %q, metrics: %q}\nlimits: {cpu_share: 0.8, memory_mb: %d, max_fds: %d}\n"+
 		// A configuration that is not confirmed in time, since the machine is busy, makes an entry answer 503 without any crowd.
 		"bounds: {config_apply_ms: 60000}\n"+
-		"platform: {address: %q}\ncloud: {address: %q}\n", e.callers, e.ready, e.metrics, memoryMB, maxFDs, s.address, s.address)
+		"platform: {address: %q}\ncloud: {address: %q}\n", name, e.callers, e.ready, e.metrics, memoryMB, maxFDs, s.address, s.address)
 	assert.NilError(t, os.WriteFile(settings, []byte(text), 0o600))
 	cmd := exec.Command(program)
 	cmd.Env = append(os.Environ(), "WAXWINGCROFT_NODE_FILE="+settings)
 	e.process = startProcess(t, cmd, addresses)
-	e.await(t, func() bool { return e.probe() == http.StatusOK })
 	return e
 }
 
--- a/crowd/store_test.go
+++ b/crowd/store_test.go
@@ -11,6 +11,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"waxwing.example/croft/jobs"
 )
 
 // row is a row of the store on the wire.
@@ -33,18 +35,25 @@
 	ver     uint64
 	rows    map[string]row
 	changed chan struct{}
+	// submitted has when the record of each job was last written.
+	submitted map[string]time.Time
 }
 
 // newStore starts a stand-in that has the configuration.
 func newStore(t *testing.T, config string) *store {
-	s := &store{rows: map[string]row{}, changed: make(chan struct{})}
+	return newStoreBehind(t, config, func(h http.Handler) http.Handler { return h })
+}
+
+// newStoreBehind starts a stand-in that has the configuration, behind a handler that passes calls to it.
+func newStoreBehind(t *testing.T, config string, front func(http.Handler) http.Handler) *store {
+	s := &store{rows: map[string]row{}, changed: make(chan struct{}), submitted: map[string]time.Time{}}
 	s.put(row{Table: "op", Key: "config", Value: []byte(config)})
 	mux := http.NewServeMux()
 	mux.HandleFunc("/-/rows-get", s.get)
 	mux.HandleFunc("/-/rows-parts", s.parts)
 	mux.HandleFunc("/-/rows-feed", s.feed)
 	mux.HandleFunc("/-/rows-tx", s.commit)
-	server := httptest.NewServer(mux)
+	server := httptest.NewServer(front(mux))
 	t.Cleanup(server.Close)
 	s.address = server.Listener.Addr().String()
 	return s
@@ -73,6 +82,9 @@
 	ver := s.ver
 	r.Ver = &ver
 	s.rows[r.id()] = r
+	if r.Table == jobs.JobTable && !r.Gone {
+		s.submitted[r.Key] = time.Now()
+	}
 }
 
 // respond sends rows and the present version; the caller holds the lock.
