intake: store no more tombstones than the leader can remove

An entry stored up to 20 tombstones a second. The largest deployment has 97 entries, 1,940 a second together; the leader removes at most 16 states each 50 ms, 320 a second, so that the rows of callers who cancel IDs that nobody has submitted would have piled up.

An entry now stores 2 a second, 194 a second with 97 entries, with a burst of 100. A wave of callers that give up fits the burst: the busiest queue of the grown deployments has 190 submissions a second at 45 entries.

--- a/intake/tombstone.go
+++ b/intake/tombstone.go
@@ -11,10 +11,11 @@
 	"waxwing.example/croft/jobs"
 )
 
-// Limits of the tombstones that an entry stores. They bound the rows that callers can make it store for IDs that nobody has submitted.
+// Limits of the tombstones that an entry stores. They bound the rows that callers can make it store for IDs that nobody has submitted:
+// the leader removes those of a hundred entries as fast as these may store them.
 const (
-	tombstonesPerSecond = 20
-	tombstoneBurst      = 200
+	tombstonesPerSecond = 2
+	tombstoneBurst      = 100
 	// organisationDivisor divides the limits for a single organisation, so that it leaves some to the others.
 	organisationDivisor = 4
 )
@@ -61,7 +62,7 @@
 	defer l.mu.Unlock()
 	own, ok := l.organisations[org]
 	if !ok {
-		own = rate.NewLimiter(tombstonesPerSecond/organisationDivisor, tombstoneBurst/organisationDivisor)
+		own = rate.NewLimiter(rate.Limit(tombstonesPerSecond)/organisationDivisor, tombstoneBurst/organisationDivisor)
 		l.organisations[org] = own
 	}
 	return own.AllowN(now, 1) && l.all.AllowN(now, 1)
