crowd: play every kind of trouble, and give out no address twice

Kinds of trouble now come in turn, in a random order, and no address is given out twice. All entries are told to stop at once at the end.

--- a/crowd/entry_test.go
+++ b/crowd/entry_test.go
@@ -87,15 +87,21 @@
 // a listener that has just been closed to one of their connections, and the entry could not listen there.
 const entryHost = "127.0.0.2"
 
-// freeAddresses returns loopback addresses on which nothing listens.
+// givenAddresses has the addresses that freeAddresses has returned: an entry that starts may not listen yet on those it was given.
+var givenAddresses = map[string]bool{}
+
+// freeAddresses returns loopback addresses on which nothing listens, each only once.
 func freeAddresses(t *testing.T, count int) []string {
 	t.Helper()
 	var addresses []string
-	for range count {
+	for len(addresses) < count {
 		l, err := net.Listen("tcp", net.JoinHostPort(entryHost, "0"))
 		assert.NilError(t, err)
 		defer l.Close()
-		addresses = append(addresses, l.Addr().String())
+		if address := l.Addr().String(); !givenAddresses[address] {
+			givenAddresses[address] = true
+			addresses = append(addresses, address)
+		}
 	}
 	return addresses
 }
--- a/crowd/withdraw_test.go
+++ b/crowd/withdraw_test.go
@@ -216,7 +216,7 @@
 	trouble  *unreliable
 	store    *store
 	balancer *balancer
-	launched int
+	launched []*entry
 	// ending has the entries that were told to end and may still serve.
 	ending []*entry
 }
@@ -242,17 +242,27 @@
 }
 
 func (s *soak) launch(t *testing.T) *entry {
-	s.launched++
-	return launchEntry(t, s.store, fmt.Sprintf("e%d", s.launched))
+	e := launchEntry(t, s.store, fmt.Sprintf("e%d", len(s.launched)+1))
+	s.launched = append(s.launched, e)
+	return e
 }
 
-// disturb changes the store's trouble and replaces entries until a time has passed. Replacements overlap: an entry may be killed
+// stop tells all entries to stop, so that they do so at the same time.
+func (s *soak) stop() {
+	for _, e := range s.launched {
+		_ = e.cmd.Process.Signal(syscall.SIGTERM)
+	}
+}
+
+// disturb changes the store's trouble, each kind in turn in a random order, and replaces entries until a time has passed. Replacements overlap: an entry may be killed
 // while it is being stopped, and others are replaced meanwhile.
 func (s *soak) disturb(t *testing.T, duration time.Duration) {
+	order := s.random.Perm(len(troubles))
 	for end := time.Now().Add(duration); time.Now().Before(end); {
 		switch s.random.IntN(4) {
 		case 0, 1:
-			s.trouble.setTrouble(troubles[s.random.IntN(len(troubles))])
+			s.trouble.setTrouble(troubles[order[0]])
+			order = append(order[1:], order[0])
 		case 2:
 			slot := s.random.IntN(len(s.balancer.entries))
 			former := s.balancer.at(slot)
@@ -299,6 +309,7 @@
 	for seed := first; seed < first+seeds; seed++ {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			s := newSoak(t, seed)
+			defer s.stop()
 			told := s.run(t, seed)
 			counts := map[string]int{}
 			s.store.mu.Lock()
@@ -314,7 +325,7 @@
 					t.Errorf("job %s: %s: %+v", w.id, wrong, *w)
 				}
 			}
-			t.Logf("%d jobs, %d entries started, %d transactions late: %v", len(told), s.launched, s.trouble.late, counts)
+			t.Logf("%d jobs, %d entries started, %d transactions late: %v", len(told), len(s.launched), s.trouble.late, counts)
 			assert.Check(t, counts["DELETE 200"] > 0 && counts["DELETE 410"] > 0 && s.trouble.late > 0)
 		})
 	}
