intake, crowd: share the locked table and the small job of tests

lateTransactions repeated the locked Get of lateTable, and had a counter that nothing read; slowTable had a lock of its own that Get did not take, and tests set its errors without the lock while a writer might still read them. All three embed lockedTable now, and errors are set by setFail. Entries of these tests are made by newEntryOn. A table column with one value is gone, and the soak sends the job of entry.submit.

Tests only: every assertion stays.

--- a/crowd/caller_test.go
+++ b/crowd/caller_test.go
@@ -64,7 +64,7 @@
 	defer cancel()
 	body := ""
 	if method == http.MethodPost {
-		body = `{"spec":"s","steps":[{"count":1,"cpu":500,"mem_mb":64,"estimate_ms":100}]}`
+		body = smallJob
 	}
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+c.using[slot].callers+"/q/"+id, strings.NewReader(body))
 	if err != nil {
@@ -154,8 +154,9 @@
 
 // check checks what a caller was told against what the store has; it returns a description of what is wrong, empty if nothing is.
 func (h *history) check(s *store) string {
-	part := jobs.Part("r", croft.JobID(h.id))
-	state, record := s.rows[jobs.Key(jobs.StateTable, part, croft.JobID(h.id))], s.rows[jobs.Key(jobs.JobTable, part, croft.JobID(h.id))]
+	id := croft.JobID(h.id)
+	part := jobs.Part("r", id)
+	state, record := s.rows[jobs.Key(jobs.StateTable, part, id)], s.rows[jobs.Key(jobs.JobTable, part, id)]
 	progress := jobs.Progress{}
 	if state.Ver != nil && !state.Gone {
 		var err error
--- a/crowd/entry_test.go
+++ b/crowd/entry_test.go
@@ -109,9 +109,12 @@
 // probe returns the status of a readiness probe, zero without a response.
 func (e *entry) probe() int { return statusOf(http.MethodGet, e.ready, "/", "") }
 
+// smallJob is a valid job of one task.
+const smallJob = `{"spec":"s","steps":[{"count":1,"cpu":500,"mem_mb":64,"estimate_ms":100}]}`
+
 // submit submits a small valid job and returns the status, zero without a response.
 func (e *entry) submit(id string) int {
-	return statusOf(http.MethodPost, e.callers, "/q/"+id, `{"spec":"s","steps":[{"count":1,"cpu":500,"mem_mb":64,"estimate_ms":100}]}`)
+	return statusOf(http.MethodPost, e.callers, "/q/"+id, smallJob)
 }
 
 // statusOf sends a request on a connection of its own, with a header if one is given by its name and value, and returns the status,
--- a/intake/cancel_test.go
+++ b/intake/cancel_test.go
@@ -31,27 +31,18 @@
 
 // lateTransactions is a table whose transactions can be held back.
 type lateTransactions struct {
-	mu sync.Mutex
-	fakeTable
+	lockedTable
 	delivery delivery
 	// pending has a channel for each transaction that is held back.
 	pending []chan struct{}
-	commits int
 }
 
 func newLateTransactions() *lateTransactions {
-	return &lateTransactions{fakeTable: fakeTable{rows: map[string]croft.Row{}}}
-}
-
-func (l *lateTransactions) Get(ctx context.Context, key string) (croft.Row, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.fakeTable.Get(ctx, key)
+	return &lateTransactions{lockedTable: newLockedTable()}
 }
 
 func (l *lateTransactions) Commit(ctx context.Context, ops []croft.Op) (uint64, error) {
 	l.mu.Lock()
-	l.commits++
 	delivery, arrival := l.delivery, make(chan struct{})
 	if delivery == prompt {
 		close(arrival)
@@ -205,7 +196,7 @@
 }
 
 func newCancellationTest() *cancellationTest {
-	table := &slowTable{fakeTable: fakeTable{rows: map[string]croft.Row{}}}
+	table := &slowTable{lockedTable: newLockedTable()}
 	return &cancellationTest{
 		table: table, intake: newEntryOn(table),
 		red: Target{Queue: queue, Organisation: "red", ID: id}, blue: Target{Queue: queue, Organisation: "blue", ID: id},
@@ -263,12 +254,12 @@
 	t.Run("removed meanwhile", func(t *testing.T) {
 		c := newCancellationTest()
 		c.cancelMissing(t, c.blue)
-		c.table.fail = func(n int) error {
+		c.table.setFail(func(n int) error {
 			if n == 3 {
 				clear(c.table.rows)
 			}
 			return nil
-		}
+		})
 		c.submit(t, c.red, Accepted)
 		assert.Equal(t, c.table.commits, 4)
 	})
@@ -276,20 +267,17 @@
 
 // Guards against 410 for a cancellation that the store has not confirmed: the job may be stored.
 func TestUnconfirmedCancellationIsNotAcknowledged(t *testing.T) {
-	for name, test := range map[string]struct {
-		cause error
-		want  error
-	}{
-		"lost":    {&croft.LostAnswerError{Reason: "test"}, ErrCancelUnknown},
-		"refused": {&croft.UnavailableError{Reason: "test"}, ErrCancelUnknown},
-		"invalid": {&croft.UnavailableError{Reason: "test", Invalid: true}, ErrCancelUnknown},
+	for name, cause := range map[string]error{
+		"lost":    &croft.LostAnswerError{Reason: "test"},
+		"refused": &croft.UnavailableError{Reason: "test"},
+		"invalid": &croft.UnavailableError{Reason: "test", Invalid: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := newCancellationTest()
-			c.table.fail = func(int) error { return test.cause }
-			assert.ErrorIs(t, c.intake.Cancel(shortContext(t), c.red), test.want)
+			c.table.setFail(func(int) error { return cause })
+			assert.ErrorIs(t, c.intake.Cancel(shortContext(t), c.red), ErrCancelUnknown)
 			assert.Equal(t, len(c.table.rows), 0)
-			c.table.fail = nil
+			c.table.setFail(nil)
 			c.submit(t, c.red, Accepted)
 		})
 	}
@@ -304,10 +292,10 @@
 func TestLostCancellationIsUnknownDuringAnOutage(t *testing.T) {
 	c := newCancellationTest()
 	c.submit(t, c.red, Accepted)
-	c.table.fail = func(int) error {
+	c.table.setFail(func(int) error {
 		c.table.outage = &croft.UnavailableError{Reason: "test"}
 		return &croft.LostAnswerError{Reason: "test"}
-	}
+	})
 	assert.ErrorIs(t, c.intake.Cancel(shortContext(t), c.red), ErrCancelUnknown)
 }
 
@@ -323,7 +311,7 @@
 
 // The load of a wave of callers that give up on a slow store: each cancellation was a transaction of its own, and most had no response.
 func TestCancellationsOfMissingJobsShareTransactions(t *testing.T) {
-	store := &slowTable{fakeTable: fakeTable{rows: map[string]croft.Row{}}, duration: 100 * time.Millisecond}
+	store := &slowTable{lockedTable: newLockedTable(), duration: 100 * time.Millisecond}
 	g := newGroupWriter(store, clock.NewSystem())
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
--- a/intake/cap_test.go
+++ b/intake/cap_test.go
@@ -50,7 +50,7 @@
 // Guards against a job beyond its cap that is stored unchecked: the caller's context ended before the store answered the check. The jobs
 // are many, as only some of them were sent.
 func TestNothingIsSentAfterTheCallersContext(t *testing.T) {
-	store := &slowTable{fakeTable: fakeTable{rows: map[string]croft.Row{}}}
+	store := &slowTable{lockedTable: newLockedTable()}
 	i := New(store, clock.NewSystem(), discardLog{}, func() croft.Millis { return 0 }, croft.Second, 0)
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
--- a/intake/group_test.go
+++ b/intake/group_test.go
@@ -16,8 +16,7 @@
 
 // slowTable is a table that takes one transaction at a time in each part, and some time for each.
 type slowTable struct {
-	fakeTable
-	mu sync.Mutex
+	lockedTable
 	// duration is how long a transaction takes.
 	duration time.Duration
 	// fail returns the error of a transaction, before it is applied, nil for none.
@@ -28,6 +27,13 @@
 	commits, most int
 }
 
+// setFail sets the errors of the transactions that follow.
+func (t *slowTable) setFail(fail func(n int) error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.fail = fail
+}
+
 func (t *slowTable) Commit(ctx context.Context, ops []croft.Op) (uint64, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -87,7 +93,7 @@
 // The load of a turn on a slow store: sixty jobs for one part within the time of a few transactions. Each was a
 // transaction of its own, and most callers' deadlines passed in the store's queue.
 func TestSubmissionsToASlowPartShareTransactions(t *testing.T) {
-	store := &slowTable{fakeTable: fakeTable{rows: map[string]croft.Row{}}, duration: 100 * time.Millisecond}
+	store := &slowTable{lockedTable: newLockedTable(), duration: 100 * time.Millisecond}
 	outcomes := submitMany(t, store, jobIDs(60), time.Second)
 	assert.Equal(t, countOutcomes(outcomes)[Accepted], 60)
 	assert.Assert(t, store.commits <= 5, "%d transactions", store.commits)
@@ -96,7 +102,7 @@
 
 // One job of a group that is stored already, since its caller repeats it, does not keep the others from being stored.
 func TestStoredJobDoesNotFailItsGroup(t *testing.T) {
-	store := &slowTable{fakeTable: fakeTable{rows: map[string]croft.Row{}}, duration: 10 * time.Millisecond}
+	store := &slowTable{lockedTable: newLockedTable(), duration: 10 * time.Millisecond}
 	ids := jobIDs(8)
 	submitMany(t, store, ids[:3], time.Second)
 	outcomes := submitMany(t, store, append(ids, ids[5]), time.Second)
@@ -106,7 +112,7 @@
 
 // A lost answer leaves all jobs of a transaction uncertain; the repetition shows whether they are stored.
 func TestLostAnswerOfAGroupIsResolved(t *testing.T) {
-	store := &slowTable{fakeTable: fakeTable{rows: map[string]croft.Row{}}}
+	store := &slowTable{lockedTable: newLockedTable()}
 	store.fail = func(n int) error {
 		if n > 1 {
 			return nil
@@ -119,7 +125,7 @@
 
 // While the answers of the store stay away, a job that was sent may be stored, and one that still waits is not.
 func TestCallersLeaveWhileTheStoreIsSilent(t *testing.T) {
-	store := &slowTable{fakeTable: fakeTable{rows: map[string]croft.Row{}}, duration: 300 * time.Millisecond}
+	store := &slowTable{lockedTable: newLockedTable(), duration: 300 * time.Millisecond}
 	store.fail = func(int) error { return &croft.LostAnswerError{Reason: "test"} }
 	counts := countOutcomes(submitMany(t, store, jobIDs(60), 100*time.Millisecond))
 	assert.Assert(t, counts[Unknown] >= 1 && counts[Unknown] <= maxGroup, "%v", counts)
@@ -128,7 +134,7 @@
 
 // A store that refuses transactions has stored none, so the callers are told so within refusalTimeout.
 func TestRefusedGroupIsNotStored(t *testing.T) {
-	store := &slowTable{fakeTable: fakeTable{rows: map[string]croft.Row{}}}
+	store := &slowTable{lockedTable: newLockedTable()}
 	store.fail = func(int) error { return &croft.UnavailableError{Reason: "test"} }
 	began := time.Now()
 	counts := countOutcomes(submitMany(t, store, jobIDs(5), 5*time.Second))
@@ -140,7 +146,7 @@
 // transaction. It is decided at once, and alone.
 func TestInvalidJobDoesNotFailItsGroup(t *testing.T) {
 	ids := jobIDs(30)
-	store := &slowTable{fakeTable: fakeTable{rows: map[string]croft.Row{}}, duration: 5 * time.Millisecond, invalid: ids[17]}
+	store := &slowTable{lockedTable: newLockedTable(), duration: 5 * time.Millisecond, invalid: ids[17]}
 	began := time.Now()
 	counts := countOutcomes(submitMany(t, store, ids, time.Minute))
 	assert.Equal(t, counts[Accepted], 29)
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -86,6 +87,22 @@
 	return t.version
 }
 
+// lockedTable is a table for concurrent use; what embeds it locks it for transactions.
+type lockedTable struct {
+	mu sync.Mutex
+	fakeTable
+}
+
+func newLockedTable() lockedTable {
+	return lockedTable{fakeTable: fakeTable{rows: map[string]croft.Row{}}}
+}
+
+func (t *lockedTable) Get(ctx context.Context, key string) (croft.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.fakeTable.Get(ctx, key)
+}
+
 // discardLog is a croft.DecisionLog that discards everything.
 type discardLog struct{}
 
--- a/intake/uncertain_test.go
+++ b/intake/uncertain_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"strconv"
-	"sync"
 	"testing"
 	"time"
 
@@ -12,7 +11,6 @@
 	"gotest.tools/v3/poll"
 
 	"waxwing.example/croft"
-	"waxwing.example/croft/clock"
 	"waxwing.example/croft/jobs"
 	"waxwing.example/croft/sched"
 	"waxwing.example/croft/shares"
@@ -20,19 +18,12 @@
 
 // lateTable does not answer the first transaction, and carries it out only when told.
 type lateTable struct {
-	mu sync.Mutex
-	fakeTable
+	lockedTable
 	first []croft.Op
 	// refusal is the error of the transactions after the first, nil if they are carried out.
 	refusal error
 }
 
-func (t *lateTable) Get(ctx context.Context, key string) (croft.Row, error) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.fakeTable.Get(ctx, key)
-}
-
 func (t *lateTable) Commit(ctx context.Context, ops []croft.Op) (uint64, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -63,8 +54,8 @@
 // writing has ended.
 func newUncertainEntry(t *testing.T, target Target) (*Intake, *lateTable) {
 	t.Helper()
-	store := &lateTable{fakeTable: fakeTable{rows: map[string]croft.Row{}}}
-	i := New(store, clock.NewSystem(), discardLog{}, func() croft.Millis { return 0 }, croft.Hour, testRowBytes)
+	store := &lateTable{lockedTable: newLockedTable()}
+	i := newEntryOn(store)
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
 	defer cancel()
 	outcome, _ := i.Submit(ctx, target, croft.JobSpec{})
